--- /dev/null
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/package-info.java
@@ -0,0 +1,2 @@
+/** cardamomthread, the operator command. */
+package org.cardamomthread.command;
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Node settings, declarations and the replicated configuration. */
+package org.cardamomthread.configuration;
--- /dev/null
+++ b/cardamomthread-core/src/main/java/org/cardamomthread/core/hash/package-info.java
@@ -0,0 +1,2 @@
+/** Hashing that all nodes must compute alike. */
+package org.cardamomthread.core.hash;
--- /dev/null
+++ b/cardamomthread-core/src/main/java/org/cardamomthread/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.cardamomthread.core.id;
--- /dev/null
+++ b/cardamomthread-core/src/main/java/org/cardamomthread/core/package-info.java
@@ -0,0 +1,2 @@
+/** Error base type shared by every slice. */
+package org.cardamomthread.core;
--- /dev/null
+++ b/cardamomthread-core/src/main/java/org/cardamomthread/core/time/SystemTimeSource.java
@@ -0,0 +1,18 @@
+package org.cardamomthread.core.time;
+
+import java.time.Instant;
+import java.util.concurrent.TimeUnit;
+
+/** Reads the clocks of this host. Stateless and safe for use by several threads. */
+public final class SystemTimeSource implements TimeSource {
+
+    @Override
+    public Instant instant() {
+        return Instant.now();
+    }
+
+    @Override
+    public long monotonicMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/cardamomthread-core/src/main/java/org/cardamomthread/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** The clock as an interface. */
+package org.cardamomthread.core.time;
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** cardamomthreadd, the node daemon. */
+package org.cardamomthread.daemon;
--- /dev/null
+++ b/cardamomthread-execution/src/main/java/org/cardamomthread/execution/package-info.java
@@ -0,0 +1,2 @@
+/** Claims of non-repeatable calls, accepted jobs, resume. */
+package org.cardamomthread.execution;
--- /dev/null
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/package-info.java
@@ -0,0 +1,2 @@
+/** Replays, benchmarks and measurements. */
+package org.cardamomthread.experiments;
--- /dev/null
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Node and endpoint liveness, homes, leased credits. */
+package org.cardamomthread.membership;
--- /dev/null
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Routing, admission, rollout and capacity decisions. */
+package org.cardamomthread.policy;
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/package-info.java
@@ -0,0 +1,2 @@
+/** Replicated log: voters, storage, snapshots. */
+package org.cardamomthread.replication;
--- /dev/null
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for endpoints and the platform. */
+package org.cardamomthread.standin;
--- /dev/null
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Authenticated links between nodes. */
+package org.cardamomthread.transport;
