--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
@@ -0,0 +1,101 @@
+package org.cardamomthread.daemon.dispatch;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.HashedWheelTimer;
+import io.netty.util.Timer;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Request;
+import org.asynchttpclient.RequestBuilder;
+import org.cardamomthread.core.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs attempts through AsyncHttpClient with all of its own retries off.
+ *
+ * <p>Repeatable calls share pooled connections; each other call has a connection of its own. Safe
+ * for use by several threads.
+ */
+public final class AsyncEndpointClient implements EndpointClient {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(AsyncEndpointClient.class);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(800);
+    private static final Duration POOLED_IDLE_TIMEOUT = Duration.ofSeconds(20);
+    private static final long TIMER_TICK_MS = 20;
+    private static final int NO_REQUEST_TIMEOUT_MS = -1;
+
+    private final TimeSource timeSource;
+    private final Timer timer = new HashedWheelTimer(TIMER_TICK_MS, TimeUnit.MILLISECONDS);
+    private final AsyncHttpClient pooledClient;
+    private final AsyncHttpClient singleUseClient;
+
+    /**
+     * Creates a client.
+     *
+     * @param eventLoops the event loops that run its connections; not closed with the client
+     * @param timeSource the clock for progress deadlines
+     */
+    public AsyncEndpointClient(EventLoopGroup eventLoops, TimeSource timeSource) {
+        this.timeSource = timeSource;
+        this.pooledClient = createClient(eventLoops, true);
+        this.singleUseClient = createClient(eventLoops, false);
+    }
+
+    @Override
+    public EndpointAttempt start(EndpointRequest request, EndpointResponseListener listener) {
+        AttemptHandler handler = new AttemptHandler(request, listener, timer, timeSource);
+        AsyncHttpClient client = request.isRepeatable() ? pooledClient : singleUseClient;
+        handler.watch(client.executeRequest(createRequest(request), handler));
+        return handler;
+    }
+
+    @Override
+    public void close() {
+        closeQuietly(pooledClient);
+        closeQuietly(singleUseClient);
+        timer.stop();
+    }
+
+    private Request createRequest(EndpointRequest request) {
+        RequestBuilder builder =
+                new RequestBuilder(request.method().name(), true, false)
+                        .setUrl("http://" + request.address() + request.target())
+                        .setHeaders(request.headers());
+        if (request.body().length > 0) {
+            builder.setBody(request.body());
+        }
+        return builder.build();
+    }
+
+    private AsyncHttpClient createClient(EventLoopGroup eventLoops, boolean keepAlive) {
+        return new DefaultAsyncHttpClient(
+                new DefaultAsyncHttpClientConfig.Builder()
+                        .setEventLoopGroup(eventLoops)
+                        .setNettyTimer(timer)
+                        .setKeepAlive(keepAlive)
+                        .setMaxRequestRetry(0)
+                        .setFollowRedirect(false)
+                        .setEnableAutomaticDecompression(false)
+                        .setDisableUrlEncodingForBoundRequests(true)
+                        .setCookieStore(null)
+                        .setUserAgent(null)
+                        .setConnectTimeout(CONNECT_TIMEOUT)
+                        .setRequestTimeout(Duration.ofMillis(NO_REQUEST_TIMEOUT_MS))
+                        .setReadTimeout(Duration.ofMillis(NO_REQUEST_TIMEOUT_MS))
+                        .setPooledConnectionIdleTimeout(POOLED_IDLE_TIMEOUT)
+                        .build());
+    }
+
+    private static void closeQuietly(AsyncHttpClient client) {
+        try {
+            client.close();
+        } catch (IOException failure) {
+            LOGGER.warn("closing the endpoint client failed", failure);
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
@@ -0,0 +1,187 @@
+package org.cardamomthread.daemon.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Answers one request of a connection.
+ *
+ * <p>Invariant: the request counts as in progress until the last byte of its answer was written or
+ * the connection closed. Safe for use by several threads; writes happen on the event loop in order.
+ */
+final class DefaultHttpExchange implements HttpExchange {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(DefaultHttpExchange.class);
+
+    private final ChannelHandlerContext context;
+    private final HttpConnectionHandler connection;
+    private final ServerActivity activity;
+    private final HttpCall call;
+    private final boolean keepAlive;
+    private final AtomicBoolean answered = new AtomicBoolean();
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private final AtomicLong pendingBytes = new AtomicLong();
+    private Runnable disconnectAction;
+    private boolean disconnected;
+
+    DefaultHttpExchange(
+            ChannelHandlerContext context,
+            HttpConnectionHandler connection,
+            ServerActivity activity,
+            HttpCall call,
+            boolean keepAlive) {
+        this.context = context;
+        this.connection = connection;
+        this.activity = activity;
+        this.call = call;
+        this.keepAlive = keepAlive;
+    }
+
+    static FullHttpResponse encode(HttpReply reply) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(reply.status()),
+                        Unpooled.wrappedBuffer(reply.body()));
+        response.headers().add(reply.headers());
+        HttpUtil.setContentLength(response, reply.body().length);
+        return response;
+    }
+
+    @Override
+    public HttpCall getCall() {
+        return call;
+    }
+
+    @Override
+    public void respond(HttpReply reply) {
+        if (!answered.compareAndSet(false, true)) {
+            return;
+        }
+        FullHttpResponse response = encode(reply);
+        boolean close = markClosing(response.headers());
+        context.writeAndFlush(response).addListener(written -> finish(close));
+    }
+
+    @Override
+    public ResponseStream startStream(int status, HttpHeaders headers) {
+        if (!answered.compareAndSet(false, true)) {
+            throw new IllegalStateException("the request must not have been answered before");
+        }
+        DefaultHttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        response.headers().add(headers);
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        boolean close = markClosing(response.headers());
+        context.writeAndFlush(response);
+        return new ChunkedResponseStream(close);
+    }
+
+    @Override
+    public void onDisconnect(Runnable action) {
+        synchronized (this) {
+            if (!disconnected) {
+                disconnectAction = action;
+                return;
+            }
+        }
+        action.run();
+    }
+
+    void disconnect() {
+        Runnable action;
+        synchronized (this) {
+            disconnected = true;
+            action = disconnectAction;
+        }
+        if (ended.compareAndSet(false, true)) {
+            activity.end();
+            if (action != null) {
+                action.run();
+            }
+        }
+    }
+
+    void fail(RuntimeException failure) {
+        LOGGER.error("request handler failed on {}", call.path(), failure);
+        respond(
+                new Problem(
+                                500,
+                                "internal-error",
+                                "Internal error",
+                                "the node failed on this request: see its log, and resend only what"
+                                        + " may be repeated",
+                                ExecutionState.UNKNOWN,
+                                OptionalLong.empty())
+                        .toReply("none"));
+    }
+
+    private boolean markClosing(HttpHeaders headers) {
+        boolean close = !keepAlive || activity.isDraining();
+        if (close) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return close;
+    }
+
+    private void finish(boolean close) {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        activity.end();
+        if (close) {
+            context.close();
+            return;
+        }
+        connection.complete(context);
+    }
+
+    /** Writes a body in chunks. */
+    private final class ChunkedResponseStream implements ResponseStream {
+
+        private final boolean close;
+
+        ChunkedResponseStream(boolean close) {
+            this.close = close;
+        }
+
+        @Override
+        public void write(byte[] part) {
+            pendingBytes.addAndGet(part.length);
+            context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)))
+                    .addListener(written -> pendingBytes.addAndGet(-part.length));
+        }
+
+        @Override
+        public void finish() {
+            context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                    .addListener(written -> DefaultHttpExchange.this.finish(close));
+        }
+
+        @Override
+        public void abort() {
+            context.channel().eventLoop().execute(() -> context.close());
+        }
+
+        @Override
+        public long getPendingBytes() {
+            return pendingBytes.get();
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ListenException.java
@@ -0,0 +1,23 @@
+package org.cardamomthread.daemon.http;
+
+import java.net.InetSocketAddress;
+import org.cardamomthread.core.CardamomthreadException;
+
+/** Reports that a listener's address could not be bound. */
+public final class ListenException extends CardamomthreadException {
+
+    private static final long serialVersionUID = 1L;
+
+    ListenException(String listener, InetSocketAddress address, Throwable cause) {
+        super(
+                String.format(
+                        "listener \"%s\" could not bind %s:%d (%s): stop the process that holds the"
+                                + " port, or set listeners.%s to a free address of this host",
+                        listener,
+                        address.getHostString(),
+                        address.getPort(),
+                        cause.getMessage(),
+                        listener),
+                cause);
+    }
+}
