--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
@@ -39,11 +39,11 @@
     /** Creates the metrics, all zero. */
     public NodeMetrics() {
         requests =
-                Counter.builder()
-                        .name("cardamomthread_requests_total")
-                        .help("Requests answered, by service and outcome")
-                        .labelNames(SERVICE, "outcome")
-                        .register(registry);
+                createCounter(
+                        "cardamomthread_requests_total",
+                        "Requests answered, by service and outcome",
+                        SERVICE,
+                        "outcome");
         duration =
                 createHistogram(
                         "cardamomthread_request_duration_seconds",
@@ -53,29 +53,22 @@
                         "cardamomthread_first_byte_seconds",
                         "Time from a whole request to the first byte of the answer's body");
         attempts =
-                Counter.builder()
-                        .name("cardamomthread_attempts_total")
-                        .help("Attempts on endpoints, by service and result")
-                        .labelNames(SERVICE, "result")
-                        .register(registry);
+                createCounter(
+                        "cardamomthread_attempts_total",
+                        "Attempts on endpoints, by service and result",
+                        SERVICE,
+                        "result");
         recomputedTokens =
-                Counter.builder()
-                        .name("cardamomthread_recomputed_tokens_total")
-                        .help("Delivered tokens that another endpoint had to process again")
-                        .labelNames(SERVICE)
-                        .register(registry);
-        tokens =
-                Counter.builder()
-                        .name("cardamomthread_tokens_total")
-                        .help("Tokens sent to callers")
-                        .labelNames(SERVICE)
-                        .register(registry);
+                createCounter(
+                        "cardamomthread_recomputed_tokens_total",
+                        "Delivered tokens that another endpoint had to process again",
+                        SERVICE);
+        tokens = createCounter("cardamomthread_tokens_total", "Tokens sent to callers", SERVICE);
         peerBytes =
-                Counter.builder()
-                        .name("cardamomthread_peer_bytes_total")
-                        .help("Bytes exchanged with other nodes")
-                        .labelNames("direction")
-                        .register(registry);
+                createCounter(
+                        "cardamomthread_peer_bytes_total",
+                        "Bytes exchanged with other nodes",
+                        "direction");
         inProgress =
                 Gauge.builder()
                         .name("cardamomthread_requests_in_progress")
@@ -186,6 +179,10 @@
         return buffer.toByteArray();
     }
 
+    private Counter createCounter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+
     private Histogram createHistogram(String name, String help) {
         return Histogram.builder()
                 .name(name)
