--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/HttpServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/HttpServerTests.java
@@ -68,7 +68,8 @@
     public void goesOnAfterBadRequests() throws IOException {
         String answer =
                 exchange(
-                        "POST /echo HTTP/1.1\r\ncontent-length: 4\r\nconnection: close\r\n\r\nbody");
+                        "POST /echo HTTP/1.1\r\ncontent-length: 4\r\n"
+                                + "connection: close\r\n\r\nbody");
         assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
         assertTrue(answer.endsWith("body"), answer);
     }
