--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptRunner.java
@@ -0,0 +1,98 @@
+package org.cardamomthread.daemon.gateway;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import java.util.Locale;
+import java.util.Set;
+import org.cardamomthread.daemon.dispatch.EndpointAttempt;
+import org.cardamomthread.daemon.dispatch.EndpointClient;
+import org.cardamomthread.daemon.dispatch.EndpointRequest;
+import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
+import org.cardamomthread.daemon.http.HttpCall;
+import org.cardamomthread.daemon.telemetry.NodeTracing;
+
+/**
+ * Sends a call to a chosen endpoint, with the headers and the span of that hop.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class AttemptRunner {
+
+    /** Headers of one connection, which must not go on to the next one. */
+    private static final Set<String> HOP_HEADERS =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "host",
+                    "content-length",
+                    "expect");
+
+    private final EndpointClient client;
+    private final NodeTracing tracing;
+
+    AttemptRunner(EndpointClient client, NodeTracing tracing) {
+        this.client = client;
+        this.tracing = tracing;
+    }
+
+    /** Starts an attempt; its span ends with the last event of the listener. */
+    EndpointAttempt start(
+            CallScope scope,
+            PlacedCall placed,
+            String target,
+            byte[] body,
+            EndpointResponseListener listener) {
+        Span span = tracing.startSpan("endpoint attempt", SpanKind.CLIENT, scope.getSpan());
+        span.setAttribute("cardamomthread.endpoint", placed.getEndpoint().value());
+        span.setAttribute("cardamomthread.version", placed.getVersion().value());
+        HttpCall call = scope.getExchange().getCall();
+        HttpHeaders headers = createHeaders(call.headers());
+        headers.set("x-request-id", scope.getRequestId().value());
+        headers.set("x-priority", scope.getTarget().traffic().getPriorityName());
+        headers.set("x-service", scope.getTarget().service().value());
+        headers.set("x-version", placed.getVersion().value());
+        tracing.inject(span, headers);
+        EndpointRequest request =
+                new EndpointRequest(
+                        placed.getAddress(),
+                        call.method(),
+                        target,
+                        headers,
+                        body,
+                        scope.getRequestId(),
+                        scope.getTarget().isRepeatable(),
+                        scope.getTarget().traffic().getFirstByteTimeoutMs(),
+                        scope.getTarget().traffic().getGapTimeoutMs());
+        return client.start(request, new SpanEndingListener(span, listener));
+    }
+
+    /** Copies the headers of an answer that may go on to the caller. */
+    static HttpHeaders createCallerHeaders(HttpHeaders answered) {
+        return copyEndToEnd(answered);
+    }
+
+    private static HttpHeaders createHeaders(HttpHeaders received) {
+        HttpHeaders headers = copyEndToEnd(received);
+        headers.remove("authorization");
+        return headers;
+    }
+
+    private static HttpHeaders copyEndToEnd(HttpHeaders received) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        received.forEach(
+                header -> {
+                    if (!HOP_HEADERS.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+                        headers.add(header.getKey(), header.getValue());
+                    }
+                });
+        return headers;
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/EventStreamParser.java
@@ -0,0 +1,84 @@
+package org.cardamomthread.daemon.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Splits a server-sent event stream into the data of its events.
+ *
+ * <p>Bytes may arrive in any division. Comments and fields other than {@code data} are dropped. Not
+ * safe for use by several threads.
+ */
+final class EventStreamParser {
+
+    private static final String DATA_FIELD = "data:";
+
+    private final int maxEventBytes;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final StringBuilder data = new StringBuilder();
+    private boolean hasData;
+
+    /**
+     * Creates a parser.
+     *
+     * @param maxEventBytes longest event accepted, in bytes
+     */
+    EventStreamParser(int maxEventBytes) {
+        this.maxEventBytes = maxEventBytes;
+    }
+
+    /**
+     * Takes the next bytes of the stream.
+     *
+     * @param part the bytes
+     * @return the data of each event that these bytes complete, in order
+     * @throws MalformedAnswerException if an event is longer than accepted
+     */
+    List<String> feed(byte[] part) throws MalformedAnswerException {
+        List<String> events = new ArrayList<>();
+        for (byte next : part) {
+            if (next == '\n') {
+                endLine(events);
+            } else {
+                line.write(next);
+            }
+        }
+        if (line.size() + data.length() > maxEventBytes) {
+            throw new MalformedAnswerException(
+                    "an event is longer than " + maxEventBytes + " bytes: have it sent in parts");
+        }
+        return events;
+    }
+
+    private void endLine(List<String> events) {
+        String text = line.toString(StandardCharsets.UTF_8);
+        line.reset();
+        if (text.endsWith("\r")) {
+            text = text.substring(0, text.length() - 1);
+        }
+        if (text.isEmpty()) {
+            endEvent(events);
+            return;
+        }
+        if (!text.startsWith(DATA_FIELD)) {
+            return;
+        }
+        if (hasData) {
+            data.append('\n');
+        }
+        hasData = true;
+        int start = DATA_FIELD.length();
+        boolean isPadded = text.length() > start && text.charAt(start) == ' ';
+        data.append(text, isPadded ? start + 1 : start, text.length());
+    }
+
+    private void endEvent(List<String> events) {
+        if (hasData) {
+            events.add(data.toString());
+        }
+        data.setLength(0);
+        hasData = false;
+    }
+}
