Load the settings of a node from YAML with located errors

A node had no way to learn its addresses, peers and limits. Settings are read from one YAML file, checked against a published JSON Schema and then for meaning; each error names file, line, column, key and remedy, and all are reported at once.

Jackson's data binding alone was ruled out: it stops at the first error and loses the place of a missing key. The tree is therefore built from parser tokens with the location of each key, and defaults come from the schema, so that they stand in one place.

--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/document/InvalidDocumentException.java
@@ -0,0 +1,35 @@
+package org.cardamomthread.configuration.document;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.cardamomthread.core.CardamomthreadException;
+
+/** Reports every error found in one set of documents, in the order of their locations. */
+public final class InvalidDocumentException extends CardamomthreadException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final transient List<Problem> problems;
+
+    /**
+     * Creates an exception.
+     *
+     * @param problems the errors, at least one
+     */
+    public InvalidDocumentException(List<Problem> problems) {
+        super(problems.stream().sorted().map(Problem::toString).collect(Collectors.joining("\n")));
+        if (problems.isEmpty()) {
+            throw new IllegalArgumentException("problems must hold at least one problem");
+        }
+        this.problems = problems.stream().sorted().toList();
+    }
+
+    /**
+     * Returns the errors.
+     *
+     * @return the errors in the order of their locations, at least one
+     */
+    public List<Problem> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/document/NetworkAddress.java
@@ -0,0 +1,89 @@
+package org.cardamomthread.configuration.document;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Holds an IP number and a port.
+ *
+ * <p>No name is ever resolved. Immutable and safe for use by several threads.
+ *
+ * @param ip the IP number, version 4 in dotted form or version 6 without brackets
+ * @param port the port, 1 to {@value #MAX_PORT}
+ */
+public record NetworkAddress(String ip, int port) implements Comparable<NetworkAddress> {
+
+    /** The highest port. */
+    public static final int MAX_PORT = 65_535;
+
+    private static final Pattern FORM =
+            Pattern.compile("(?:\\[(?<v6>[0-9A-Fa-f:.]+)]|(?<v4>[0-9.]+)):(?<port>[0-9]{1,5})");
+    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+    private static final Pattern V4 = Pattern.compile(OCTET + "(\\." + OCTET + "){3}");
+
+    /** Checks the arguments. */
+    public NetworkAddress {
+        if (ip == null || !isIpNumber(ip)) {
+            throw new IllegalArgumentException("ip \"" + ip + "\" must be an IP number");
+        }
+        if (port < 1 || port > MAX_PORT) {
+            throw new IllegalArgumentException("port " + port + " must be 1 to " + MAX_PORT);
+        }
+    }
+
+    /**
+     * Reads the text form.
+     *
+     * @param text such as {@code 127.0.0.1:8080} or {@code [::1]:8080}
+     * @return the address
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static NetworkAddress parse(String text) {
+        Matcher matcher = FORM.matcher(text);
+        if (!matcher.matches()) {
+            throw new IllegalArgumentException(
+                    "address \"" + text + "\" must be an IP number and a port");
+        }
+        String v6 = matcher.group("v6");
+        String ip = v6 == null ? matcher.group("v4") : v6;
+        return new NetworkAddress(ip, Integer.parseInt(matcher.group("port")));
+    }
+
+    /**
+     * Converts to the type that sockets take, without a look-up of names.
+     *
+     * @return the socket address
+     */
+    public InetSocketAddress toSocketAddress() {
+        try {
+            return new InetSocketAddress(InetAddress.getByName(ip), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException("ip \"" + ip + "\" must be an IP number", e);
+        }
+    }
+
+    @Override
+    public int compareTo(NetworkAddress other) {
+        return toString().compareTo(other.toString());
+    }
+
+    @Override
+    public String toString() {
+        return ip.indexOf(':') < 0 ? ip + ":" + port : "[" + ip + "]:" + port;
+    }
+
+    private static boolean isIpNumber(String ip) {
+        if (ip.indexOf(':') < 0) {
+            return V4.matcher(ip).matches();
+        }
+        try {
+            // A text with a colon is never taken for a name.
+            return InetAddress.getByName("[" + ip + "]") != null;
+        } catch (UnknownHostException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/document/Problem.java
@@ -0,0 +1,45 @@
+package org.cardamomthread.configuration.document;
+
+import java.util.Comparator;
+import java.util.Objects;
+
+/**
+ * Describes one error in a document.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param location where the error is
+ * @param key the path of the key, such as {@code services/0/profile}; empty for the whole document
+ * @param detail what is wrong
+ * @param remedy what to do about it
+ */
+public record Problem(SourceLocation location, String key, String detail, String remedy)
+        implements Comparable<Problem> {
+
+    private static final Comparator<Problem> ORDER =
+            Comparator.comparing((Problem problem) -> problem.location.source())
+                    .thenComparing(problem -> problem.location.line())
+                    .thenComparing(problem -> problem.location.column())
+                    .thenComparing(Problem::key)
+                    .thenComparing(Problem::detail)
+                    .thenComparing(Problem::remedy);
+
+    /** Checks the arguments. */
+    public Problem {
+        Objects.requireNonNull(location, "location must not be null");
+        Objects.requireNonNull(key, "key must not be null");
+        Objects.requireNonNull(detail, "detail must not be null");
+        Objects.requireNonNull(remedy, "remedy must not be null");
+    }
+
+    @Override
+    public int compareTo(Problem other) {
+        return ORDER.compare(this, other);
+    }
+
+    @Override
+    public String toString() {
+        String subject = key.isEmpty() ? "" : "\"" + key + "\": ";
+        return location + ": " + subject + detail + "; " + remedy;
+    }
+}
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/document/YamlReader.java
@@ -0,0 +1,171 @@
+package org.cardamomthread.configuration.document;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLParser;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/**
+ * Reads one YAML document and records the location of each key.
+ *
+ * <p>Keys that stand twice, aliases and a second document in the file are errors. An instance reads
+ * one text; it is confined to one thread.
+ */
+public final class YamlReader {
+
+    private static final YAMLFactory FACTORY =
+            YAMLFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+
+    private final String source;
+    private final YAMLParser parser;
+    private final Map<String, SourceLocation> locations = new HashMap<>();
+
+    private YamlReader(String source, YAMLParser parser) {
+        this.source = source;
+        this.parser = parser;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file, in UTF-8
+     * @return its document
+     * @throws InvalidDocumentException if the file is missing or is no YAML document
+     */
+    public static Document read(Path file) throws InvalidDocumentException {
+        String name = file.toString();
+        try {
+            return parse(name, Files.readString(file));
+        } catch (NoSuchFileException e) {
+            throw invalid(SourceLocation.ofWhole(name), "the file does not exist", "create it");
+        } catch (IOException e) {
+            throw invalid(
+                    SourceLocation.ofWhole(name),
+                    "the file is unreadable (" + e + ")",
+                    "make it a UTF-8 file that this user may read");
+        }
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param source the name of the text in errors
+     * @param text the YAML text
+     * @return its document
+     * @throws InvalidDocumentException if the text is no YAML document
+     */
+    public static Document parse(String source, String text) throws InvalidDocumentException {
+        try (YAMLParser parser = FACTORY.createParser(text)) {
+            return new YamlReader(source, parser).readDocument();
+        } catch (JsonProcessingException e) {
+            throw invalid(
+                    locate(source, e.getLocation()),
+                    summarise(e.getOriginalMessage()),
+                    "correct the YAML at this place");
+        } catch (IOException e) {
+            throw invalid(SourceLocation.ofWhole(source), e.toString(), "write the file anew");
+        }
+    }
+
+    private Document readDocument() throws IOException, InvalidDocumentException {
+        if (parser.nextToken() == null) {
+            throw invalid(
+                    SourceLocation.ofWhole(source),
+                    "the document is empty",
+                    "write at least one key");
+        }
+        locations.put("", here());
+        JsonNode root = readValue("");
+        if (parser.nextToken() != null) {
+            throw invalid(here(), "a second document begins here", "put it into a file of its own");
+        }
+        return new Document(source, root, locations);
+    }
+
+    private JsonNode readValue(String pointer) throws IOException, InvalidDocumentException {
+        if (parser.isCurrentAlias()) {
+            throw invalid(here(), "an alias is used", "write the value out in full");
+        }
+        JsonToken token = parser.currentToken();
+        if (token == JsonToken.START_OBJECT) {
+            return readObject(pointer);
+        }
+        if (token == JsonToken.START_ARRAY) {
+            return readArray(pointer);
+        }
+        return readScalar(token);
+    }
+
+    private ObjectNode readObject(String pointer) throws IOException, InvalidDocumentException {
+        ObjectNode object = NODES.objectNode();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            String child = pointer + "/" + Pointers.escape(name);
+            locations.put(child, here());
+            parser.nextToken();
+            object.set(name, readValue(child));
+        }
+        return object;
+    }
+
+    private ArrayNode readArray(String pointer) throws IOException, InvalidDocumentException {
+        ArrayNode array = NODES.arrayNode();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            String child = pointer + "/" + array.size();
+            locations.put(child, here());
+            array.add(readValue(child));
+        }
+        return array;
+    }
+
+    private JsonNode readScalar(JsonToken token) throws IOException {
+        return switch (token) {
+            case VALUE_TRUE -> NODES.booleanNode(true);
+            case VALUE_FALSE -> NODES.booleanNode(false);
+            case VALUE_NUMBER_INT -> NODES.numberNode(parser.getBigIntegerValue());
+            case VALUE_NUMBER_FLOAT -> NODES.numberNode(parser.getDoubleValue());
+            case VALUE_NULL -> NODES.nullNode();
+            default -> NODES.textNode(parser.getText());
+        };
+    }
+
+    private SourceLocation here() {
+        return locate(source, parser.currentTokenLocation());
+    }
+
+    private static SourceLocation locate(String source, JsonLocation location) {
+        if (location == null || location.getLineNr() < 1) {
+            return SourceLocation.ofWhole(source);
+        }
+        int column = Math.max(1, location.getColumnNr());
+        return new SourceLocation(source, location.getLineNr(), column);
+    }
+
+    private static String summarise(String message) {
+        // The parser's other lines repeat the place and quote the text.
+        return message.lines()
+                .filter(line -> !line.isBlank() && !Character.isWhitespace(line.charAt(0)))
+                .filter(line -> !line.startsWith("at ["))
+                .collect(Collectors.joining(", "));
+    }
+
+    private static InvalidDocumentException invalid(
+            SourceLocation location, String detail, String remedy) {
+        return new InvalidDocumentException(List.of(new Problem(location, "", detail, remedy)));
+    }
+}
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/document/package-info.java
@@ -0,0 +1,2 @@
+/** YAML documents with locations, checked against a JSON Schema. */
+package org.cardamomthread.configuration.document;
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/settings/AddressCheck.java
@@ -0,0 +1,53 @@
+package org.cardamomthread.configuration.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.cardamomthread.configuration.document.Document;
+import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.configuration.document.Pointers;
+import org.cardamomthread.configuration.document.Problem;
+
+/** Checks that each address is an IP number with a port. Confined to one thread. */
+final class AddressCheck {
+
+    private static final List<String> LISTENERS =
+            List.of("callers", "endpoints", "operators", "peers");
+
+    private final Document document;
+    private final List<Problem> problems = new ArrayList<>();
+
+    AddressCheck(Document document) {
+        this.document = document;
+    }
+
+    List<Problem> check() {
+        for (String listener : LISTENERS) {
+            checkAddress(Pointers.of("listeners", listener));
+        }
+        int peers = document.root().path("peers").size();
+        for (int i = 0; i < peers; i++) {
+            checkAddress(Pointers.of("peers", i, "address"));
+        }
+        checkAddress(Pointers.of("platform", "address"));
+        checkAddress(Pointers.of("telemetry", "otlpAddress"));
+        return problems;
+    }
+
+    private void checkAddress(String pointer) {
+        JsonNode value = document.root().at(pointer);
+        if (!value.isTextual()) {
+            return; // The schema reports a missing or mistyped value.
+        }
+        try {
+            NetworkAddress.parse(value.asText());
+        } catch (IllegalArgumentException e) {
+            problems.add(
+                    document.problem(
+                            pointer,
+                            e.getMessage(),
+                            "write an IP number and a port from 1 to 65535, such as"
+                                    + " 127.0.0.1:8080 or [::1]:8080; names are not resolved"));
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/settings/NodeSettingsCheck.java
@@ -0,0 +1,163 @@
+package org.cardamomthread.configuration.settings;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cardamomthread.configuration.document.Document;
+import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.configuration.document.Pointers;
+import org.cardamomthread.configuration.document.Problem;
+import org.cardamomthread.core.id.NodeId;
+
+/** Checks the meaning of settings that have the right form. Confined to one thread. */
+final class NodeSettingsCheck {
+
+    private final Document document;
+    private final NodeSettings settings;
+    private final Map<NodeId, PeerSettings> peersById = new HashMap<>();
+    private final List<Problem> problems = new ArrayList<>();
+
+    NodeSettingsCheck(Document document, NodeSettings settings) {
+        this.document = document;
+        this.settings = settings;
+    }
+
+    List<Problem> check() {
+        checkListeners();
+        checkPeers();
+        checkOwnEntry();
+        checkVoters("configuration", settings.bootstrapVoters().configuration());
+        checkVoters("work", settings.bootstrapVoters().work());
+        checkTimes();
+        return problems;
+    }
+
+    private void checkListeners() {
+        Listeners listeners = settings.listeners();
+        Map<NetworkAddress, String> names = new HashMap<>();
+        checkUnused(names, "callers", listeners.callers());
+        checkUnused(names, "endpoints", listeners.endpoints());
+        checkUnused(names, "operators", listeners.operators());
+        checkUnused(names, "peers", listeners.peers());
+    }
+
+    private void checkUnused(
+            Map<NetworkAddress, String> names, String name, NetworkAddress address) {
+        String earlier = names.putIfAbsent(address, name);
+        if (earlier != null) {
+            report(
+                    Pointers.of("listeners", name),
+                    "the address " + address + " is already that of listener " + earlier,
+                    "give each listener a port of its own");
+        }
+    }
+
+    private void checkPeers() {
+        Map<NetworkAddress, NodeId> owners = new HashMap<>();
+        for (int i = 0; i < settings.peers().size(); i++) {
+            PeerSettings peer = settings.peers().get(i);
+            if (peersById.putIfAbsent(peer.id(), peer) != null) {
+                report(
+                        Pointers.of("peers", i, "id"),
+                        "the node id \"" + peer.id() + "\" stands twice",
+                        "give each node one entry and an id of its own");
+                continue;
+            }
+            NodeId owner = owners.putIfAbsent(peer.address(), peer.id());
+            if (owner != null) {
+                report(
+                        Pointers.of("peers", i, "address"),
+                        "the address " + peer.address() + " is already that of " + owner,
+                        "write the address of the peers listener of " + peer.id());
+            }
+        }
+    }
+
+    private void checkOwnEntry() {
+        PeerSettings own = peersById.get(settings.nodeId());
+        if (own == null) {
+            report(
+                    Pointers.of("nodeId"),
+                    "the node \"" + settings.nodeId() + "\" is not among the peers",
+                    "add an entry with this id to peers");
+            return;
+        }
+        int index = settings.peers().indexOf(own);
+        if (!own.dataCentre().equals(settings.dataCentre())) {
+            report(
+                    Pointers.of("peers", index, "dataCentre"),
+                    "the data centre differs from dataCentre \"" + settings.dataCentre() + "\"",
+                    "write the same data centre at both places");
+        }
+        if (!own.address().equals(settings.listeners().peers())) {
+            report(
+                    Pointers.of("peers", index, "address"),
+                    "the address differs from listeners/peers " + settings.listeners().peers(),
+                    "write the same address at both places");
+        }
+        if (own.voter() && settings.dataFolder().isEmpty()) {
+            report(
+                    Pointers.of("peers", index, "voter"),
+                    "this node is a voter and has no dataFolder",
+                    "set dataFolder to a folder on its disk, or voter to false");
+        }
+    }
+
+    private void checkVoters(String group, List<NodeId> voters) {
+        if (voters.size() % 2 == 0) {
+            report(
+                    Pointers.of("bootstrapVoters", group),
+                    "the group has " + voters.size() + " voters",
+                    "name an odd number of voters, such as 3");
+        }
+        Set<NodeId> seen = new HashSet<>();
+        for (int i = 0; i < voters.size(); i++) {
+            checkVoter(Pointers.of("bootstrapVoters", group, i), voters.get(i), seen);
+        }
+    }
+
+    private void checkVoter(String pointer, NodeId voter, Set<NodeId> seen) {
+        PeerSettings peer = peersById.get(voter);
+        if (!seen.add(voter)) {
+            report(pointer, "the voter \"" + voter + "\" stands twice", "name each voter once");
+        } else if (peer == null) {
+            report(
+                    pointer,
+                    "the voter \"" + voter + "\" is not among the peers",
+                    "add it to peers or name another node");
+        } else if (!peer.voter()) {
+            report(
+                    pointer,
+                    "the node \"" + voter + "\" is not marked as a voter",
+                    "set voter: true at its entry in peers, if it has a disk");
+        }
+    }
+
+    private void checkTimes() {
+        if (settings.heartbeatMs() * 2 > settings.leaseMs()) {
+            report(
+                    Pointers.of("heartbeatMs"),
+                    "the heartbeat of "
+                            + settings.heartbeatMs()
+                            + " ms is longer than half of leaseMs "
+                            + settings.leaseMs(),
+                    "lower heartbeatMs or raise leaseMs");
+        }
+        if (settings.drainDelayMs() > settings.shutdownTimeoutMs()) {
+            report(
+                    Pointers.of("drainDelayMs"),
+                    "the delay of "
+                            + settings.drainDelayMs()
+                            + " ms is longer than shutdownTimeoutMs "
+                            + settings.shutdownTimeoutMs(),
+                    "lower drainDelayMs or raise shutdownTimeoutMs");
+        }
+    }
+
+    private void report(String pointer, String detail, String remedy) {
+        problems.add(document.problem(pointer, detail, remedy));
+    }
+}
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/settings/SecretReader.java
@@ -0,0 +1,66 @@
+package org.cardamomthread.configuration.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.cardamomthread.configuration.document.Document;
+import org.cardamomthread.configuration.document.Pointers;
+import org.cardamomthread.configuration.document.Problem;
+
+/** Replaces each secret that is given by file or inline by its text. Confined to one thread. */
+final class SecretReader {
+
+    private static final String SECRETS = "secrets";
+
+    private final Document document;
+    private final Path folder;
+    private final List<Problem> problems;
+
+    SecretReader(Document document, Path folder, List<Problem> problems) {
+        this.document = document;
+        this.folder = folder;
+        this.problems = problems;
+    }
+
+    void readInto(ObjectNode tree) {
+        ObjectNode secrets = (ObjectNode) tree.get(SECRETS);
+        for (String name : List.of("peerKey", "endpointToken")) {
+            secrets.put(name, read(secrets.get(name), Pointers.of(SECRETS, name)));
+        }
+        ArrayNode tokens = (ArrayNode) secrets.get("operatorTokens");
+        for (int i = 0; i < tokens.size(); i++) {
+            tokens.set(i, read(tokens.get(i), Pointers.of(SECRETS, "operatorTokens", i)));
+        }
+    }
+
+    private String read(JsonNode secret, String pointer) {
+        if (secret.has("value")) {
+            return secret.get("value").asText();
+        }
+        Path file = folder.resolve(secret.get("file").asText());
+        try {
+            String value = Files.readString(file).strip();
+            if (value.length() < Secret.MIN_LENGTH) {
+                report(
+                        pointer,
+                        "the file \"" + file + "\" holds too short a secret",
+                        "write at least " + Secret.MIN_LENGTH + " characters into it");
+            }
+            return value;
+        } catch (IOException e) {
+            report(
+                    pointer,
+                    "the file \"" + file + "\" is missing or unreadable",
+                    "create it with the secret as its only text, readable by this user");
+            return "";
+        }
+    }
+
+    private void report(String pointer, String detail, String remedy) {
+        problems.add(document.problem(pointer + "/file", detail, remedy));
+    }
+}
