Load, compare and digest the declarations of operators

Profiles, services, data centres, client accounts and endpoint classes had no form. A folder of YAML files is now one set; ids that stand twice name both places, references and shares are checked, and equal sets have one canonical JSON form and digest. Tokens are kept as hashes only.

--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/DeclarationCollector.java
@@ -0,0 +1,94 @@
+package org.cardamomthread.configuration.declaration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.cardamomthread.configuration.document.Document;
+import org.cardamomthread.configuration.document.Problem;
+
+/**
+ * Gathers declarations from documents and remembers where each stands.
+ *
+ * <p>Confined to one thread.
+ */
+final class DeclarationCollector {
+
+    private record Origin(Document document, String pointer) {}
+
+    private final SortedMap<DeclarationKey, String> texts = new TreeMap<>();
+    private final Map<DeclarationKey, Origin> origins = new HashMap<>();
+    private final List<Problem> problems = new ArrayList<>();
+
+    void add(DeclarationKind kind, ObjectNode tree, Document document, String pointer) {
+        DeclarationKey key = new DeclarationKey(kind, tree.get("id").asText());
+        Origin earlier = origins.putIfAbsent(key, new Origin(document, pointer));
+        if (earlier != null) {
+            problems.add(
+                    document.problem(
+                            pointer + "/id",
+                            "the id \""
+                                    + key.id()
+                                    + "\" is already declared at "
+                                    + earlier.document().locate(earlier.pointer() + "/id"),
+                            "give one of the two another id, or remove it"));
+            return;
+        }
+        try {
+            hashToken(tree);
+            checkPatterns(tree, document, pointer);
+            texts.put(key, DeclarationCodec.write(DeclarationCodec.read(kind, tree)));
+        } catch (IllegalArgumentException e) {
+            problems.add(document.problem(pointer, e.getMessage(), "correct the value"));
+        }
+    }
+
+    SortedMap<DeclarationKey, String> texts() {
+        return texts;
+    }
+
+    List<Problem> problems() {
+        return problems;
+    }
+
+    Problem problem(DeclarationKey key, String pointer, String detail, String remedy) {
+        Origin origin = origins.get(key);
+        return origin.document().problem(origin.pointer() + pointer, detail, remedy);
+    }
+
+    /** Replaces a token by its hash, so that the declarations in force hold no token. */
+    private static void hashToken(ObjectNode tree) {
+        JsonNode token = tree.remove("token");
+        if (token != null) {
+            tree.put("tokenSha256", Sha256.hexOf(token.asText()));
+        }
+    }
+
+    private void checkPatterns(ObjectNode tree, Document document, String pointer) {
+        JsonNode routes = tree.path("routes");
+        for (int i = 0; i < routes.size(); i++) {
+            JsonNode paths = routes.get(i).path("paths");
+            for (int j = 0; j < paths.size(); j++) {
+                checkPattern(
+                        paths.get(j).asText(), document, pointer + "/routes/" + i + "/paths/" + j);
+            }
+        }
+    }
+
+    private void checkPattern(String text, Document document, String pointer) {
+        try {
+            new PathPattern(text);
+        } catch (IllegalArgumentException e) {
+            problems.add(
+                    document.problem(
+                            pointer,
+                            e.getMessage(),
+                            "write segments between single slashes, with * for one segment and"
+                                    + " ** for the rest at the end"));
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/DeclarationsCheck.java
@@ -0,0 +1,155 @@
+package org.cardamomthread.configuration.declaration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cardamomthread.configuration.document.Pointers;
+import org.cardamomthread.configuration.document.Problem;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.id.RouteId;
+
+/** Checks the meaning of declarations that have the right form. Confined to one thread. */
+final class DeclarationsCheck {
+
+    private final Declarations declarations;
+    private final DeclarationCollector origins;
+    private final List<Problem> problems = new ArrayList<>();
+
+    DeclarationsCheck(Declarations declarations, DeclarationCollector origins) {
+        this.declarations = declarations;
+        this.origins = origins;
+    }
+
+    List<Problem> check() {
+        declarations.endpointClasses().values().forEach(this::checkEndpointClass);
+        declarations.profiles().values().forEach(this::checkProfile);
+        declarations.services().values().forEach(this::checkService);
+        checkTokens();
+        return problems;
+    }
+
+    private void checkEndpointClass(EndpointClass endpointClass) {
+        if (endpointClass.coldConcurrency() > endpointClass.warmConcurrency()) {
+            report(
+                    key(DeclarationKind.ENDPOINT_CLASS, endpointClass.id()),
+                    Pointers.of("coldConcurrency"),
+                    "coldConcurrency is above warmConcurrency " + endpointClass.warmConcurrency(),
+                    "lower coldConcurrency to at most warmConcurrency");
+        }
+    }
+
+    private void checkProfile(Profile profile) {
+        Patience patience = profile.patience();
+        if (patience.patient() && patience.maxDelayMs() == 0) {
+            report(
+                    key(DeclarationKind.PROFILE, profile.id()),
+                    Pointers.of("patience"),
+                    "patient traffic has no maxDelayMs",
+                    "set maxDelayMs to the longest wait in milliseconds");
+        }
+        if (!patience.patient() && patience.maxDelayMs() > 0) {
+            report(
+                    key(DeclarationKind.PROFILE, profile.id()),
+                    Pointers.of("patience", "maxDelayMs"),
+                    "traffic that is not patient has a maxDelayMs",
+                    "set patient: true or remove maxDelayMs");
+        }
+    }
+
+    private void checkService(Service service) {
+        DeclarationKey key = key(DeclarationKind.SERVICE, service.id());
+        if (declarations.findProfile(service.profile()).isEmpty()) {
+            report(
+                    key,
+                    Pointers.of("profile"),
+                    "the profile \"" + service.profile() + "\" is not declared",
+                    "declare it under profiles or use one of "
+                            + join(declarations.profiles().keySet()));
+        }
+        if (!service.versions().contains(service.currentVersion())) {
+            report(
+                    key,
+                    Pointers.of("currentVersion"),
+                    "the version \"" + service.currentVersion() + "\" is not among the versions",
+                    "add it to versions or use one of " + join(service.versions()));
+        }
+        checkRoutes(key, service);
+        checkSteps(key, service.rollout().steps());
+    }
+
+    private void checkRoutes(DeclarationKey key, Service service) {
+        boolean plain = service.kind() == ServiceKind.SERVICE;
+        if (plain && service.routes().isEmpty()) {
+            report(
+                    key,
+                    Pointers.of("routes"),
+                    "a plain service has no routes, so every call would be refused",
+                    "add at least one route with id, paths and repeatable");
+        }
+        if (!plain && !service.routes().isEmpty()) {
+            report(
+                    key,
+                    Pointers.of("routes"),
+                    "a model has routes",
+                    "remove them or write kind: service");
+        }
+        Set<RouteId> seen = new HashSet<>();
+        for (int i = 0; i < service.routes().size(); i++) {
+            Route route = service.routes().get(i);
+            if (!seen.add(route.id())) {
+                report(
+                        key,
+                        Pointers.of("routes", i, "id"),
+                        "the route id \"" + route.id() + "\" stands twice in this service",
+                        "give each route an id of its own");
+            }
+        }
+    }
+
+    private void checkSteps(DeclarationKey key, List<Double> steps) {
+        boolean rising = true;
+        for (int i = 1; i < steps.size(); i++) {
+            rising &= steps.get(i - 1) < steps.get(i);
+        }
+        if (!rising || steps.get(steps.size() - 1) != 1.0) {
+            report(
+                    key,
+                    Pointers.of("rollout", "steps"),
+                    "the steps " + steps + " do not rise to 1.0",
+                    "write rising shares that end with 1.0, such as [0.01, 0.1, 0.5, 1.0]");
+        }
+    }
+
+    private void checkTokens() {
+        Map<String, ClientAccountId> owners = new HashMap<>();
+        for (ClientAccount account : declarations.clientAccounts().values()) {
+            ClientAccountId owner = owners.putIfAbsent(account.tokenSha256(), account.id());
+            if (owner != null) {
+                report(
+                        key(DeclarationKind.CLIENT_ACCOUNT, account.id()),
+                        "",
+                        "the token is already that of client account \"" + owner + "\"",
+                        "give each client account a token of its own");
+            }
+        }
+    }
+
+    private void report(DeclarationKey key, String pointer, String detail, String remedy) {
+        problems.add(origins.problem(key, pointer, detail, remedy));
+    }
+
+    private static DeclarationKey key(DeclarationKind kind, Object id) {
+        return new DeclarationKey(kind, id.toString());
+    }
+
+    private static String join(Collection<?> ids) {
+        return ids.isEmpty()
+                ? "(none)"
+                : ids.stream().map(Object::toString).collect(Collectors.joining(", "));
+    }
+}
--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/document/DocumentMapper.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/document/DocumentMapper.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.configuration.document;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -57,6 +58,7 @@
                         .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
                         .disable(MapperFeature.SORT_CREATOR_PROPERTIES_FIRST)
                         .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                        .serializationInclusion(JsonInclude.Include.NON_ABSENT)
                         .addModules(new Jdk8Module(), texts)
                         .build();
     }
