--- /dev/null
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the endpoint for a request. */
+package org.cardamomthread.policy.routing;
