--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/AnnouncementApi.java
@@ -0,0 +1,85 @@
+package org.cardamomthread.daemon.membership;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.cardamomthread.configuration.settings.Secret;
+import org.cardamomthread.daemon.http.HttpCall;
+import org.cardamomthread.daemon.http.HttpExchange;
+import org.cardamomthread.daemon.http.HttpHandler;
+import org.cardamomthread.daemon.http.HttpReply;
+import org.cardamomthread.daemon.http.Problem;
+import org.cardamomthread.membership.endpoint.EndpointAnnouncement;
+import org.cardamomthread.membership.node.NodeView;
+
+/** Answers the announcements of endpoints. Safe for use by several threads. */
+public final class AnnouncementApi implements HttpHandler {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String PATH = "/v1/announcements";
+
+    private final Secret endpointToken;
+    private final MembershipService membership;
+    private final long announcementIntervalMs;
+
+    /**
+     * Creates the handler.
+     *
+     * @param endpointToken the token that endpoints present
+     * @param membership takes the announcements
+     * @param announcementIntervalMs the interval asked of endpoints, in milliseconds
+     */
+    public AnnouncementApi(
+            Secret endpointToken, MembershipService membership, long announcementIntervalMs) {
+        this.endpointToken = endpointToken;
+        this.membership = membership;
+        this.announcementIntervalMs = announcementIntervalMs;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        HttpCall call = exchange.getCall();
+        String requestId = call.getHeader("x-request-id").orElse("none");
+        if (!call.path().equals(PATH) || !call.method().equals(HttpMethod.POST)) {
+            refuse(exchange, requestId, 404, "not-found", "send POST " + PATH);
+            return;
+        }
+        if (!call.getBearerToken().filter(endpointToken::matches).isPresent()) {
+            refuse(exchange, requestId, 401, "unauthorized", "present the endpoint token");
+            return;
+        }
+        try {
+            EndpointAnnouncement announcement = AnnouncementReader.read(call.body());
+            membership
+                    .announce(announcement)
+                    .whenComplete((home, failure) -> answer(exchange, requestId, home, failure));
+        } catch (InvalidAnnouncementException failure) {
+            refuse(exchange, requestId, 400, "invalid-announcement", failure.getMessage());
+        }
+    }
+
+    private void answer(
+            HttpExchange exchange, String requestId, Optional<NodeView> home, Throwable failure) {
+        if (failure != null) {
+            refuse(exchange, requestId, 503, "stopping", "announce to another node");
+            return;
+        }
+        ObjectNode body = MAPPER.createObjectNode();
+        home.ifPresent(
+                node -> {
+                    body.put("home", node.entry().id().value());
+                    body.put("homeAddress", node.entry().addresses().endpoints());
+                });
+        body.put("intervalMs", announcementIntervalMs);
+        exchange.respond(
+                HttpReply.createJson(200, body.toString().getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static void refuse(
+            HttpExchange exchange, String requestId, int status, String type, String detail) {
+        Problem problem = Problem.createNotRun(status, type, "Announcement refused", detail);
+        exchange.respond(problem.toReply(requestId));
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/ControlThread.java
@@ -0,0 +1,85 @@
+package org.cardamomthread.daemon.membership;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the control decisions of a node one after another on one thread.
+ *
+ * <p>A task that fails is logged and the next one runs. Safe for use by several threads.
+ */
+public final class ControlThread implements AutoCloseable {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ControlThread.class);
+
+    private final ScheduledExecutorService executor;
+
+    /**
+     * Starts the thread.
+     *
+     * @param name the thread's name
+     */
+    public ControlThread(String name) {
+        executor =
+                Executors.newSingleThreadScheduledExecutor(
+                        task -> {
+                            Thread thread = new Thread(task, name);
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+    }
+
+    /**
+     * Runs a task soon; drops it once the thread has been closed.
+     *
+     * @param task the task, must not block
+     */
+    public void execute(Runnable task) {
+        try {
+            executor.execute(() -> runLogged(task));
+        } catch (RejectedExecutionException closed) {
+            LOGGER.debug("dropped a control task after the close");
+        }
+    }
+
+    /**
+     * Runs a task soon and hands on its result.
+     *
+     * @param task the task, must not block
+     * @param <T> the type of result
+     * @return completes with the result, or with the exception that the task threw
+     */
+    public <T> CompletableFuture<T> submit(Supplier<T> task) {
+        return CompletableFuture.supplyAsync(task, executor);
+    }
+
+    /**
+     * Runs a task again and again.
+     *
+     * @param intervalMs milliseconds between two runs
+     * @param task the task, must not block
+     */
+    public void repeat(long intervalMs, Runnable task) {
+        executor.scheduleWithFixedDelay(
+                () -> runLogged(task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private static void runLogged(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException failure) {
+            LOGGER.error("a control task failed", failure);
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/MembershipService.java
@@ -0,0 +1,201 @@
+package org.cardamomthread.daemon.membership;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.membership.OutgoingMessage;
+import org.cardamomthread.membership.endpoint.EndpointAnnouncement;
+import org.cardamomthread.membership.gateway.CreditPool;
+import org.cardamomthread.membership.generated.PeerMessage;
+import org.cardamomthread.membership.home.EndpointHome;
+import org.cardamomthread.membership.home.EndpointStatus;
+import org.cardamomthread.membership.node.NodeDirectory;
+import org.cardamomthread.membership.node.NodeView;
+import org.cardamomthread.transport.PeerTopic;
+import org.cardamomthread.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Drives the node directory, the endpoint home and the credit pool of a node.
+ *
+ * <p>The directory and the home are touched on the control thread only. Safe for use by several
+ * threads.
+ */
+public final class MembershipService {
+
+    /** Carries the messages of the membership slice. */
+    public static final PeerTopic TOPIC = new PeerTopic(1, "membership");
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(MembershipService.class);
+    private static final long POOL_INTERVAL_MS = 50;
+    private static final long HOME_INTERVAL_MS = 200;
+    private static final byte[] NO_ANSWER = new byte[0];
+
+    private final NodeDirectory directory;
+    private final EndpointHome home;
+    private final CreditPool pool;
+    private final PeerTransport transport;
+    private final ControlThread control;
+    private final NodeAddressBook addresses;
+    private volatile Runnable creditListener = () -> {};
+
+    /**
+     * Creates a service that does not run yet.
+     *
+     * @param directory the nodes
+     * @param home this node's duty as home
+     * @param pool this node's credits
+     * @param transport the links to other nodes
+     * @param control runs the decisions
+     */
+    public MembershipService(
+            NodeDirectory directory,
+            EndpointHome home,
+            CreditPool pool,
+            PeerTransport transport,
+            ControlThread control) {
+        this.directory = directory;
+        this.home = home;
+        this.pool = pool;
+        this.transport = transport;
+        this.control = control;
+        this.addresses = new NodeAddressBook(transport);
+    }
+
+    /**
+     * Sets what runs when credits may have come.
+     *
+     * @param listener must not block
+     */
+    public void setCreditListener(Runnable listener) {
+        creditListener = listener;
+    }
+
+    /**
+     * Begins to exchange heartbeats, grants and demands.
+     *
+     * @param heartbeatIntervalMs milliseconds between two rounds of heartbeats
+     */
+    public void start(long heartbeatIntervalMs) {
+        transport.register(TOPIC, this::handle);
+        addresses.update(directory.others());
+        control.repeat(heartbeatIntervalMs, () -> sendAll(directory.tick()));
+        control.repeat(heartbeatIntervalMs, () -> addresses.update(directory.others()));
+        control.repeat(HOME_INTERVAL_MS, () -> sendAll(home.tick()));
+        control.repeat(POOL_INTERVAL_MS, this::tickPool);
+    }
+
+    /** Tells other nodes that this one leaves. */
+    public void leave() {
+        query(
+                        () -> {
+                            sendAll(directory.leave());
+                            return null;
+                        })
+                .join();
+    }
+
+    /**
+     * Takes an announcement of an endpoint.
+     *
+     * @param announcement the announcement
+     * @return completes with the endpoint's home, or empty if no node is usable
+     */
+    public CompletableFuture<Optional<NodeView>> announce(EndpointAnnouncement announcement) {
+        return control.submit(
+                () -> {
+                    sendAll(home.announce(announcement));
+                    return home.homeOf(announcement.endpoint(), announcement.dataCentre())
+                            .flatMap(directory::find);
+                });
+    }
+
+    /**
+     * Lists the endpoints that announce themselves at this node.
+     *
+     * @return completes with a snapshot
+     */
+    public CompletableFuture<List<EndpointStatus>> listEndpoints() {
+        return query(
+                () -> {
+                    List<EndpointStatus> statuses = new ArrayList<>();
+                    for (EndpointId endpoint : home.endpoints()) {
+                        home.status(endpoint).ifPresent(statuses::add);
+                    }
+                    return statuses;
+                });
+    }
+
+    /**
+     * Lists the other nodes.
+     *
+     * @return completes with a snapshot
+     */
+    public CompletableFuture<Collection<NodeView>> listNodes() {
+        return query(() -> List.copyOf(directory.others()));
+    }
+
+    /**
+     * Takes a data centre out of service or back, as far as this node reaches.
+     *
+     * @param dataCentre the data centre
+     * @param out true to take it out
+     */
+    public void setDrain(DataCentreId dataCentre, boolean out) {
+        control.execute(() -> directory.setDrain(dataCentre, out));
+    }
+
+    /**
+     * Runs a read on the control thread.
+     *
+     * @param read the read
+     * @param <T> the type of result
+     * @return completes with the result
+     */
+    public <T> CompletableFuture<T> query(Supplier<T> read) {
+        return control.submit(read);
+    }
+
+    private void tickPool() {
+        sendAll(pool.tick());
+        creditListener.run();
+    }
+
+    private CompletionStage<byte[]> handle(NodeId from, byte[] payload) {
+        control.execute(() -> receive(from, payload));
+        return CompletableFuture.completedFuture(NO_ANSWER);
+    }
+
+    private void receive(NodeId from, byte[] payload) {
+        PeerMessage message;
+        try {
+            message = PeerMessage.parseFrom(payload);
+        } catch (InvalidProtocolBufferException failure) {
+            LOGGER.warn("dropped a malformed membership message of node {}", from, failure);
+            return;
+        }
+        if (NodeDirectory.handles(message)) {
+            sendAll(directory.receive(from, message));
+        } else if (EndpointHome.handles(message)) {
+            sendAll(home.receive(from, message));
+        } else if (CreditPool.handles(message)) {
+            pool.receive(from, message);
+            creditListener.run();
+        }
+    }
+
+    private void sendAll(List<OutgoingMessage> messages) {
+        for (OutgoingMessage outgoing : messages) {
+            transport.send(outgoing.to(), TOPIC, outgoing.message().toByteArray());
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/NodeAddressBook.java
@@ -0,0 +1,31 @@
+package org.cardamomthread.daemon.membership;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.membership.node.NodeView;
+import org.cardamomthread.transport.PeerTransport;
+
+/** Tells the transport where nodes listen as the directory learns it. Used by one thread. */
+final class NodeAddressBook {
+
+    private final PeerTransport transport;
+    private final Map<NodeId, String> known = new HashMap<>();
+
+    NodeAddressBook(PeerTransport transport) {
+        this.transport = transport;
+    }
+
+    void update(Collection<NodeView> nodes) {
+        for (NodeView node : nodes) {
+            String address = node.entry().addresses().peers();
+            if (!address.equals(known.put(node.entry().id(), address))) {
+                InetSocketAddress target = NetworkAddress.parse(address).toSocketAddress();
+                transport.setAddress(node.entry().id(), target);
+            }
+        }
+    }
+}
