--- /dev/null
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/endpoint/EndpointCodec.java
@@ -0,0 +1,153 @@
+package org.cardamomthread.membership.endpoint;
+
+import java.util.EnumSet;
+import java.util.Set;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.EndpointClassId;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.membership.generated.CacheEventMessage;
+import org.cardamomthread.membership.generated.EndpointAnnouncementMessage;
+import org.cardamomthread.membership.generated.EndpointDescriptionMessage;
+import org.cardamomthread.membership.generated.EndpointLoadMessage;
+import org.cardamomthread.membership.generated.ServedVersionMessage;
+
+/** Converts between announcements and their messages. Stateless, safe for several threads. */
+public final class EndpointCodec {
+
+    private EndpointCodec() {}
+
+    /**
+     * Converts an announcement to its message.
+     *
+     * @param announcement the announcement
+     * @return the message
+     */
+    public static EndpointAnnouncementMessage toMessage(EndpointAnnouncement announcement) {
+        EndpointAnnouncementMessage.Builder message =
+                EndpointAnnouncementMessage.newBuilder()
+                        .setEndpointId(announcement.endpoint().value())
+                        .setIncarnation(announcement.incarnation())
+                        .setSequence(announcement.sequence())
+                        .setDataCentre(announcement.dataCentre().value())
+                        .setDescription(toMessage(announcement.description()))
+                        .setLoad(toMessage(announcement.load()));
+        for (CacheEvent event : announcement.cacheEvents()) {
+            message.addCacheEvents(
+                    CacheEventMessage.newBuilder()
+                            .setSequence(event.sequence())
+                            .setType(event.type())
+                            .addAllBlocks(event.blocks()));
+        }
+        return message.build();
+    }
+
+    /**
+     * Converts a message to its announcement.
+     *
+     * @param message the message
+     * @return the announcement
+     */
+    public static EndpointAnnouncement announcement(EndpointAnnouncementMessage message) {
+        return new EndpointAnnouncement(
+                new EndpointId(message.getEndpointId()),
+                message.getIncarnation(),
+                message.getSequence(),
+                new DataCentreId(message.getDataCentre()),
+                description(message.getDescription()),
+                load(message.getLoad()),
+                message.getCacheEventsList().stream().map(EndpointCodec::cacheEvent).toList());
+    }
+
+    /**
+     * Converts a description to its message.
+     *
+     * @param description the description
+     * @return the message
+     */
+    public static EndpointDescriptionMessage toMessage(EndpointDescription description) {
+        EndpointDescriptionMessage.Builder message =
+                EndpointDescriptionMessage.newBuilder()
+                        .setAddress(description.address())
+                        .setKind(description.kind().text())
+                        .setEndpointClass(description.endpointClass().value())
+                        .setPriceClass(description.priceClass().text())
+                        .setState(description.state().text());
+        for (ServedVersion served : description.services()) {
+            message.addServices(
+                    ServedVersionMessage.newBuilder()
+                            .setService(served.service().value())
+                            .setVersion(served.version().value())
+                            .addAllAdapters(served.adapters()));
+        }
+        description.capabilities().forEach(value -> message.addCapabilities(value.text()));
+        return message.build();
+    }
+
+    /**
+     * Converts a message to its description.
+     *
+     * @param message the message
+     * @return the description
+     */
+    public static EndpointDescription description(EndpointDescriptionMessage message) {
+        Set<Capability> capabilities = EnumSet.noneOf(Capability.class);
+        message.getCapabilitiesList()
+                .forEach(text -> Capability.ofText(text).ifPresent(capabilities::add));
+        return new EndpointDescription(
+                message.getAddress(),
+                EndpointKind.ofText(message.getKind()),
+                new EndpointClassId(message.getEndpointClass()),
+                PriceClass.ofText(message.getPriceClass()),
+                message.getServicesList().stream().map(EndpointCodec::servedVersion).toList(),
+                capabilities,
+                EndpointState.ofText(message.getState()));
+    }
+
+    /**
+     * Converts a load to its message.
+     *
+     * @param load the load
+     * @return the message
+     */
+    public static EndpointLoadMessage toMessage(EndpointLoad load) {
+        return EndpointLoadMessage.newBuilder()
+                .setAtMs(load.atMs())
+                .setRunning(load.running())
+                .setQueued(load.queued())
+                .setBearableRequests(load.bearableRequests())
+                .setKvUsedFraction((float) load.kvUsedFraction())
+                .setPrefillTokensPerSecond((float) load.prefillTokensPerSecond())
+                .setDecodeTokensPerSecond((float) load.decodeTokensPerSecond())
+                .build();
+    }
+
+    /**
+     * Converts a message to its load.
+     *
+     * @param message the message
+     * @return the load
+     */
+    public static EndpointLoad load(EndpointLoadMessage message) {
+        return new EndpointLoad(
+                message.getAtMs(),
+                message.getRunning(),
+                message.getQueued(),
+                message.getBearableRequests(),
+                message.getKvUsedFraction(),
+                message.getPrefillTokensPerSecond(),
+                message.getDecodeTokensPerSecond());
+    }
+
+    private static ServedVersion servedVersion(ServedVersionMessage message) {
+        return new ServedVersion(
+                new ServiceId(message.getService()),
+                new VersionId(message.getVersion()),
+                message.getAdaptersList());
+    }
+
+    private static CacheEvent cacheEvent(CacheEventMessage message) {
+        return new CacheEvent(message.getSequence(), message.getType(), message.getBlocksList());
+    }
+}
--- /dev/null
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** What endpoints announce of themselves. */
+package org.cardamomthread.membership.endpoint;
--- /dev/null
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Credits that a gateway holds and spends. */
+package org.cardamomthread.membership.gateway;
