--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
@@ -1,8 +1,43 @@
 package org.cardamomthread.daemon;
 
-/** Entry point of the module. */
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.cardamomthread.configuration.document.InvalidDocumentException;
+import org.cardamomthread.configuration.settings.LogFormat;
+import org.cardamomthread.configuration.settings.NodeSettings;
+import org.cardamomthread.configuration.settings.NodeSettingsLoader;
+import org.cardamomthread.daemon.http.ListenException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs one node.
+ *
+ * <p>The process ends with one of the codes of {@link ExitCode}. SIGTERM and SIGINT stop the node
+ * gracefully.
+ */
 public final class Cardamomthreadd {
 
+    private static final Option SETTINGS =
+            Option.builder("s")
+                    .longOpt("settings")
+                    .hasArg()
+                    .argName("file")
+                    .desc("settings of the node (YAML)")
+                    .get();
+    private static final Option HELP =
+            Option.builder("h").longOpt("help").desc("print this help").get();
+    private static final Option VERSION =
+            Option.builder("v").longOpt("version").desc("print the version").get();
+
     private Cardamomthreadd() {}
 
     /**
@@ -11,6 +46,94 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        System.out.println("Cardamomthreadd");
+        ExitCode code = run(arguments, System.out, System.err);
+        if (code != ExitCode.STOPPED) {
+            System.exit(code.getCode());
+        }
+    }
+
+    private static ExitCode run(String[] arguments, PrintStream out, PrintStream err) {
+        Options options = new Options().addOption(SETTINGS).addOption(HELP).addOption(VERSION);
+        CommandLine line;
+        try {
+            line = new DefaultParser().parse(options, arguments);
+        } catch (ParseException failure) {
+            err.println("cardamomthreadd: " + failure.getMessage() + "; see --help");
+            return ExitCode.INVALID_SETTINGS;
+        }
+        if (line.hasOption(HELP)) {
+            printHelp(options, out);
+            return ExitCode.STOPPED;
+        }
+        if (line.hasOption(VERSION)) {
+            out.println("cardamomthreadd " + readVersion());
+            return ExitCode.STOPPED;
+        }
+        if (!line.hasOption(SETTINGS)) {
+            err.println("cardamomthreadd: option --settings is missing; see --help");
+            return ExitCode.INVALID_SETTINGS;
+        }
+        return runNode(Path.of(line.getOptionValue(SETTINGS)), err);
+    }
+
+    private static ExitCode runNode(Path file, PrintStream err) {
+        NodeSettings settings;
+        try {
+            settings = new NodeSettingsLoader().load(file);
+        } catch (InvalidDocumentException invalid) {
+            err.println("cardamomthreadd: " + invalid.getMessage());
+            return ExitCode.INVALID_SETTINGS;
+        }
+        resolveLogFormat(settings).apply();
+        Logger logger = LoggerFactory.getLogger(Cardamomthreadd.class);
+        Node node = new Node(settings, readVersion());
+        try {
+            node.start();
+        } catch (ListenException failure) {
+            logger.error(failure.getMessage());
+            node.close();
+            return ExitCode.LISTEN_FAILURE;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, logger), "shutdown"));
+        return ExitCode.STOPPED;
+    }
+
+    /** Runs as the shutdown hook; halts with the code, since a hook can set no other. */
+    private static void stop(Node node, Logger logger) {
+        ExitCode code;
+        try {
+            code = node.stopGracefully() ? ExitCode.STOPPED : ExitCode.STOPPED_WITH_OPEN_REQUESTS;
+        } catch (RuntimeException failure) {
+            logger.error("the node failed while it stopped", failure);
+            code = ExitCode.INTERNAL_FAILURE;
+        }
+        Runtime.getRuntime().halt(code.getCode());
+    }
+
+    private static org.cardamomthread.daemon.telemetry.LogFormat resolveLogFormat(
+            NodeSettings settings) {
+        return settings.telemetry().logFormat() == LogFormat.JSON
+                ? org.cardamomthread.daemon.telemetry.LogFormat.JSON
+                : org.cardamomthread.daemon.telemetry.LogFormat.TEXT;
+    }
+
+    private static void printHelp(Options options, PrintStream out) {
+        try {
+            HelpFormatter formatter = HelpFormatter.builder().setShowSince(false).get();
+            formatter.printHelp(
+                    "cardamomthreadd --settings <file>",
+                    "Runs one node of cardamomthread.",
+                    options,
+                    "Exit codes: 0 stopped, 1 internal failure, 2 invalid settings, 3 address not"
+                            + " bound, 4 data folder unusable, 5 stopped with open requests.",
+                    false);
+        } catch (IOException failure) {
+            out.println("the help text could not be printed: " + failure.getMessage());
+        }
+    }
+
+    private static String readVersion() {
+        return Optional.ofNullable(Cardamomthreadd.class.getPackage().getImplementationVersion())
+                .orElse("development");
     }
 }
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/HealthApi.java
@@ -0,0 +1,46 @@
+package org.cardamomthread.daemon;
+
+import java.util.function.BooleanSupplier;
+import org.cardamomthread.daemon.http.HttpExchange;
+import org.cardamomthread.daemon.http.HttpHandler;
+import org.cardamomthread.daemon.http.HttpReply;
+import org.cardamomthread.daemon.telemetry.NodeMetrics;
+
+/**
+ * Answers the platform's checks and the collector of metrics, and hands other calls on.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class HealthApi implements HttpHandler {
+
+    private final NodeMetrics metrics;
+    private final BooleanSupplier isReady;
+    private final HttpHandler next;
+
+    HealthApi(NodeMetrics metrics, BooleanSupplier isReady, HttpHandler next) {
+        this.metrics = metrics;
+        this.isReady = isReady;
+        this.next = next;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        switch (exchange.getCall().path()) {
+            case "/healthz" -> exchange.respond(HttpReply.createText(200, "ok\n"));
+            case "/readyz" -> exchange.respond(createReadiness());
+            case "/metrics" ->
+                    exchange.respond(
+                            HttpReply.create(
+                                    200,
+                                    "text/plain; version=0.0.4; charset=utf-8",
+                                    metrics.render()));
+            default -> next.handle(exchange);
+        }
+    }
+
+    private HttpReply createReadiness() {
+        return isReady.getAsBoolean()
+                ? HttpReply.createText(200, "ready\n")
+                : HttpReply.createText(503, "not ready\n");
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
@@ -0,0 +1,112 @@
+package org.cardamomthread.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Supplier;
+import org.cardamomthread.configuration.declaration.Declarations;
+import org.cardamomthread.configuration.settings.Listeners;
+import org.cardamomthread.configuration.settings.NodeSettings;
+import org.cardamomthread.configuration.settings.PeerSettings;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.membership.ClassBearableRequests;
+import org.cardamomthread.daemon.membership.ControlThread;
+import org.cardamomthread.daemon.membership.MembershipService;
+import org.cardamomthread.membership.gateway.CreditPool;
+import org.cardamomthread.membership.gateway.CreditPoolSettings;
+import org.cardamomthread.membership.gateway.DefaultCreditPool;
+import org.cardamomthread.membership.home.DefaultEndpointHome;
+import org.cardamomthread.membership.home.EndpointHome;
+import org.cardamomthread.membership.home.HomeAssignment;
+import org.cardamomthread.membership.home.HomeSettings;
+import org.cardamomthread.membership.node.DefaultNodeDirectory;
+import org.cardamomthread.membership.node.NodeAddresses;
+import org.cardamomthread.membership.node.NodeDirectory;
+import org.cardamomthread.membership.node.NodeDirectorySettings;
+import org.cardamomthread.membership.node.NodeEntry;
+import org.cardamomthread.transport.PeerTransport;
+
+/** Assembles the membership slice of a node. Immutable after construction. */
+final class MembershipParts {
+
+    private static final String UNKNOWN_ADDRESS = "";
+
+    private final NodeDirectory directory;
+    private final CreditPool pool;
+    private final MembershipService service;
+
+    MembershipParts(
+            NodeSettings settings,
+            long incarnation,
+            TimeSource timeSource,
+            PeerTransport transport,
+            ControlThread control,
+            Supplier<Declarations> declarations) {
+        NodeEntry self = createSelf(settings, incarnation);
+        directory =
+                new DefaultNodeDirectory(
+                        self,
+                        createSeeds(settings),
+                        NodeDirectorySettings.defaults(),
+                        timeSource,
+                        new Random(incarnation));
+        EndpointHome home =
+                new DefaultEndpointHome(
+                        self,
+                        new HomeAssignment(directory),
+                        HomeSettings.defaults(),
+                        new ClassBearableRequests(declarations, directory::isDrained, timeSource),
+                        announcement -> {},
+                        timeSource);
+        pool = new DefaultCreditPool(directory, CreditPoolSettings.defaults(), timeSource);
+        service = new MembershipService(directory, home, pool, transport, control);
+    }
+
+    NodeDirectory getDirectory() {
+        return directory;
+    }
+
+    CreditPool getPool() {
+        return pool;
+    }
+
+    MembershipService getService() {
+        return service;
+    }
+
+    private static NodeEntry createSelf(NodeSettings settings, long incarnation) {
+        Listeners listeners = settings.listeners();
+        NodeAddresses addresses =
+                new NodeAddresses(
+                        listeners.callers().toString(),
+                        listeners.endpoints().toString(),
+                        listeners.operators().toString(),
+                        listeners.peers().toString());
+        NodeEntry seed = NodeEntry.seed(settings.nodeId(), settings.dataCentre(), addresses);
+        return new NodeEntry(
+                seed.id(),
+                incarnation,
+                1,
+                seed.dataCentre(),
+                addresses,
+                settings.isVoter(),
+                seed.leaderHint(),
+                false);
+    }
+
+    private static List<NodeEntry> createSeeds(NodeSettings settings) {
+        List<NodeEntry> seeds = new ArrayList<>();
+        for (PeerSettings peer : settings.peers()) {
+            if (!peer.id().equals(settings.nodeId())) {
+                NodeAddresses addresses =
+                        new NodeAddresses(
+                                UNKNOWN_ADDRESS,
+                                UNKNOWN_ADDRESS,
+                                UNKNOWN_ADDRESS,
+                                peer.address().toString());
+                seeds.add(NodeEntry.seed(peer.id(), peer.dataCentre(), addresses));
+            }
+        }
+        return seeds;
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -0,0 +1,194 @@
+package org.cardamomthread.daemon;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cardamomthread.configuration.declaration.Declarations;
+import org.cardamomthread.configuration.settings.Listeners;
+import org.cardamomthread.configuration.settings.NodeSettings;
+import org.cardamomthread.configuration.settings.RequestLimits;
+import org.cardamomthread.core.time.SystemTimeSource;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.dispatch.AsyncEndpointClient;
+import org.cardamomthread.daemon.dispatch.EndpointClient;
+import org.cardamomthread.daemon.gateway.CallTelemetry;
+import org.cardamomthread.daemon.gateway.ChoiceLog;
+import org.cardamomthread.daemon.gateway.Gateway;
+import org.cardamomthread.daemon.http.HttpHandler;
+import org.cardamomthread.daemon.http.HttpLimits;
+import org.cardamomthread.daemon.http.HttpServer;
+import org.cardamomthread.daemon.http.ListenException;
+import org.cardamomthread.daemon.membership.AnnouncementApi;
+import org.cardamomthread.daemon.membership.ControlThread;
+import org.cardamomthread.daemon.telemetry.NodeMetrics;
+import org.cardamomthread.daemon.telemetry.NodeTracing;
+import org.cardamomthread.transport.NettyPeerTransport;
+import org.cardamomthread.transport.TransportSettings;
+import org.cardamomthread.transport.TransportStartException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Assembles one node from its settings and runs it.
+ *
+ * <p>Lifecycle: {@link #start()} once, then {@link #stopGracefully()} or {@link #close()}. Safe for
+ * use by several threads.
+ */
+final class Node implements AutoCloseable {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(Node.class);
+    private static final int EVENT_LOOP_THREADS = 2;
+    private static final long POLL_INTERVAL_MS = 20;
+
+    private final NodeSettings settings;
+    private final String version;
+    private final TimeSource timeSource = new SystemTimeSource();
+    private final long incarnation = timeSource.millis();
+    private final NodeMetrics metrics = new NodeMetrics();
+    private final NodeTracing tracing;
+    private final ControlThread control = new ControlThread("control");
+    private final NioEventLoopGroup eventLoops;
+    private final NettyPeerTransport transport;
+    private final EndpointClient endpointClient;
+    private final MembershipParts membership;
+    private final Gateway gateway;
+    private final HttpServer callers;
+    private final HttpServer endpoints;
+    private final HttpServer operators;
+    private final AtomicBoolean ready = new AtomicBoolean();
+    private volatile Declarations declarations = Declarations.empty();
+
+    /**
+     * Assembles a node that does not listen yet.
+     *
+     * @param settings its settings
+     * @param version the program's version, for the log
+     */
+    @SuppressWarnings("deprecation")
+    Node(NodeSettings settings, String version) {
+        this.settings = settings;
+        this.version = version;
+        tracing =
+                new NodeTracing(
+                        settings.nodeId(),
+                        settings.telemetry()
+                                .otlpAddress()
+                                .map(address -> "http://" + address + "/v1/traces")
+                                .map(NodeTracing::createOtlpExporter));
+        eventLoops = new NioEventLoopGroup(EVENT_LOOP_THREADS);
+        transport = createTransport();
+        endpointClient = new AsyncEndpointClient(eventLoops, timeSource);
+        membership =
+                new MembershipParts(
+                        settings, incarnation, timeSource, transport, control, () -> declarations);
+        CallTelemetry telemetry = new CallTelemetry(metrics, tracing, timeSource);
+        ChoiceLog choices = new ChoiceLog();
+        gateway = new GatewayFactory(settings, membership, endpointClient, telemetry, choices)
+                .create(() -> declarations);
+        callers = createServer("callers", gateway.getCallerApi());
+        endpoints =
+                createServer(
+                        "endpoints",
+                        new AnnouncementApi(
+                                settings.secrets().endpointToken(),
+                                membership.getService(),
+                                settings.heartbeatMs()));
+        operators = createServer("operators", new HealthApi(metrics, ready::get, exchange -> {}));
+    }
+
+    /**
+     * Begins to listen and to take part in the system.
+     *
+     * @throws ListenException if an address cannot be bound
+     * @throws TransportStartException if the peers' address cannot be bound
+     */
+    void start() throws ListenException, TransportStartException {
+        Listeners listeners = settings.listeners();
+        transport.start();
+        membership.getService().setCreditListener(gateway::useCredits);
+        membership.getService().start(settings.heartbeatMs());
+        operators.listen(listeners.operators().toSocketAddress());
+        endpoints.listen(listeners.endpoints().toSocketAddress());
+        callers.listen(listeners.callers().toSocketAddress());
+        ready.set(true);
+        LOGGER.atInfo()
+                .addKeyValue("node", settings.nodeId())
+                .addKeyValue("dataCentre", settings.dataCentre())
+                .addKeyValue("version", version)
+                .log("node started, callers on {}", listeners.callers());
+    }
+
+    /**
+     * Stops the node without cutting a request: not ready, then no new connections, then the end of
+     * the open requests.
+     *
+     * @return false if requests were still open at the end of the stated time
+     */
+    boolean stopGracefully() {
+        ready.set(false);
+        callers.startDraining();
+        LOGGER.info("node stops; new requests are served for {} ms more", settings.drainDelayMs());
+        sleep(settings.drainDelayMs());
+        callers.stopAccepting();
+        boolean finished = awaitRequests();
+        membership.getService().leave();
+        close();
+        LOGGER.info(finished ? "node stopped" : "node stopped with open requests");
+        return finished;
+    }
+
+    @Override
+    public void close() {
+        for (HttpServer server : List.of(callers, endpoints, operators)) {
+            server.close();
+        }
+        endpointClient.close();
+        transport.close();
+        control.close();
+        tracing.close();
+        eventLoops.shutdownGracefully();
+    }
+
+    private boolean awaitRequests() {
+        long deadlineMs = timeSource.monotonicMs() + settings.shutdownTimeoutMs();
+        while (callers.getRequestsInProgress() > 0) {
+            if (timeSource.monotonicMs() >= deadlineMs) {
+                return false;
+            }
+            sleep(POLL_INTERVAL_MS);
+        }
+        return true;
+    }
+
+    private NettyPeerTransport createTransport() {
+        return new NettyPeerTransport(
+                settings.nodeId(),
+                incarnation,
+                settings.listeners().peers().toSocketAddress(),
+                settings.secrets().peerKey().reveal().getBytes(StandardCharsets.UTF_8),
+                timeSource,
+                TransportSettings.defaults(),
+                new PeerTrafficMeter(metrics));
+    }
+
+    private HttpServer createServer(String name, HttpHandler handler) {
+        RequestLimits limits = settings.limits();
+        HttpLimits bounds =
+                new HttpLimits(
+                        limits.maxHeaderBytes(),
+                        limits.maxBodyBytes(),
+                        limits.bodyTimeoutMs(),
+                        limits.idleTimeoutMs(),
+                        limits.maxConnections());
+        return new HttpServer(name, eventLoops, bounds, handler);
+    }
+
+    private static void sleep(long durationMs) {
+        try {
+            Thread.sleep(durationMs);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
@@ -85,6 +85,9 @@
 
     @Override
     public void onRequestSend(NettyRequest sending) {
+        if (!request.mayStart().getAsBoolean()) {
+            fail(Kind.NOT_SENT, "the lease of its credit ran out before it was sent", null);
+        }
         if (!phase.compareAndSet(Phase.CONNECTING, Phase.SENT)) {
             throw new IllegalStateException("the attempt must not have ended before it is sent");
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointRequest.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.function.BooleanSupplier;
 import org.cardamomthread.core.id.RequestId;
 
 /**
@@ -17,6 +18,7 @@
  *     that no idle connection that the endpoint has closed can take the call with it
  * @param firstByteTimeoutMs longest wait for the answer's head, in milliseconds
  * @param gapTimeoutMs longest wait between two parts of the answer, in milliseconds
+ * @param mayStart asked right before the first byte is written; if false nothing is sent
  */
 public record EndpointRequest(
         String address,
@@ -27,4 +29,5 @@
         RequestId requestId,
         boolean isRepeatable,
         long firstByteTimeoutMs,
-        long gapTimeoutMs) {}
+        long gapTimeoutMs,
+        BooleanSupplier mayStart) {}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptRunner.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptRunner.java
@@ -70,7 +70,8 @@
                         scope.getRequestId(),
                         scope.getTarget().isRepeatable(),
                         scope.getTarget().traffic().getFirstByteTimeoutMs(),
-                        scope.getTarget().traffic().getGapTimeoutMs());
+                        scope.getTarget().traffic().getGapTimeoutMs(),
+                        placed::mayStart);
         return client.start(request, new SpanEndingListener(span, listener));
     }
 
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ClassPriceBook.java
@@ -0,0 +1,34 @@
+package org.cardamomthread.daemon.gateway;
+
+import org.cardamomthread.membership.endpoint.PriceClass;
+import org.cardamomthread.membership.gateway.AvailableEndpoint;
+import org.cardamomthread.policy.routing.EndpointPrice;
+
+/**
+ * Tells reclaimable from on-demand hosts by price and risk where the platform names no price.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class ClassPriceBook implements PriceBook {
+
+    private static final double RECLAIMABLE_PRICE_PER_HOUR = 1.0;
+    private static final double ON_DEMAND_PRICE_PER_HOUR = 3.0;
+    private static final double RECLAIMS_PER_HOUR = 0.1;
+
+    private static final EndpointPrice RECLAIMABLE =
+            new EndpointPrice(
+                    RECLAIMABLE_PRICE_PER_HOUR,
+                    org.cardamomthread.policy.profile.PriceClass.RECLAIMABLE,
+                    RECLAIMS_PER_HOUR);
+    private static final EndpointPrice ON_DEMAND =
+            new EndpointPrice(
+                    ON_DEMAND_PRICE_PER_HOUR,
+                    org.cardamomthread.policy.profile.PriceClass.ON_DEMAND,
+                    0);
+
+    @Override
+    public EndpointPrice priceOf(AvailableEndpoint endpoint) {
+        boolean isReclaimable = endpoint.description().priceClass() == PriceClass.RECLAIMABLE;
+        return isReclaimable ? RECLAIMABLE : ON_DEMAND;
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacedCall.java
@@ -0,0 +1,69 @@
+package org.cardamomthread.daemon.gateway;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.membership.endpoint.Capability;
+import org.cardamomthread.membership.gateway.AvailableEndpoint;
+import org.cardamomthread.membership.gateway.CreditHold;
+
+/** Holds a leased credit for one attempt. Safe for use by several threads. */
+final class CreditPlacedCall implements PlacedCall {
+
+    private final CallTarget target;
+    private final AvailableEndpoint endpoint;
+    private final VersionId version;
+    private final CreditHold hold;
+    private final PlacementObserver observer;
+    private final Runnable afterRelease;
+    private final AtomicBoolean released = new AtomicBoolean();
+
+    CreditPlacedCall(
+            CallTarget target,
+            AvailableEndpoint endpoint,
+            VersionId version,
+            CreditHold hold,
+            PlacementObserver observer,
+            Runnable afterRelease) {
+        this.target = target;
+        this.endpoint = endpoint;
+        this.version = version;
+        this.hold = hold;
+        this.observer = observer;
+        this.afterRelease = afterRelease;
+    }
+
+    @Override
+    public EndpointId getEndpoint() {
+        return endpoint.endpoint();
+    }
+
+    @Override
+    public String getAddress() {
+        return endpoint.description().address();
+    }
+
+    @Override
+    public VersionId getVersion() {
+        return version;
+    }
+
+    @Override
+    public boolean canResume() {
+        return endpoint.description().capabilities().contains(Capability.RESUME);
+    }
+
+    @Override
+    public boolean mayStart() {
+        return hold.mayStart();
+    }
+
+    @Override
+    public void release(AttemptReport report) {
+        if (released.compareAndSet(false, true)) {
+            hold.release();
+            observer.report(target, endpoint.endpoint(), version, report);
+            afterRelease.run();
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -0,0 +1,101 @@
+package org.cardamomthread.daemon.gateway;
+
+import java.util.random.RandomGenerator;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.daemon.dispatch.EndpointClient;
+import org.cardamomthread.daemon.http.HttpHandler;
+import org.cardamomthread.membership.gateway.CreditPool;
+import org.cardamomthread.policy.routing.EndpointSelector;
+
+/**
+ * Assembles a node's duty towards callers.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class Gateway {
+
+    private final CreditPlacement placement;
+    private final CallerApi callerApi;
+
+    /**
+     * Assembles a gateway.
+     *
+     * @param parts what it works with
+     * @param onceOnly starts calls that may run at most once
+     * @param jobs answers calls about patient work
+     */
+    Gateway(GatewayParts parts, OnceOnlyStarter onceOnly, JobApi jobs) {
+        placement = createPlacement(parts);
+        CallServices services =
+                new CallServices(
+                        placement,
+                        new AttemptRunner(parts.client(), parts.telemetry().tracing()),
+                        new BudgetRetryPolicy(),
+                        parts.telemetry().timeSource());
+        callerApi =
+                new CallerApi(
+                        parts.configuration(),
+                        new DefaultCallStarter(services, onceOnly),
+                        jobs,
+                        parts.telemetry());
+    }
+
+    /**
+     * Groups what a gateway works with. Immutable.
+     *
+     * @param dataCentre the node's data centre
+     * @param configuration gives the declarations in force
+     * @param pool the node's credits
+     * @param selector chooses endpoints
+     * @param prices knows what endpoints cost
+     * @param client runs attempts
+     * @param observer hears of choices and results
+     * @param telemetry what each call reports to
+     * @param random source for choices among near equals
+     */
+    public record GatewayParts(
+            DataCentreId dataCentre,
+            ConfigurationSource configuration,
+            CreditPool pool,
+            EndpointSelector selector,
+            PriceBook prices,
+            EndpointClient client,
+            PlacementObserver observer,
+            CallTelemetry telemetry,
+            RandomGenerator random) {}
+
+    /**
+     * Returns what answers callers.
+     *
+     * @return the handler of the callers' listener
+     */
+    public HttpHandler getCallerApi() {
+        return callerApi;
+    }
+
+    /** Gives credits that have come to the calls that wait for them. */
+    public void useCredits() {
+        placement.pump();
+    }
+
+    /**
+     * Returns the number of attempts that wait for a credit.
+     *
+     * @return attempts
+     */
+    public int getWaitingCount() {
+        return placement.getWaitingCount();
+    }
+
+    private static CreditPlacement createPlacement(GatewayParts parts) {
+        return new CreditPlacement(
+                parts.pool(),
+                new CandidateReader(parts.pool(), parts.prices(), parts.dataCentre()),
+                parts.selector(),
+                new SelectionRequestFactory(),
+                new CurrentVersionRouter(parts.configuration()),
+                parts.observer(),
+                parts.random(),
+                parts.telemetry().timeSource());
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/PlacedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/PlacedCall.java
@@ -38,6 +38,13 @@
      */
     boolean canResume();
 
+    /**
+     * Tells whether the attempt may still begin; to be asked right before its first byte is sent.
+     *
+     * @return false once the lease of the permission has run out
+     */
+    boolean mayStart();
+
     /**
      * Gives the permission back and records how the attempt went.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/AnnouncementApi.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/AnnouncementApi.java
@@ -12,7 +12,7 @@
 import org.cardamomthread.daemon.http.HttpReply;
 import org.cardamomthread.daemon.http.Problem;
 import org.cardamomthread.membership.endpoint.EndpointAnnouncement;
-import org.cardamomthread.membership.node.NodeView;
+import org.cardamomthread.membership.node.NodeEntry;
 
 /** Answers the announcements of endpoints. Safe for use by several threads. */
 public final class AnnouncementApi implements HttpHandler {
@@ -61,7 +61,7 @@
     }
 
     private void answer(
-            HttpExchange exchange, String requestId, Optional<NodeView> home, Throwable failure) {
+            HttpExchange exchange, String requestId, Optional<NodeEntry> home, Throwable failure) {
         if (failure != null) {
             refuse(exchange, requestId, 503, "stopping", "announce to another node");
             return;
@@ -69,8 +69,8 @@
         ObjectNode body = MAPPER.createObjectNode();
         home.ifPresent(
                 node -> {
-                    body.put("home", node.entry().id().value());
-                    body.put("homeAddress", node.entry().addresses().endpoints());
+                    body.put("home", node.id().value());
+                    body.put("homeAddress", node.addresses().endpoints());
                 });
         body.put("intervalMs", announcementIntervalMs);
         exchange.respond(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/MembershipService.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/MembershipService.java
@@ -18,6 +18,7 @@
 import org.cardamomthread.membership.home.EndpointHome;
 import org.cardamomthread.membership.home.EndpointStatus;
 import org.cardamomthread.membership.node.NodeDirectory;
+import org.cardamomthread.membership.node.NodeEntry;
 import org.cardamomthread.membership.node.NodeView;
 import org.cardamomthread.transport.PeerTopic;
 import org.cardamomthread.transport.PeerTransport;
@@ -110,12 +111,12 @@
      * @param announcement the announcement
      * @return completes with the endpoint's home, or empty if no node is usable
      */
-    public CompletableFuture<Optional<NodeView>> announce(EndpointAnnouncement announcement) {
+    public CompletableFuture<Optional<NodeEntry>> announce(EndpointAnnouncement announcement) {
         return control.submit(
                 () -> {
                     sendAll(home.announce(announcement));
                     return home.homeOf(announcement.endpoint(), announcement.dataCentre())
-                            .flatMap(directory::find);
+                            .flatMap(this::findEntry);
                 });
     }
 
@@ -165,6 +166,14 @@
         return control.submit(read);
     }
 
+    private Optional<NodeEntry> findEntry(NodeId node) {
+        NodeEntry self = directory.self();
+        if (node.equals(self.id())) {
+            return Optional.of(self);
+        }
+        return directory.find(node).map(NodeView::entry);
+    }
+
     private void tickPool() {
         sendAll(pool.tick());
         creditListener.run();
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
@@ -21,6 +21,7 @@
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -36,6 +37,7 @@
 
     private NioEventLoopGroup eventLoops;
     private EndpointClient client;
+    private volatile boolean mayStart;
 
     @BeforeClass
     public void start() {
@@ -49,6 +51,11 @@
         eventLoops.shutdownGracefully();
     }
 
+    @BeforeMethod
+    public void allowStart() {
+        mayStart = true;
+    }
+
     @DataProvider
     public Object[][] answers() {
         return new Object[][] {
@@ -129,13 +136,24 @@
         }
     }
 
+    @Test
+    public void sendsNothingOnceThePermissionHasRunOut() throws Exception {
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint("", HOLD)) {
+            mayStart = false;
+            assertEquals(run(endpoint.getAddress(), true).kind(), Kind.NOT_SENT);
+            mayStart = true;
+            run(endpoint.getAddress(), true);
+            assertEquals(endpoint.getRequestCount(), 1);
+        }
+    }
+
     private Outcome run(String address, boolean isRepeatable) throws Exception {
         Recorder recorder = new Recorder();
         client.start(createRequest(address, isRepeatable), recorder);
         return recorder.outcome.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
     }
 
-    private static EndpointRequest createRequest(String address, boolean isRepeatable) {
+    private EndpointRequest createRequest(String address, boolean isRepeatable) {
         HttpHeaders headers = new DefaultHttpHeaders().set("x-request-id", "r1");
         byte[] body = "{}".getBytes(StandardCharsets.UTF_8);
         return new EndpointRequest(
@@ -147,7 +165,8 @@
                 new RequestId("r1"),
                 isRepeatable,
                 DEADLINE_MS,
-                DEADLINE_MS);
+                DEADLINE_MS,
+                () -> mayStart);
     }
 
     /** What a listener heard. */
