Add the state machine of the configuration and the views of nodes

Accepted configuration had no holder: changes raced, resends had effects and a node without a disk had nothing to hold.

A change of declarations is checked against the revision that last changed a declaration and not against the last revision: a step of a version move or a fencing number would otherwise make each operator's base stale. Checking meaning inside the state machine was ruled out, since two releases could then answer alike commands differently; that is done before a command is proposed.

--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/Declarations.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/Declarations.java
@@ -99,6 +99,18 @@
         return new Declarations(copy);
     }
 
+    /**
+     * Copies this set with another form of one service.
+     *
+     * @param service the service
+     * @return the copy
+     */
+    public Declarations with(Service service) {
+        SortedMap<DeclarationKey, Object> copy = new TreeMap<>(entries);
+        copy.put(new DeclarationKey(DeclarationKind.SERVICE, service.id().value()), service);
+        return new Declarations(copy);
+    }
+
     /**
      * Writes each declaration as its canonical JSON text.
      *
--- /dev/null
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/state/EntryKeys.java
@@ -0,0 +1,45 @@
+package org.cardamomthread.configuration.state;
+
+import java.util.Optional;
+import org.cardamomthread.configuration.declaration.DeclarationKey;
+import org.cardamomthread.configuration.declaration.DeclarationKind;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.OperationId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.id.VersionId;
+
+/** Names the entries of the configuration. Stateless and safe for use by several threads. */
+final class EntryKeys {
+
+    static final String FENCING = "fencing";
+    private static final String DECLARATION_PREFIX = "declaration/";
+    static final String MOVE_PREFIX = "move/";
+
+    private EntryKeys() {}
+
+    static String declaration(DeclarationKey key) {
+        return DECLARATION_PREFIX + key.kind().number() + "/" + key.id();
+    }
+
+    static Optional<DeclarationKey> parseDeclaration(String key) {
+        if (!key.startsWith(DECLARATION_PREFIX)) {
+            return Optional.empty();
+        }
+        int idStart = key.indexOf('/', DECLARATION_PREFIX.length()) + 1;
+        String number = key.substring(DECLARATION_PREFIX.length(), idStart - 1);
+        DeclarationKind kind = DeclarationKind.ofNumber(Integer.parseInt(number));
+        return Optional.of(new DeclarationKey(kind, key.substring(idStart)));
+    }
+
+    static String move(OperationId id) {
+        return MOVE_PREFIX + id;
+    }
+
+    static String dataCentre(DataCentreId id) {
+        return "data-centre/" + id;
+    }
+
+    static String stopped(ServiceId service, VersionId version) {
+        return "stopped/" + service + "/" + version;
+    }
+}
--- /dev/null
+++ b/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/state/ConfigurationStateMachinePropertyTests.java
@@ -0,0 +1,149 @@
+package org.cardamomthread.configuration.state;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.cardamomthread.configuration.generated.ConfigurationCommand;
+import org.cardamomthread.configuration.generated.ConfigurationDelta;
+import org.cardamomthread.configuration.state.ConfigurationResult.Accepted;
+import org.cardamomthread.configuration.state.ConfigurationResult.Stale;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests invariants of {@link ConfigurationStateMachine} over random commands. */
+public class ConfigurationStateMachinePropertyTests {
+
+    private static final int STEPS = 300;
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}, {5L}, {8L}, {13L}, {21L}, {34L}};
+    }
+
+    @Test(dataProvider = "seeds")
+    public void raisesTheRevisionByOneWithEachEffect(long seed) {
+        CommandGenerator generator = new CommandGenerator(seed);
+        ConfigurationStateMachine machine = new ConfigurationStateMachine();
+        for (int i = 0; i < STEPS; i++) {
+            ConfigurationView before = machine.view();
+            ConfigurationResult result = machine.apply(generator.next(before));
+            ConfigurationView after = machine.view();
+            boolean effective = !sameContent(before, after);
+            assertEquals(after.revision(), before.revision() + (effective ? 1 : 0));
+            assertTrue(!effective || result instanceof Accepted, result.toString());
+            assertEquals(result.revision(), after.revision());
+        }
+        assertTrue(machine.view().revision() > STEPS / 4, machine.view().toString());
+    }
+
+    @Test(dataProvider = "seeds")
+    public void givesResendsTheFirstAnswerAndNoEffect(long seed) {
+        Random random = new Random(seed);
+        CommandGenerator generator = new CommandGenerator(seed);
+        ConfigurationStateMachine machine = new ConfigurationStateMachine();
+        List<ConfigurationCommand> sent = new ArrayList<>();
+        List<ConfigurationResult> answers = new ArrayList<>();
+        for (int i = 0; i < STEPS; i++) {
+            ConfigurationCommand command = generator.next(machine.view());
+            sent.add(command);
+            answers.add(machine.apply(command));
+            if (random.nextInt(10) == 0) {
+                ConfigurationStateMachine restored = new ConfigurationStateMachine();
+                restored.restore(machine.snapshot());
+                machine = restored;
+            }
+            int again = random.nextInt(sent.size());
+            long revision = machine.view().revision();
+            assertEquals(machine.apply(sent.get(again)), answers.get(again));
+            assertEquals(machine.view().revision(), revision);
+        }
+    }
+
+    @Test(dataProvider = "seeds")
+    public void letsOneOfTheOperatorsWithEqualBasesWin(long seed) {
+        Random random = new Random(seed);
+        ConfigurationStateMachine machine = new ConfigurationStateMachine();
+        for (int round = 0; round < 20; round++) {
+            long base = machine.view().revision();
+            List<ConfigurationCommand> race = new ArrayList<>();
+            for (int operator = 0; operator < 5; operator++) {
+                race.add(
+                        ConfigurationCommands.applyDeclarations(
+                                CommandGenerator.operation("race-" + round + "-" + operator),
+                                base,
+                                CommandGenerator.declarations(1 + round * 5 + operator, 1, "v1")));
+            }
+            race.addAll(race);
+            Collections.shuffle(race, random);
+            List<ConfigurationResult> results = new ArrayList<>();
+            for (ConfigurationCommand command : race) {
+                results.add(machine.apply(command));
+            }
+            long winners = results.stream().filter(Accepted.class::isInstance).distinct().count();
+            long losers = results.stream().filter(Stale.class::isInstance).count();
+            assertEquals(winners, 1);
+            assertEquals(losers, 8);
+            assertEquals(machine.view().revision(), base + 1);
+        }
+    }
+
+    @Test(dataProvider = "seeds")
+    public void leadsViewsForwardByAnyDeltas(long seed) throws ConfigurationGapException {
+        Random random = new Random(seed);
+        CommandGenerator generator = new CommandGenerator(seed);
+        ConfigurationStateMachine machine = new ConfigurationStateMachine();
+        ConfigurationView follower = ConfigurationView.empty();
+        List<ConfigurationDelta> old = new ArrayList<>();
+        for (int i = 0; i < STEPS; i++) {
+            machine.apply(generator.next(machine.view()));
+            if (random.nextInt(4) == 0) {
+                long from = Math.max(0, follower.revision() - random.nextInt(3));
+                ConfigurationDelta delta = machine.view().delta(from);
+                old.add(delta);
+                follower = follower.applyDelta(delta);
+                assertSame(follower, machine.view());
+            }
+            if (!old.isEmpty()) {
+                long held = follower.revision();
+                follower = follower.applyDelta(old.get(random.nextInt(old.size())));
+                assertEquals(follower.revision(), held);
+            }
+        }
+        ConfigurationView fresh = ConfigurationView.empty().applyDelta(follower.delta(0));
+        assertSame(fresh, follower);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void givesEqualSnapshotsOnEachReplica(long seed) {
+        CommandGenerator generator = new CommandGenerator(seed);
+        ConfigurationStateMachine first = new ConfigurationStateMachine();
+        ConfigurationStateMachine second = new ConfigurationStateMachine();
+        for (int i = 0; i < STEPS; i++) {
+            byte[] command = generator.next(first.view()).toByteArray();
+            assertEquals(second.apply(command), first.apply(command));
+            if (i == STEPS / 2) {
+                ConfigurationStateMachine restored = new ConfigurationStateMachine();
+                restored.restore(second.snapshot());
+                second = restored;
+            }
+        }
+        assertEquals(second.snapshot(), first.snapshot());
+    }
+
+    private static boolean sameContent(ConfigurationView first, ConfigurationView second) {
+        return first.entries().equals(second.entries());
+    }
+
+    private static void assertSame(ConfigurationView view, ConfigurationView expected) {
+        assertEquals(view.revision(), expected.revision());
+        assertEquals(view.declarationsRevision(), expected.declarationsRevision());
+        assertEquals(view.entries(), expected.entries());
+        assertEquals(view.declarations(), expected.declarations());
+        assertEquals(view.versionMoves(), expected.versionMoves());
+        assertEquals(view.stoppedVersions(), expected.stoppedVersions());
+    }
+}
