Move versions by an always-valid sequential comparison

Cause: nothing decided a version move. Counts grow by node, route, version and period and merge in any order; a stop by any observer stays.

Ruled out: a fixed-sample test, whose false-alarm rate does not hold when it is looked at after each call; one comparison over the whole move, in which a late fault drowns in good calls.

--- /dev/null
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/MixtureSequentialTestTests.java
@@ -0,0 +1,49 @@
+package org.cardamomthread.policy.rollout;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link MixtureSequentialTest}. */
+public class MixtureSequentialTestTests {
+
+    private final SequentialTest test = MixtureSequentialTest.proof(0.01);
+
+    @DataProvider
+    public Object[][] rates() {
+        return new Object[][] {{0.0}, {0.003}, {0.02}, {0.1}};
+    }
+
+    @Test(dataProvider = "rates")
+    public void rarelyFindsAFaultInAnEqualVersionHoweverOftenItLooks(double rate) {
+        Random random = new Random(21);
+        int alarms = 0;
+        int runs = 2_000;
+        for (int run = 0; run < runs; run++) {
+            alarms += hasAlarm(rate, random) ? 1 : 0;
+        }
+        assertTrue(alarms <= 0.05 * runs, alarms + " alarms in " + runs + " runs");
+    }
+
+    private boolean hasAlarm(double rate, Random random) {
+        long oldEvents = 0;
+        long newEvents = 0;
+        for (int calls = 1; calls <= 300; calls++) {
+            newEvents += random.nextDouble() < rate ? 1 : 0;
+            for (int i = 0; i < 5; i++) {
+                oldEvents += random.nextDouble() < rate ? 1 : 0;
+            }
+            if (test.evidence(calls, newEvents, calls * 5L, oldEvents) >= 20) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Test
+    public void findsAVersionThatAlwaysFailsWithinAFewCalls() {
+        assertTrue(test.evidence(4, 4, 200, 1) > 10_000);
+    }
+}
--- /dev/null
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/MoveEvidenceTests.java
@@ -0,0 +1,62 @@
+package org.cardamomthread.policy.rollout;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.RouteId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link MoveEvidence}. */
+public class MoveEvidenceTests {
+
+    private static final RouteId ROUTE = new RouteId("chat");
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}, {4L}};
+    }
+
+    @Test(dataProvider = "seeds")
+    public void mergesToTheSameInAnyOrderAndWithRepeats(long seed) {
+        Random random = new Random(seed);
+        RolloutPlan plan = RolloutPlan.until(0, 600_000);
+        List<MoveEvidence> states = new ArrayList<>();
+        MoveEvidence expected = MoveEvidence.EMPTY;
+        for (int node = 0; node < 4; node++) {
+            EvidenceRecorder recorder = new EvidenceRecorder(new NodeId("n" + node), plan);
+            for (int i = 0; i < 50; i++) {
+                CallOutcome outcome = new CallOutcome(random.nextBoolean(), true, false, false);
+                recorder.record(ROUTE, VersionRole.NEW, outcome, i * 10_000L);
+                states.add(recorder.snapshot());
+            }
+            expected = expected.merge(recorder.snapshot());
+        }
+        states.add(
+                MoveEvidence.EMPTY.stopped(
+                        new StopNotice(new NodeId("n1"), RolloutReason.OPERATOR)));
+        states.addAll(List.copyOf(states));
+        Collections.shuffle(states, random);
+        MoveEvidence merged = MoveEvidence.EMPTY;
+        for (MoveEvidence state : states) {
+            merged = merged.merge(state);
+        }
+        assertEquals(merged.counts(), expected.counts());
+        assertEquals(merged.total(VersionRole.NEW).calls(), 200);
+        assertTrue(merged.stop().isPresent());
+    }
+
+    @Test
+    public void keepsTheSameStopWhicheverComesFirst() {
+        StopNotice one = new StopNotice(new NodeId("a"), RolloutReason.OPERATOR);
+        StopNotice other = new StopNotice(new NodeId("b"), RolloutReason.MORE_FAILURES);
+        assertEquals(
+                MoveEvidence.EMPTY.stopped(one).stopped(other).stop(),
+                MoveEvidence.EMPTY.stopped(other).stopped(one).stop());
+    }
+}
