--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
@@ -15,6 +15,7 @@
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.NodeSettingsLoader;
 import org.cardamomthread.daemon.http.ListenException;
+import org.cardamomthread.transport.TransportStartException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -89,7 +90,7 @@
         Node node = new Node(settings, readVersion());
         try {
             node.start();
-        } catch (ListenException failure) {
+        } catch (ListenException | TransportStartException failure) {
             logger.error(failure.getMessage());
             node.close();
             return ExitCode.LISTEN_FAILURE;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -3,6 +3,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cardamomthread.configuration.declaration.Declarations;
 import org.cardamomthread.configuration.settings.Listeners;
@@ -14,6 +15,7 @@
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
 import org.cardamomthread.daemon.gateway.ChoiceLog;
+import org.cardamomthread.daemon.gateway.ClassPriceBook;
 import org.cardamomthread.daemon.gateway.Gateway;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.HttpLimits;
@@ -23,6 +25,8 @@
 import org.cardamomthread.daemon.membership.ControlThread;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
+import org.cardamomthread.policy.routing.PrefixKnowledge;
+import org.cardamomthread.policy.routing.ScoringEndpointSelector;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.cardamomthread.transport.TransportSettings;
 import org.cardamomthread.transport.TransportStartException;
@@ -84,8 +88,7 @@
                         settings, incarnation, timeSource, transport, control, () -> declarations);
         CallTelemetry telemetry = new CallTelemetry(metrics, tracing, timeSource);
         ChoiceLog choices = new ChoiceLog();
-        gateway = new GatewayFactory(settings, membership, endpointClient, telemetry, choices)
-                .create(() -> declarations);
+        gateway = createGateway(telemetry, choices);
         callers = createServer("callers", gateway.getCallerApi());
         endpoints =
                 createServer(
@@ -161,6 +164,20 @@
         return true;
     }
 
+    private Gateway createGateway(CallTelemetry telemetry, ChoiceLog choices) {
+        return Gateway.create(
+                new Gateway.GatewayParts(
+                        settings.dataCentre(),
+                        () -> declarations,
+                        membership.getPool(),
+                        new ScoringEndpointSelector(PrefixKnowledge.NONE),
+                        new ClassPriceBook(),
+                        endpointClient,
+                        choices,
+                        telemetry,
+                        new Random(incarnation)));
+    }
+
     private NettyPeerTransport createTransport() {
         return new NettyPeerTransport(
                 settings.nodeId(),
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/ConfigurationDistribution.java
@@ -0,0 +1,135 @@
+package org.cardamomthread.daemon.configuration;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+import org.cardamomthread.configuration.generated.ConfigurationDelta;
+import org.cardamomthread.configuration.state.ConfigurationGapException;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.daemon.membership.ControlThread;
+import org.cardamomthread.membership.node.NodeDirectory;
+import org.cardamomthread.membership.node.NodeState;
+import org.cardamomthread.membership.node.NodeView;
+import org.cardamomthread.transport.PeerTopic;
+import org.cardamomthread.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings this node to the highest revision that any reachable node has in force.
+ *
+ * <p>Each node states its revision in its heartbeats. A node that hears of a higher one asks a node
+ * that has it for the difference, its own data centre first, so that a change crosses to a data
+ * centre a few times and spreads there from node to node. A lost message only costs the next round.
+ * Runs on the control thread; invariant: at most one request is outstanding.
+ */
+public final class ConfigurationDistribution {
+
+    /** Carries requests for deltas. */
+    public static final PeerTopic TOPIC = new PeerTopic(2, "configuration");
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ConfigurationDistribution.class);
+    private static final long POLL_INTERVAL_MS = 100;
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
+
+    private final ConfigurationHolder holder;
+    private final NodeDirectory directory;
+    private final PeerTransport transport;
+    private final ControlThread control;
+    private final RandomGenerator random;
+    private boolean isAsking;
+
+    /**
+     * Creates a distribution that does not run yet.
+     *
+     * @param holder the configuration in force
+     * @param directory the nodes and their revisions
+     * @param transport the links to other nodes
+     * @param control runs the decisions
+     * @param random source for the choice among nodes
+     */
+    public ConfigurationDistribution(
+            ConfigurationHolder holder,
+            NodeDirectory directory,
+            PeerTransport transport,
+            ControlThread control,
+            RandomGenerator random) {
+        this.holder = holder;
+        this.directory = directory;
+        this.transport = transport;
+        this.control = control;
+        this.random = random;
+    }
+
+    /** Begins to answer requests and to ask for what is missing. */
+    public void start() {
+        transport.register(TOPIC, this::answer);
+        holder.addListener(
+                view -> control.execute(() -> directory.setRevisionInForce(view.revision())));
+        control.repeat(POLL_INTERVAL_MS, this::askForMissing);
+    }
+
+    private CompletionStage<byte[]> answer(NodeId from, byte[] payload) {
+        long fromRevision = ByteBuffer.wrap(payload).getLong();
+        byte[] delta = holder.getView().delta(fromRevision).toByteArray();
+        return CompletableFuture.completedFuture(delta);
+    }
+
+    private void askForMissing() {
+        long revision = holder.getView().revision();
+        if (isAsking || directory.highestRevision() <= revision) {
+            return;
+        }
+        NodeId source = chooseSource(revision);
+        if (source == null) {
+            return;
+        }
+        isAsking = true;
+        byte[] request = ByteBuffer.allocate(Long.BYTES).putLong(revision).array();
+        transport
+                .request(source, TOPIC, request, REQUEST_TIMEOUT)
+                .whenComplete(
+                        (delta, failure) -> control.execute(() -> take(source, delta, failure)));
+    }
+
+    private NodeId chooseSource(long revision) {
+        List<NodeView> ahead =
+                directory.others().stream()
+                        .filter(node -> node.state() == NodeState.ALIVE)
+                        .filter(node -> node.revisionInForce() > revision)
+                        .sorted(Comparator.comparing(node -> node.entry().id()))
+                        .toList();
+        DataCentreId own = directory.self().dataCentre();
+        List<NodeView> local =
+                ahead.stream().filter(node -> node.entry().dataCentre().equals(own)).toList();
+        List<NodeView> candidates = local.isEmpty() ? ahead : local;
+        if (candidates.isEmpty()) {
+            return null;
+        }
+        return candidates.get(random.nextInt(candidates.size())).entry().id();
+    }
+
+    private void take(NodeId source, byte[] delta, Throwable failure) {
+        isAsking = false;
+        if (failure != null) {
+            LOGGER.debug("node {} did not answer for the configuration", source, failure);
+            return;
+        }
+        try {
+            if (holder.install(ConfigurationDelta.parseFrom(delta))) {
+                LOGGER.info(
+                        "configuration revision {} in force, from node {}",
+                        holder.getView().revision(),
+                        source);
+            }
+        } catch (InvalidProtocolBufferException | ConfigurationGapException broken) {
+            LOGGER.warn("node {} sent a configuration that does not fit", source, broken);
+        }
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -18,13 +18,17 @@
     private final CallerApi callerApi;
 
     /**
-     * Assembles a gateway.
+     * Assembles a gateway of a deployment without a replicated log.
      *
      * @param parts what it works with
-     * @param onceOnly starts calls that may run at most once
-     * @param jobs answers calls about patient work
+     * @return the gateway
      */
-    Gateway(GatewayParts parts, OnceOnlyStarter onceOnly, JobApi jobs) {
+    public static Gateway create(GatewayParts parts) {
+        UnavailableExecution unavailable = new UnavailableExecution();
+        return new Gateway(parts, unavailable, unavailable);
+    }
+
+    private Gateway(GatewayParts parts, OnceOnlyStarter onceOnly, JobApi jobs) {
         placement = createPlacement(parts);
         CallServices services =
                 new CallServices(
@@ -60,7 +64,7 @@
             EndpointSelector selector,
             PriceBook prices,
             EndpointClient client,
-            PlacementObserver observer,
+            ChoiceLog observer,
             CallTelemetry telemetry,
             RandomGenerator random) {}
 
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/EventStreamParserTests.java
@@ -0,0 +1,56 @@
+package org.cardamomthread.daemon.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link EventStreamParser}. */
+public class EventStreamParserTests {
+
+    private static final int MAX_EVENT_BYTES = 64;
+
+    @DataProvider
+    public Object[][] streams() {
+        return new Object[][] {
+            {"data: one\n\ndata: two\n\n", List.of("one", "two")},
+            {"data: one\r\n\r\n: comment\n\ndata:two\n\n", List.of("one", "two")},
+            {"event: x\nid: 1\ndata: a\ndata: b\n\n", List.of("a\nb")},
+            {"data: ç€𝄞\n\n", List.of("ç€𝄞")},
+            {"data:\n\n", List.of("")},
+            {"data: unfinished\n", List.of()},
+            {"\n\n\n", List.of()},
+        };
+    }
+
+    @Test(dataProvider = "streams")
+    public void readsTheSameEventsInAnyDivision(String stream, List<String> expected)
+            throws MalformedAnswerException {
+        byte[] bytes = stream.getBytes(StandardCharsets.UTF_8);
+        for (int size = 1; size <= bytes.length; size++) {
+            assertEquals(parse(bytes, size), expected, "parts of " + size + " bytes");
+        }
+    }
+
+    @Test
+    public void refusesAnEventBeyondTheBound() {
+        EventStreamParser parser = new EventStreamParser(MAX_EVENT_BYTES);
+        byte[] endless = "x".repeat(MAX_EVENT_BYTES + 1).getBytes(StandardCharsets.UTF_8);
+        expectThrows(MalformedAnswerException.class, () -> parser.feed(endless));
+    }
+
+    private static List<String> parse(byte[] bytes, int size) throws MalformedAnswerException {
+        EventStreamParser parser = new EventStreamParser(MAX_EVENT_BYTES);
+        List<String> events = new ArrayList<>();
+        for (int from = 0; from < bytes.length; from += size) {
+            int to = Math.min(bytes.length, from + size);
+            events.addAll(parser.feed(Arrays.copyOfRange(bytes, from, to)));
+        }
+        return events;
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/FakeEndpointClient.java
@@ -0,0 +1,73 @@
+package org.cardamomthread.daemon.gateway;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.cardamomthread.daemon.dispatch.EndpointAttempt;
+import org.cardamomthread.daemon.dispatch.EndpointClient;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
+import org.cardamomthread.daemon.dispatch.EndpointRequest;
+import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
+
+/** Plays one script an attempt, in order and at once. */
+final class FakeEndpointClient implements EndpointClient {
+
+    private final List<Consumer<EndpointResponseListener>> scripts = new ArrayList<>();
+    private final List<EndpointRequest> requests = new ArrayList<>();
+    private final List<Boolean> cancelled = new ArrayList<>();
+
+    void add(Consumer<EndpointResponseListener> script) {
+        scripts.add(script);
+    }
+
+    String getBody(int attempt) {
+        return new String(requests.get(attempt).body(), StandardCharsets.UTF_8);
+    }
+
+    int getAttemptCount() {
+        return requests.size();
+    }
+
+    boolean isCancelled(int attempt) {
+        return cancelled.get(attempt);
+    }
+
+    static void beginStream(EndpointResponseListener listener) {
+        listener.onHead(200, new DefaultHttpHeaders().set("content-type", "text/event-stream"));
+    }
+
+    static void sendToken(EndpointResponseListener listener, String token) {
+        String event = "data: {\"choices\":[{\"delta\":{\"content\":\"" + token + "\"}}]}\n\n";
+        listener.onPart(event.getBytes(StandardCharsets.UTF_8));
+    }
+
+    static Consumer<EndpointResponseListener> streamWhole(String token) {
+        return listener -> {
+            beginStream(listener);
+            sendToken(listener, token);
+            listener.onPart("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
+            listener.onComplete();
+        };
+    }
+
+    static EndpointFailureException createFailure(Kind kind) {
+        return new EndpointFailureException(kind, "127.0.0.1:1", "scripted", null);
+    }
+
+    @Override
+    public EndpointAttempt start(EndpointRequest request, EndpointResponseListener listener) {
+        int attempt = requests.size();
+        requests.add(request);
+        cancelled.add(false);
+        scripts.get(attempt).accept(listener);
+        return () -> cancelled.set(attempt, true);
+    }
+
+    @Override
+    public void close() {
+        // Holds nothing.
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
@@ -0,0 +1,138 @@
+package org.cardamomthread.daemon.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.opentelemetry.api.trace.Span;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.RequestId;
+import org.cardamomthread.core.id.RouteId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
+import org.cardamomthread.daemon.telemetry.NodeMetrics;
+import org.cardamomthread.daemon.telemetry.NodeTracing;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link ModelStreamCall} against scripted endpoints and a recorded caller. */
+public class ModelStreamCallTests {
+
+    private static final String BODY = "{\"model\":\"chat\",\"stream\":true}";
+    private static final TrafficClass TRAFFIC = new TrafficClass(true, 500, 50, 0.5, 0.5, 1_000);
+    private static final CallTarget TARGET =
+            new CallTarget(
+                    new ServiceId("chat"), new RouteId("chat-completions"), true, true, TRAFFIC);
+
+    private FakePlacement placement;
+    private FakeEndpointClient endpoints;
+    private RecordedExchange caller;
+
+    @BeforeMethod
+    public void reset() {
+        placement = new FakePlacement();
+        endpoints = new FakeEndpointClient();
+        caller = new RecordedExchange("/v1/chat/completions", BODY);
+    }
+
+    @DataProvider
+    public Object[][] breaks() {
+        return new Object[][] {
+            {Kind.NOT_SENT}, {Kind.CONNECTION_LOST}, {Kind.FIRST_BYTE_TIMEOUT},
+            {Kind.GAP_TIMEOUT}, {Kind.MISMATCHED_ANSWER}, {Kind.TRUNCATED_ANSWER},
+        };
+    }
+
+    @Test(dataProvider = "breaks")
+    public void goesOnFromTheLastDeliveredTokenOnAnotherEndpoint(Kind broken) throws Exception {
+        endpoints.add(listener -> {
+            FakeEndpointClient.beginStream(listener);
+            FakeEndpointClient.sendToken(listener, "two ");
+            listener.onFailure(FakeEndpointClient.createFailure(broken));
+        });
+        endpoints.add(FakeEndpointClient.streamWhole("bags"));
+        start();
+        assertEquals(caller.getTokens(), List.of("two ", "bags"));
+        assertTrue(caller.isWhole());
+        assertTrue(endpoints.getBody(1).contains("\"resume\":{\"text\":\"two \",\"tokens\":1}"));
+        assertTrue(placement.getRequest(1).needsResume());
+        assertEquals(placement.getReleased(), 2);
+    }
+
+    @Test
+    public void treatsAStreamWithoutItsEndMarkerAsBroken() throws Exception {
+        endpoints.add(listener -> {
+            FakeEndpointClient.beginStream(listener);
+            FakeEndpointClient.sendToken(listener, "two ");
+            listener.onComplete();
+        });
+        endpoints.add(FakeEndpointClient.streamWhole("bags"));
+        start();
+        assertEquals(caller.getTokens(), List.of("two ", "bags"));
+        assertTrue(caller.isWhole());
+    }
+
+    @Test
+    public void neverEndsABrokenStreamAsWhole() throws Exception {
+        for (int attempt = 0; attempt < 10; attempt++) {
+            endpoints.add(listener -> {
+                FakeEndpointClient.beginStream(listener);
+                FakeEndpointClient.sendToken(listener, "x");
+                listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST));
+            });
+        }
+        start();
+        assertFalse(caller.isWhole());
+        assertTrue(caller.isAborted());
+        assertTrue(caller.getText().contains("\"execution\":\"unknown\""), caller.getText());
+        assertFalse(caller.getText().contains("[DONE]"));
+    }
+
+    @Test
+    public void saysNotRunOnlyIfTheSingleAttemptWasNotSent() throws Exception {
+        placement.refuseAfter(1);
+        endpoints.add(listener ->
+                listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST)));
+        start();
+        assertEquals(caller.getStatus(), 503);
+        assertEquals(placement.getReleased(), 1);
+    }
+
+    @Test
+    public void stopsTheAttemptIfTheCallerLeaves() throws Exception {
+        endpoints.add(FakeEndpointClient::beginStream);
+        start();
+        caller.disconnect();
+        assertTrue(endpoints.isCancelled(0));
+        assertEquals(placement.getReleased(), 1);
+    }
+
+    private void start() throws InvalidRequestException {
+        ManualTimeSource timeSource = new ManualTimeSource();
+        NodeTracing tracing = new NodeTracing(new NodeId("node-a"), Optional.empty());
+        Span span = tracing.startServerSpan("test", new DefaultHttpHeaders());
+        CallScope scope =
+                new CallScope(
+                        caller,
+                        new RequestId("r1"),
+                        new ClientAccountId("bars"),
+                        TARGET,
+                        span,
+                        new CallTelemetry(new NodeMetrics(), tracing, timeSource));
+        CallServices services =
+                new CallServices(
+                        placement,
+                        new AttemptRunner(endpoints, tracing),
+                        new BudgetRetryPolicy(),
+                        timeSource);
+        ModelRequest request = ModelRequest.parse(BODY.getBytes(StandardCharsets.UTF_8));
+        new ModelStreamCall(scope, services, request).start();
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/RecordedExchange.java
@@ -0,0 +1,108 @@
+package org.cardamomthread.daemon.gateway;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.cardamomthread.daemon.http.HttpCall;
+import org.cardamomthread.daemon.http.HttpExchange;
+import org.cardamomthread.daemon.http.HttpReply;
+import org.cardamomthread.daemon.http.ResponseStream;
+
+/** Records what a caller sees. */
+final class RecordedExchange implements HttpExchange, ResponseStream {
+
+    private static final Pattern CONTENT = Pattern.compile("\"content\":\"([^\"]*)\"");
+
+    private final HttpCall call;
+    private final StringBuilder text = new StringBuilder();
+    private Runnable disconnectAction = () -> {};
+    private int status;
+    private boolean whole;
+    private boolean aborted;
+
+    RecordedExchange(String path, String body) {
+        this(path, body, new DefaultHttpHeaders());
+    }
+
+    RecordedExchange(String path, String body, HttpHeaders headers) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        call = new HttpCall(HttpMethod.POST, path, "", headers, bytes);
+    }
+
+    int getStatus() {
+        return status;
+    }
+
+    String getText() {
+        return text.toString();
+    }
+
+    boolean isWhole() {
+        return whole;
+    }
+
+    boolean isAborted() {
+        return aborted;
+    }
+
+    List<String> getTokens() {
+        List<String> tokens = new ArrayList<>();
+        Matcher matcher = CONTENT.matcher(text);
+        while (matcher.find()) {
+            tokens.add(matcher.group(1));
+        }
+        return tokens;
+    }
+
+    void disconnect() {
+        disconnectAction.run();
+    }
+
+    @Override
+    public HttpCall getCall() {
+        return call;
+    }
+
+    @Override
+    public void respond(HttpReply reply) {
+        status = reply.status();
+        text.append(new String(reply.body(), StandardCharsets.UTF_8));
+        whole = true;
+    }
+
+    @Override
+    public ResponseStream startStream(int streamStatus, HttpHeaders headers) {
+        status = streamStatus;
+        return this;
+    }
+
+    @Override
+    public void onDisconnect(Runnable action) {
+        disconnectAction = action;
+    }
+
+    @Override
+    public void write(byte[] part) {
+        text.append(new String(part, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void finish() {
+        whole = true;
+    }
+
+    @Override
+    public void abort() {
+        aborted = true;
+    }
+
+    @Override
+    public long getPendingBytes() {
+        return 0;
+    }
+}
