Add admission, host purchase and reclaim decisions

Cause: nothing bounded what an endpoint gets, shared turns between client accounts, bought hosts or chose what happens to work on a reclaimed host.

Ruled out: limits by the load reports alone, which lag.

--- /dev/null
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Limits, fair shares, retries, hedging, preemption and the release of patient work. */
+package org.cardamomthread.policy.admission;
--- /dev/null
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Buys and releases hosts. */
+package org.cardamomthread.policy.capacity;
--- /dev/null
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/AdmissionPoliciesTests.java
@@ -0,0 +1,115 @@
+package org.cardamomthread.policy.admission;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.RequestId;
+import org.cardamomthread.policy.profile.Priority;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link RetryBudget}, {@link HedgingPolicy}, {@link PreemptionPolicy}, release. */
+public class AdmissionPoliciesTests {
+
+    @DataProvider
+    public Object[][] successes() {
+        return new Object[][] {{0, 0}, {100, 10}, {1_000, 100}};
+    }
+
+    @Test(dataProvider = "successes")
+    public void permitsRetriesAsAShareOfSuccesses(int successes, int retries) {
+        RetryBudget budget = new RetryBudget(0.1, 0, 1_000, 0);
+        while (budget.trySpend(0)) {
+            // spends the initial burst
+        }
+        for (int i = 0; i < successes; i++) {
+            budget.onSuccess();
+        }
+        int permitted = 0;
+        while (budget.trySpend(0)) {
+            permitted++;
+        }
+        assertTrue(Math.abs(permitted - retries) <= 1, "permitted " + permitted);
+    }
+
+    @Test
+    public void keepsASmallRateOfRetriesWithoutSuccesses() {
+        RetryBudget budget = new RetryBudget(0.1, 1, 1, 0);
+        assertTrue(budget.trySpend(0));
+        assertFalse(budget.trySpend(500));
+        assertTrue(budget.trySpend(1_000));
+    }
+
+    private static HedgingPolicy.HedgeCandidate call(
+            Priority priority, boolean repeatable, boolean firstByte, int others, double ms) {
+        return new HedgingPolicy.HedgeCandidate(
+                priority, repeatable, firstByte, false, others, ms, 500, 1_800);
+    }
+
+    @DataProvider
+    public Object[][] hedges() {
+        return new Object[][] {
+            {call(Priority.URGENT, true, false, 1, 1_200), true},
+            {call(Priority.URGENT, true, false, 1, 700), false},
+            {call(Priority.URGENT, false, false, 1, 1_200), false},
+            {call(Priority.URGENT, true, true, 1, 1_200), false},
+            {call(Priority.URGENT, true, false, 0, 1_200), false},
+            {call(Priority.PATIENT, true, false, 1, 1_200), false},
+        };
+    }
+
+    @Test(dataProvider = "hedges")
+    public void hedgesOnlyLateRepeatableUrgentCalls(
+            HedgingPolicy.HedgeCandidate call, boolean expected) {
+        HedgingPolicy policy = new HedgingPolicy(new RetryBudget(0, 0, 1, 0));
+        assertEquals(policy.shouldHedge(call, 0), expected);
+        assertFalse(policy.shouldHedge(call, 0), "the budget is spent");
+    }
+
+    private static RunningCall running(
+            String id, Priority priority, boolean resumable, long tokens, long slackMs) {
+        return new RunningCall(
+                new RequestId(id), new EndpointId("e"), priority, resumable, tokens, slackMs);
+    }
+
+    @Test
+    public void preemptsThePatientCallThatLosesLeast() {
+        List<RunningCall> calls =
+                List.of(
+                        running("urgent", Priority.URGENT, true, 0, 60_000),
+                        running("costly", Priority.PATIENT, false, 500, 60_000),
+                        running("forced", Priority.PATIENT, true, 0, 10),
+                        running("cheap", Priority.PATIENT, true, 9_000, 60_000));
+        PreemptionPolicy policy = new PreemptionPolicy();
+        assertEquals(policy.victim(calls, 100).orElseThrow().id(), new RequestId("cheap"));
+        assertEquals(policy.victim(calls.subList(0, 1), 100), Optional.empty());
+        assertEquals(policy.victim(calls.subList(1, 2), 5), Optional.empty());
+    }
+
+    @DataProvider
+    public Object[][] releases() {
+        return new Object[][] {
+            {0L, 1.0, 0.5, PatientRelease.Action.START_CHEAP},
+            {0L, 2.0, 0.5, PatientRelease.Action.HOLD},
+            {0L, 1.0, 0.0, PatientRelease.Action.HOLD},
+            {850_000L, 2.0, 0.5, PatientRelease.Action.START_CHEAP},
+            {930_000L, 9.0, 0.0, PatientRelease.Action.START_BY_DEADLINE},
+        };
+    }
+
+    @Test(dataProvider = "releases")
+    public void holdsPatientWorkForALowPriceUntilTheDeadlineForcesIt(
+            long nowMs, double price, double spare, PatientRelease.Action expected) {
+        PatientRelease.Decision decision =
+                new PatientRelease()
+                        .decide(
+                                new PatientJob(0, 1_000_000, 30_000),
+                                new MarketView(price, 1, 2.2, spare),
+                                nowMs);
+        assertEquals(decision.action(), expected);
+    }
+}
