--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/package-info.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/package-info.java
@@ -1,2 +1,2 @@
-/** Replicated log: voters, storage, snapshots. */
+/** The replicated log: what users of a group see of it. */
 package org.cardamomthread.replication;
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/package-info.java
@@ -0,0 +1,2 @@
+/** Durable storage of one replica. */
+package org.cardamomthread.replication.storage;
