--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationGroup.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationGroup.java
@@ -14,8 +14,13 @@
  */
 public interface ReplicationGroup extends AutoCloseable {
 
-    /** Opens the storage and begins to take part in the group. */
-    void start();
+    /**
+     * Opens the storage and begins to take part in the group.
+     *
+     * @throws StorageException if the storage is damaged, unreadable or belongs to another node;
+     *     its message names the remedy
+     */
+    void start() throws StorageException;
 
     /**
      * Hands in a message of another member; returns at once.
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/StorageException.java
@@ -0,0 +1,28 @@
+package org.cardamomthread.replication;
+
+import org.cardamomthread.core.CardamomthreadException;
+
+/** Reports a storage failure after which the replica must stop. */
+public class StorageException extends CardamomthreadException {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates an exception.
+     *
+     * @param message what is wrong and the remedy
+     */
+    public StorageException(String message) {
+        super(message);
+    }
+
+    /**
+     * Creates an exception with its cause.
+     *
+     * @param message what is wrong and the remedy
+     * @param cause the failure that led to this one
+     */
+    public StorageException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Elections.java
@@ -0,0 +1,141 @@
+package org.cardamomthread.replication.consensus;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.ReplicaMember;
+import org.cardamomthread.replication.ReplicaRole;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.generated.Envelope;
+import org.cardamomthread.replication.generated.VoteRequest;
+import org.cardamomthread.replication.generated.VoteResponse;
+
+/**
+ * Asks for votes and gives them.
+ *
+ * <p>Invariants: no vote is given while the current leader's lease may count on this voter; only
+ * members of the latest membership are counted, by the identity of their data folder. Used by one
+ * thread at a time.
+ */
+final class Elections {
+
+    private final ReplicaContext context;
+    private final Set<VoterId> granted = new HashSet<>();
+
+    Elections(ReplicaContext context) {
+        this.context = context;
+    }
+
+    /**
+     * Starts a preliminary vote if the election timeout has passed.
+     *
+     * @return true if this replica, as the only voter, has won an election by that
+     */
+    boolean tick() {
+        if (context.role() == ReplicaRole.LEADER
+                || !context.isVoter()
+                || !context.isElectionDue()) {
+            return false;
+        }
+        context.setRole(ReplicaRole.PRE_CANDIDATE);
+        context.setLeader(null);
+        return ask(true, context.term() + 1);
+    }
+
+    private boolean ask(boolean preliminary, long term) {
+        context.resetElectionDeadline();
+        granted.clear();
+        granted.add(context.self().voterId());
+        VoteRequest request =
+                VoteRequest.newBuilder()
+                        .setLastIndex(context.log().lastIndex())
+                        .setLastTerm(context.log().lastTerm())
+                        .setPreliminary(preliminary)
+                        .build();
+        for (ReplicaMember voter : context.log().members().voters()) {
+            if (!voter.voterId().equals(context.self().voterId())) {
+                Envelope.Builder envelope = context.outbox().envelope(voter.voterId(), term);
+                context.outbox().sendAfterSync(voter.nodeId(), envelope.setVoteRequest(request));
+            }
+        }
+        return proceedIfGranted();
+    }
+
+    private boolean proceedIfGranted() {
+        long votes =
+                context.log().members().voters().stream()
+                        .filter(voter -> granted.contains(voter.voterId()))
+                        .count();
+        if (votes < context.log().members().majority()) {
+            return false;
+        }
+        if (context.role() == ReplicaRole.CANDIDATE) {
+            return true;
+        }
+        context.enterTerm(context.term() + 1);
+        context.voteFor(context.self().voterId());
+        context.setRole(ReplicaRole.CANDIDATE);
+        return ask(false, context.term());
+    }
+
+    /** Answers a request; the caller has not taken over its term yet. */
+    void onRequest(VoterId candidate, NodeId candidateNode, Envelope envelope) {
+        if (!context.isSupportFree()) {
+            return;
+        }
+        VoteRequest request = envelope.getVoteRequest();
+        boolean isGranted =
+                request.getPreliminary()
+                        ? envelope.getTerm() > context.term() && isUpToDate(request)
+                        : vote(candidate, envelope.getTerm(), request);
+        long term = isGranted ? envelope.getTerm() : context.term();
+        VoteResponse response =
+                VoteResponse.newBuilder()
+                        .setGranted(isGranted)
+                        .setPreliminary(request.getPreliminary())
+                        .build();
+        context.outbox()
+                .sendAfterSync(
+                        candidateNode,
+                        context.outbox().envelope(candidate, term).setVoteResponse(response));
+    }
+
+    private boolean vote(VoterId candidate, long term, VoteRequest request) {
+        if (term > context.term()) {
+            context.enterTerm(term);
+            context.setRole(ReplicaRole.FOLLOWER);
+        }
+        if (term < context.term() || !context.mayVoteFor(candidate) || !isUpToDate(request)) {
+            return false;
+        }
+        context.voteFor(candidate);
+        context.resetElectionDeadline();
+        return true;
+    }
+
+    private boolean isUpToDate(VoteRequest request) {
+        long lastTerm = context.log().lastTerm();
+        return request.getLastTerm() > lastTerm
+                || request.getLastTerm() == lastTerm
+                        && request.getLastIndex() >= context.log().lastIndex();
+    }
+
+    /**
+     * Counts an answer.
+     *
+     * @return true if this replica has won the election
+     */
+    boolean onResponse(VoterId voter, Envelope envelope) {
+        VoteResponse response = envelope.getVoteResponse();
+        ReplicaRole expectedRole =
+                response.getPreliminary() ? ReplicaRole.PRE_CANDIDATE : ReplicaRole.CANDIDATE;
+        long expectedTerm = response.getPreliminary() ? context.term() + 1 : context.term();
+        if (!response.getGranted()
+                || context.role() != expectedRole
+                || envelope.getTerm() != expectedTerm) {
+            return false;
+        }
+        granted.add(voter);
+        return proceedIfGranted();
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Followership.java
@@ -0,0 +1,137 @@
+package org.cardamomthread.replication.consensus;
+
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.generated.AppendRequest;
+import org.cardamomthread.replication.generated.AppendResponse;
+import org.cardamomthread.replication.generated.Entry;
+import org.cardamomthread.replication.generated.SnapshotChunk;
+import org.cardamomthread.replication.generated.SnapshotHeader;
+import org.cardamomthread.replication.generated.SnapshotResponse;
+import org.cardamomthread.replication.storage.Checksums;
+
+/**
+ * Takes entries and snapshots from the leader of the current term.
+ *
+ * <p>Invariants: a committed entry is never replaced; an answer is sent only after what it confirms
+ * is synced. Used by one thread at a time.
+ */
+final class Followership {
+
+    private final ReplicaContext context;
+    private SnapshotHeader incomingHeader = SnapshotHeader.getDefaultInstance();
+    private ByteString incomingState = ByteString.EMPTY;
+    private ReceivedSnapshot received;
+
+    Followership(ReplicaContext context) {
+        this.context = context;
+    }
+
+    Optional<ReceivedSnapshot> takeSnapshot() {
+        Optional<ReceivedSnapshot> taken = Optional.ofNullable(received);
+        received = null;
+        return taken;
+    }
+
+    void onAppend(VoterId leader, NodeId leaderNode, AppendRequest request) {
+        AppendResponse.Builder response =
+                AppendResponse.newBuilder().setSentAtMs(request.getSentAtMs());
+        ReplicaLog log = context.log();
+        long lastSentIndex = request.getPreviousIndex() + request.getEntriesCount();
+        boolean isBeforeBase = request.getPreviousIndex() < log.baseIndex();
+        if (isBeforeBase || log.matches(request.getPreviousIndex(), request.getPreviousTerm())) {
+            request.getEntriesList().forEach(this::take);
+            long matchIndex = isBeforeBase ? Math.max(lastSentIndex, 0) : lastSentIndex;
+            context.raiseCommitIndex(Math.min(request.getCommitIndex(), matchIndex));
+            response.setAccepted(true).setMatchIndex(matchIndex);
+        } else {
+            response.setHintIndex(hintFor(request));
+        }
+        context.outbox()
+                .sendAfterSync(
+                        leaderNode,
+                        context.outbox()
+                                .envelope(leader, context.term())
+                                .setAppendResponse(response));
+    }
+
+    private void take(Entry entry) {
+        ReplicaLog log = context.log();
+        long index = entry.getIndex();
+        if (index <= log.baseIndex() || log.matches(index, entry.getTerm())) {
+            return;
+        }
+        if (index <= log.lastIndex()) {
+            if (index <= context.commitIndex()) {
+                throw new IllegalStateException(
+                        "entry " + index + " is committed and must not be replaced");
+            }
+            log.truncateFrom(index);
+        }
+        log.append(entry);
+    }
+
+    private long hintFor(AppendRequest request) {
+        ReplicaLog log = context.log();
+        if (request.getPreviousIndex() > log.lastIndex()) {
+            return log.lastIndex();
+        }
+        long index = request.getPreviousIndex();
+        long conflictingTerm = log.termAt(index);
+        long lowest = Math.max(log.baseIndex(), context.commitIndex());
+        while (index > lowest && log.termAt(index) == conflictingTerm) {
+            index--;
+        }
+        return index;
+    }
+
+    void onChunk(VoterId leader, NodeId leaderNode, SnapshotChunk chunk) {
+        SnapshotHeader header = chunk.getHeader();
+        SnapshotResponse.Builder response =
+                SnapshotResponse.newBuilder()
+                        .setIndex(header.getIndex())
+                        .setSentAtMs(chunk.getSentAtMs());
+        if (context.log().matches(header.getIndex(), header.getTerm())) {
+            context.raiseCommitIndex(header.getIndex());
+        }
+        if (header.getIndex() > context.commitIndex()) {
+            collect(chunk);
+        }
+        response.setInstalled(header.getIndex() <= context.commitIndex())
+                .setNextOffset(incomingState.size());
+        context.outbox()
+                .sendAfterSync(
+                        leaderNode,
+                        context.outbox()
+                                .envelope(leader, context.term())
+                                .setSnapshotResponse(response));
+    }
+
+    private void collect(SnapshotChunk chunk) {
+        if (!chunk.getHeader().equals(incomingHeader)) {
+            incomingHeader = chunk.getHeader();
+            incomingState = ByteString.EMPTY;
+        }
+        if (chunk.getOffset() != incomingState.size()) {
+            return;
+        }
+        incomingState = incomingState.concat(chunk.getData());
+        if (incomingState.size() >= incomingHeader.getSizeBytes()) {
+            install();
+        }
+    }
+
+    private void install() {
+        ByteString state = incomingState;
+        incomingState = ByteString.EMPTY;
+        if (Checksums.of(state.toByteArray()) != incomingHeader.getChecksum()) {
+            return;
+        }
+        context.log().reset(incomingHeader);
+        context.raiseCommitIndex(incomingHeader.getIndex());
+        received = new ReceivedSnapshot(incomingHeader, state);
+        incomingHeader = SnapshotHeader.getDefaultInstance();
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Progress.java
@@ -0,0 +1,129 @@
+package org.cardamomthread.replication.consensus;
+
+import org.cardamomthread.replication.ReplicaMember;
+
+/**
+ * Holds what a leader knows of one other member.
+ *
+ * <p>Invariants: the match index never decreases; the next index is above it. Used by one thread at
+ * a time.
+ */
+final class Progress {
+
+    /** Earlier than any time of a message, without overflow in differences. */
+    static final long NEVER_MS = Long.MIN_VALUE / 4;
+
+    private final ReplicaMember member;
+    private Mode mode = Mode.PROBE;
+    private long nextIndex;
+    private long matchIndex;
+    private long ackedSentAtMs = NEVER_MS;
+    private long lastSentMs = NEVER_MS;
+    private boolean isWaiting;
+    private long snapshotIndex;
+    private long snapshotOffset;
+
+    /** States how entries are sent. */
+    enum Mode {
+        /** One message at a time, until the logs match. */
+        PROBE,
+        /** Without waiting for answers. */
+        REPLICATE,
+        /** By parts of the snapshot. */
+        SNAPSHOT
+    }
+
+    Progress(ReplicaMember member, long nextIndex) {
+        this.member = member;
+        this.nextIndex = nextIndex;
+    }
+
+    ReplicaMember member() {
+        return member;
+    }
+
+    Mode mode() {
+        return mode;
+    }
+
+    long nextIndex() {
+        return nextIndex;
+    }
+
+    long matchIndex() {
+        return matchIndex;
+    }
+
+    /** Returns the index after which the member will need entries. */
+    long neededIndex() {
+        return mode == Mode.SNAPSHOT ? snapshotIndex : matchIndex;
+    }
+
+    long ackedSentAtMs() {
+        return ackedSentAtMs;
+    }
+
+    long lastSentMs() {
+        return lastSentMs;
+    }
+
+    boolean isWaiting() {
+        return isWaiting;
+    }
+
+    long snapshotIndex() {
+        return snapshotIndex;
+    }
+
+    long snapshotOffset() {
+        return snapshotOffset;
+    }
+
+    void noteAnswer(long sentAtMs) {
+        ackedSentAtMs = Math.max(ackedSentAtMs, sentAtMs);
+    }
+
+    void noteSent(long nowMs) {
+        lastSentMs = nowMs;
+        isWaiting = mode != Mode.REPLICATE;
+    }
+
+    void stopWaiting() {
+        isWaiting = false;
+    }
+
+    void advanceNext(long index) {
+        nextIndex = Math.max(nextIndex, index);
+    }
+
+    void noteMatch(long index) {
+        if (mode == Mode.SNAPSHOT && index < snapshotIndex) {
+            return;
+        }
+        matchIndex = Math.max(matchIndex, index);
+        nextIndex = mode == Mode.REPLICATE ? Math.max(nextIndex, matchIndex + 1) : matchIndex + 1;
+        mode = Mode.REPLICATE;
+        isWaiting = false;
+    }
+
+    void noteMismatch(long hintIndex) {
+        if (mode == Mode.SNAPSHOT) {
+            return;
+        }
+        mode = Mode.PROBE;
+        nextIndex = Math.max(matchIndex + 1, Math.min(nextIndex, hintIndex + 1));
+        isWaiting = false;
+    }
+
+    void startSnapshot(long index) {
+        mode = Mode.SNAPSHOT;
+        snapshotIndex = index;
+        snapshotOffset = 0;
+        isWaiting = false;
+    }
+
+    void noteChunk(long nextOffset) {
+        snapshotOffset = nextOffset;
+        isWaiting = false;
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ReplicaContext.java
@@ -0,0 +1,163 @@
+package org.cardamomthread.replication.consensus;
+
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.ReplicaRole;
+import org.cardamomthread.replication.ReplicationSettings;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.generated.TermState;
+import org.cardamomthread.replication.storage.RecoveredState;
+
+/**
+ * Holds the state that the parts of one replica share.
+ *
+ * <p>Invariants: the term never decreases; within a term the vote is given once; the commit index
+ * never decreases. Used by one thread at a time.
+ */
+final class ReplicaContext {
+
+    private final ReplicaIdentity self;
+    private final ReplicationSettings settings;
+    private final RandomGenerator random;
+    private final ReplicaLog log;
+    private final Outbox outbox;
+    private TermState termState;
+    private boolean termStateChanged;
+    private ReplicaRole role = ReplicaRole.FOLLOWER;
+    private NodeId leader;
+    private long commitIndex;
+    private long nowMs;
+    private long lastLeaderContactMs;
+    private long electionDeadlineMs;
+
+    ReplicaContext(
+            ReplicaIdentity self,
+            ReplicationSettings settings,
+            RecoveredState recovered,
+            RandomGenerator random,
+            long nowMs) {
+        this.self = self;
+        this.settings = settings;
+        this.random = random;
+        this.log = new ReplicaLog(recovered);
+        this.outbox = new Outbox(self);
+        this.termState = recovered.termState();
+        this.commitIndex = recovered.snapshot().getIndex();
+        this.nowMs = nowMs;
+        this.lastLeaderContactMs = nowMs;
+        resetElectionDeadline();
+    }
+
+    ReplicaIdentity self() {
+        return self;
+    }
+
+    ReplicationSettings settings() {
+        return settings;
+    }
+
+    ReplicaLog log() {
+        return log;
+    }
+
+    Outbox outbox() {
+        return outbox;
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    void setNowMs(long nowMs) {
+        this.nowMs = Math.max(this.nowMs, nowMs);
+    }
+
+    long term() {
+        return termState.getTerm();
+    }
+
+    ReplicaRole role() {
+        return role;
+    }
+
+    void setRole(ReplicaRole role) {
+        this.role = role;
+    }
+
+    Optional<NodeId> leader() {
+        return Optional.ofNullable(leader);
+    }
+
+    void setLeader(NodeId leader) {
+        this.leader = leader;
+    }
+
+    long commitIndex() {
+        return commitIndex;
+    }
+
+    void raiseCommitIndex(long index) {
+        commitIndex = Math.max(commitIndex, index);
+    }
+
+    boolean isVoter() {
+        return log.members().isVoter(self.voterId());
+    }
+
+    boolean isEmpty() {
+        return term() == 0 && log.isEmpty();
+    }
+
+    /** Enters a later term without a vote in it. */
+    void enterTerm(long term) {
+        if (term <= term()) {
+            throw new IllegalArgumentException(
+                    "term " + term + " must be later than term " + term());
+        }
+        setTermState(TermState.newBuilder().setTerm(term).build());
+        leader = null;
+    }
+
+    boolean mayVoteFor(VoterId candidate) {
+        String votedFor = termState.getVotedFor();
+        return votedFor.isEmpty() || votedFor.equals(candidate.value());
+    }
+
+    void voteFor(VoterId candidate) {
+        setTermState(termState.toBuilder().setVotedFor(candidate.value()).build());
+    }
+
+    private void setTermState(TermState changed) {
+        termState = changed;
+        termStateChanged = true;
+    }
+
+    Optional<TermState> takeTermState() {
+        boolean changed = termStateChanged;
+        termStateChanged = false;
+        return changed ? Optional.of(termState) : Optional.empty();
+    }
+
+    /** Records a message of the current leader, which postpones any support for a candidate. */
+    void noteLeaderContact(NodeId from) {
+        leader = from;
+        lastLeaderContactMs = nowMs;
+        resetElectionDeadline();
+    }
+
+    /** Tells whether no leader can hold a lease that counts on this voter. */
+    boolean isSupportFree() {
+        return role != ReplicaRole.LEADER
+                && nowMs - lastLeaderContactMs >= settings.electionTimeoutMs();
+    }
+
+    boolean isElectionDue() {
+        return nowMs >= electionDeadlineMs;
+    }
+
+    void resetElectionDeadline() {
+        long timeoutMs = settings.electionTimeoutMs();
+        electionDeadlineMs = nowMs + timeoutMs + random.nextLong(timeoutMs);
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ReplicaIdentity.java
@@ -0,0 +1,23 @@
+package org.cardamomthread.replication.consensus;
+
+import java.util.Objects;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.VoterId;
+
+/**
+ * Names one replica. Immutable.
+ *
+ * @param groupId the group
+ * @param nodeId the node
+ * @param voterId the identity of the node's data folder
+ */
+public record ReplicaIdentity(GroupId groupId, NodeId nodeId, VoterId voterId) {
+
+    /** Checks that nothing is missing. */
+    public ReplicaIdentity {
+        Objects.requireNonNull(groupId, "groupId must not be null");
+        Objects.requireNonNull(nodeId, "nodeId must not be null");
+        Objects.requireNonNull(voterId, "voterId must not be null");
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ReplicaLog.java
@@ -0,0 +1,168 @@
+package org.cardamomthread.replication.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cardamomthread.replication.generated.Entry;
+import org.cardamomthread.replication.generated.EntryKind;
+import org.cardamomthread.replication.generated.Membership;
+import org.cardamomthread.replication.generated.SnapshotHeader;
+import org.cardamomthread.replication.storage.RecoveredState;
+
+/**
+ * Holds the entries after a base position, and the memberships that they contain.
+ *
+ * <p>Invariants: indexes are consecutive from the base; the base is at or before the snapshot's
+ * index. Used by one thread at a time.
+ */
+final class ReplicaLog {
+
+    private final List<Entry> entries;
+    private final TreeMap<Long, Members> memberships = new TreeMap<>();
+    private SnapshotHeader snapshot;
+    private long baseIndex;
+    private long baseTerm;
+    private long firstUnsyncedIndex;
+
+    ReplicaLog(RecoveredState recovered) {
+        snapshot = recovered.snapshot();
+        baseIndex = snapshot.getIndex();
+        baseTerm = snapshot.getTerm();
+        entries = new ArrayList<>(recovered.entries());
+        memberships.put(baseIndex, Members.of(snapshot.getMembership()));
+        entries.forEach(this::noteMembership);
+        firstUnsyncedIndex = lastIndex() + 1;
+    }
+
+    private void noteMembership(Entry entry) {
+        if (entry.getKind() == EntryKind.MEMBERSHIP) {
+            memberships.put(entry.getIndex(), Members.of(parse(entry)));
+        }
+    }
+
+    private static Membership parse(Entry entry) {
+        try {
+            return Membership.parseFrom(entry.getData());
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw new IllegalStateException(
+                    "entry " + entry.getIndex() + " must contain a membership", e);
+        }
+    }
+
+    SnapshotHeader snapshot() {
+        return snapshot;
+    }
+
+    long baseIndex() {
+        return baseIndex;
+    }
+
+    long lastIndex() {
+        return baseIndex + entries.size();
+    }
+
+    long lastTerm() {
+        return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).getTerm();
+    }
+
+    long syncedIndex() {
+        return firstUnsyncedIndex - 1;
+    }
+
+    boolean isEmpty() {
+        return lastIndex() == 0;
+    }
+
+    /** Returns the term of an entry; it must lie between the base and the end. */
+    long termAt(long index) {
+        return index == baseIndex ? baseTerm : entry(index).getTerm();
+    }
+
+    boolean matches(long index, long term) {
+        return index >= baseIndex && index <= lastIndex() && termAt(index) == term;
+    }
+
+    private Entry entry(long index) {
+        return entries.get((int) (index - baseIndex - 1));
+    }
+
+    Members members() {
+        return memberships.lastEntry().getValue();
+    }
+
+    long membersIndex() {
+        return memberships.lastKey();
+    }
+
+    Members membersAt(long index) {
+        Map.Entry<Long, Members> found = memberships.floorEntry(index);
+        return found.getValue();
+    }
+
+    void append(Entry entry) {
+        if (entry.getIndex() != lastIndex() + 1) {
+            throw new IllegalArgumentException(
+                    "entry " + entry.getIndex() + " must follow entry " + lastIndex());
+        }
+        entries.add(entry);
+        noteMembership(entry);
+    }
+
+    void truncateFrom(long index) {
+        entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        memberships.tailMap(index, true).clear();
+        firstUnsyncedIndex = Math.min(firstUnsyncedIndex, index);
+    }
+
+    /** Returns entries from an index on, at least one if there is one, up to so many bytes. */
+    List<Entry> slice(long fromIndex, int maxBytes) {
+        int from = (int) (fromIndex - baseIndex - 1);
+        int to = from;
+        long bytes = 0;
+        while (to < entries.size()) {
+            bytes += entries.get(to).getData().size();
+            if (to > from && bytes > maxBytes) {
+                break;
+            }
+            to++;
+        }
+        return List.copyOf(entries.subList(from, to));
+    }
+
+    List<Entry> range(long afterIndex, long toIndex) {
+        return List.copyOf(
+                entries.subList((int) (afterIndex - baseIndex), (int) (toIndex - baseIndex)));
+    }
+
+    List<Entry> unsynced() {
+        return range(firstUnsyncedIndex - 1, lastIndex());
+    }
+
+    void markSynced() {
+        firstUnsyncedIndex = lastIndex() + 1;
+    }
+
+    /** Takes note of a saved snapshot and drops entries that are not worth keeping. */
+    void compact(SnapshotHeader header, long wantedBaseIndex) {
+        snapshot = header;
+        long newBase = Math.max(baseIndex, wantedBaseIndex);
+        Members members = membersAt(newBase);
+        baseTerm = termAt(newBase);
+        entries.subList(0, (int) (newBase - baseIndex)).clear();
+        baseIndex = newBase;
+        memberships.headMap(newBase, true).clear();
+        memberships.put(newBase, members);
+    }
+
+    /** Replaces all content by a snapshot. */
+    void reset(SnapshotHeader header) {
+        entries.clear();
+        memberships.clear();
+        snapshot = header;
+        baseIndex = header.getIndex();
+        baseTerm = header.getTerm();
+        memberships.put(baseIndex, Members.of(header.getMembership()));
+        firstUnsyncedIndex = baseIndex + 1;
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/ReplicaDriver.java
@@ -0,0 +1,348 @@
+package org.cardamomthread.replication.runtime;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.cardamomthread.core.id.Identifiers;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.MembershipChangeException;
+import org.cardamomthread.replication.NotLeaderException;
+import org.cardamomthread.replication.ReplicationException;
+import org.cardamomthread.replication.ReplicationSettings;
+import org.cardamomthread.replication.ReplicationStatus;
+import org.cardamomthread.replication.ReplicationTransport;
+import org.cardamomthread.replication.StateMachine;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.consensus.LogPosition;
+import org.cardamomthread.replication.consensus.OutgoingChunk;
+import org.cardamomthread.replication.consensus.OutgoingMessage;
+import org.cardamomthread.replication.consensus.ReceivedSnapshot;
+import org.cardamomthread.replication.consensus.Replica;
+import org.cardamomthread.replication.consensus.ReplicaIdentity;
+import org.cardamomthread.replication.consensus.ReplicaOutput;
+import org.cardamomthread.replication.generated.Entry;
+import org.cardamomthread.replication.generated.EntryKind;
+import org.cardamomthread.replication.generated.Envelope;
+import org.cardamomthread.replication.generated.JoinRequest;
+import org.cardamomthread.replication.generated.SnapshotHeader;
+import org.cardamomthread.replication.storage.Checksums;
+import org.cardamomthread.replication.storage.LogStorage;
+import org.cardamomthread.replication.storage.RecoveredState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Carries out what a {@link Replica} decides: persists, sends, applies, takes snapshots.
+ *
+ * <p>Inputs are gathered until {@link #flush()}, which syncs them together. After an exception the
+ * driver must not be used again. Used by one thread at a time.
+ */
+public final class ReplicaDriver {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ReplicaDriver.class);
+
+    /** A snapshot in transfer is replaced only once the log has grown by so many intervals. */
+    private static final int INTERVALS_DURING_TRANSFER = 4;
+
+    private final GroupId groupId;
+    private final NodeId nodeId;
+    private final ReplicationSettings settings;
+    private final LogStorage storage;
+    private final StateMachine stateMachine;
+    private final ReplicationTransport transport;
+    private final TimeSource timeSource;
+    private final RandomGenerator random;
+    private final PendingProposals proposals;
+    private final List<CompletableFuture<Long>> reads = new ArrayList<>();
+    private Replica replica;
+    private long appliedIndex;
+    private long snapshotIndex;
+
+    /**
+     * Creates a driver; {@link #open()} comes first.
+     *
+     * @param groupId the group
+     * @param nodeId this node
+     * @param settings the settings
+     * @param storage the storage, not open yet
+     * @param stateMachine the state that the log builds up
+     * @param transport sends messages to other nodes
+     * @param timeSource the clock
+     * @param random spreads election timeouts
+     */
+    public ReplicaDriver(
+            GroupId groupId,
+            NodeId nodeId,
+            ReplicationSettings settings,
+            LogStorage storage,
+            StateMachine stateMachine,
+            ReplicationTransport transport,
+            TimeSource timeSource,
+            RandomGenerator random) {
+        this.groupId = groupId;
+        this.nodeId = nodeId;
+        this.settings = settings;
+        this.storage = storage;
+        this.stateMachine = stateMachine;
+        this.transport = transport;
+        this.timeSource = timeSource;
+        this.random = random;
+        this.proposals = new PendingProposals(groupId);
+    }
+
+    /**
+     * Opens the storage and restores the state of its snapshot.
+     *
+     * @throws StorageException if the storage is damaged, unreadable or belongs to another
+     */
+    public void open() throws StorageException {
+        RecoveredState recovered = storage.open(groupId, nodeId);
+        SnapshotHeader header = recovered.snapshot();
+        if (header.getIndex() > 0) {
+            stateMachine.restore(storage.readSnapshot(0, (int) header.getSizeBytes()));
+        }
+        appliedIndex = header.getIndex();
+        snapshotIndex = header.getIndex();
+        ReplicaIdentity self = new ReplicaIdentity(groupId, nodeId, recovered.voterId());
+        replica = new Replica(self, settings, recovered, random, nowMs());
+    }
+
+    private long nowMs() {
+        return timeSource.monotonicMs();
+    }
+
+    /** Takes the passing of time into account. */
+    public void tick() {
+        replica.tick(nowMs());
+    }
+
+    /**
+     * Takes a message; one that is malformed or whose sender differs is dropped.
+     *
+     * @param from the authenticated sender
+     * @param message the encoded message
+     */
+    public void receive(NodeId from, byte[] message) {
+        Envelope envelope;
+        try {
+            envelope = Envelope.parseFrom(message);
+        } catch (InvalidProtocolBufferException e) {
+            LOG.warn("group {}: malformed message from node {}", groupId, from);
+            return;
+        }
+        if (!envelope.getFromNode().equals(from.value()) || !hasValidIds(envelope)) {
+            LOG.warn("group {}: message from node {} has wrong identifiers", groupId, from);
+            return;
+        }
+        replica.receive(envelope, nowMs());
+    }
+
+    private static boolean hasValidIds(Envelope envelope) {
+        JoinRequest join = envelope.getJoinRequest();
+        return Identifiers.isValid(envelope.getFromVoter())
+                && (!envelope.hasJoinRequest()
+                        || Identifiers.isValid(join.getVoterId())
+                                && Identifiers.isValid(join.getNodeId()));
+    }
+
+    /**
+     * Appends a command.
+     *
+     * @param command the command
+     * @param future completed once the command is applied or has failed
+     */
+    public void propose(byte[] command, CompletableFuture<byte[]> future) {
+        append(() -> replica.propose(command, nowMs()), future);
+    }
+
+    /**
+     * Adds a learner.
+     *
+     * @param voterId the identity of its folder
+     * @param member its node
+     * @param future completed once the change is committed or has failed
+     */
+    public void addLearner(VoterId voterId, NodeId member, CompletableFuture<byte[]> future) {
+        append(() -> replica.addLearner(voterId, member, nowMs()), future);
+    }
+
+    /**
+     * Makes a learner a voter.
+     *
+     * @param voterId the learner
+     * @param future completed once the change is committed or has failed
+     */
+    public void promote(VoterId voterId, CompletableFuture<byte[]> future) {
+        append(() -> replica.promote(voterId, nowMs()), future);
+    }
+
+    /**
+     * Removes a member.
+     *
+     * @param voterId the member
+     * @param future completed once the change is committed or has failed
+     */
+    public void remove(VoterId voterId, CompletableFuture<byte[]> future) {
+        append(() -> replica.remove(voterId, nowMs()), future);
+    }
+
+    private void append(Append action, CompletableFuture<byte[]> future) {
+        try {
+            proposals.add(action.run(), future);
+        } catch (NotLeaderException | MembershipChangeException e) {
+            future.completeExceptionally(e);
+        }
+    }
+
+    /** Appends an entry to the replica's log. */
+    @FunctionalInterface
+    private interface Append {
+        LogPosition run() throws NotLeaderException, MembershipChangeException;
+    }
+
+    /**
+     * Registers a read.
+     *
+     * @param future completed with the applied index once the state is current, or failed
+     */
+    public void readBarrier(CompletableFuture<Long> future) {
+        reads.add(future);
+    }
+
+    /**
+     * Carries out all that the inputs have led to.
+     *
+     * @throws StorageException if the storage failed; the replica must stop
+     */
+    public void flush() throws StorageException {
+        ReplicaOutput output = replica.takeOutput();
+        while (!output.isEmpty()) {
+            carryOut(output);
+            replica.persisted();
+            output = replica.takeOutput();
+        }
+        saveSnapshotIfDue();
+        settle();
+    }
+
+    private void carryOut(ReplicaOutput output) throws StorageException {
+        send(output.immediateMessages());
+        for (OutgoingChunk chunk : output.chunks()) {
+            sendChunk(chunk);
+        }
+        if (output.snapshot().isPresent()) {
+            install(output.snapshot().get());
+        }
+        if (output.termState().isPresent()) {
+            storage.writeTermState(output.termState().get());
+        }
+        if (!output.entries().isEmpty()) {
+            storage.append(output.entries());
+        }
+        if (output.isSyncNeeded()) {
+            storage.sync();
+        }
+        send(output.messagesAfterSync());
+        output.committed().forEach(this::apply);
+    }
+
+    private void send(List<OutgoingMessage> messages) {
+        for (OutgoingMessage message : messages) {
+            transport.send(message.to(), message.message().toByteArray());
+        }
+    }
+
+    private void sendChunk(OutgoingChunk chunk) throws StorageException {
+        Envelope.Builder envelope = chunk.message().message().toBuilder();
+        long offset = envelope.getSnapshotChunk().getOffset();
+        byte[] data = storage.readSnapshot(offset, chunk.length());
+        envelope.getSnapshotChunkBuilder().setData(ByteString.copyFrom(data));
+        transport.send(chunk.message().to(), envelope.build().toByteArray());
+    }
+
+    private void install(ReceivedSnapshot snapshot) throws StorageException {
+        byte[] state = snapshot.state().toByteArray();
+        storage.installSnapshot(snapshot.header(), state);
+        stateMachine.restore(state);
+        appliedIndex = snapshot.header().getIndex();
+        snapshotIndex = appliedIndex;
+    }
+
+    private void apply(Entry entry) {
+        byte[] answer = null;
+        if (entry.getKind() == EntryKind.COMMAND) {
+            answer = stateMachine.apply(entry.getIndex(), entry.getData().toByteArray());
+        }
+        appliedIndex = entry.getIndex();
+        proposals.complete(entry, answer);
+    }
+
+    private void saveSnapshotIfDue() throws StorageException {
+        long intervals = (appliedIndex - snapshotIndex) / settings.snapshotEntries();
+        if (intervals < (replica.isSendingSnapshot() ? INTERVALS_DURING_TRANSFER : 1)) {
+            return;
+        }
+        byte[] state = stateMachine.snapshot();
+        SnapshotHeader header =
+                replica.snapshotHeader(appliedIndex).toBuilder()
+                        .setSizeBytes(state.length)
+                        .setChecksum(Checksums.of(state))
+                        .build();
+        storage.saveSnapshot(header, state);
+        replica.compact(header);
+        snapshotIndex = appliedIndex;
+    }
+
+    private void settle() {
+        if (!proposals.isEmpty() && !replica.isLeaderOf(proposals.term())) {
+            proposals.failAll("this node is no longer the leader");
+        }
+        List<CompletableFuture<Long>> open = new ArrayList<>(reads);
+        reads.clear();
+        for (CompletableFuture<Long> read : open) {
+            settleRead(read);
+        }
+    }
+
+    private void settleRead(CompletableFuture<Long> read) {
+        try {
+            Optional<Long> index = replica.readIndex(nowMs());
+            if (index.isPresent() && index.get() <= appliedIndex) {
+                read.complete(appliedIndex);
+            } else {
+                reads.add(read);
+            }
+        } catch (NotLeaderException e) {
+            read.completeExceptionally(e);
+        }
+    }
+
+    /**
+     * Shows the state as of now.
+     *
+     * @return the state
+     */
+    public ReplicationStatus status() {
+        return replica.status(appliedIndex, nowMs());
+    }
+
+    /**
+     * Ends all proposals and reads, and closes the storage.
+     *
+     * @param reason why
+     */
+    public void close(String reason) {
+        proposals.failAll(reason);
+        ReplicationException failure = new NotLeaderException(groupId, null);
+        reads.forEach(read -> read.completeExceptionally(failure));
+        reads.clear();
+        storage.close();
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FileLogStorage.java
@@ -0,0 +1,313 @@
+package org.cardamomthread.replication.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.stream.Stream;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.generated.Entry;
+import org.cardamomthread.replication.generated.LogRecord;
+import org.cardamomthread.replication.generated.SnapshotFileHeader;
+import org.cardamomthread.replication.generated.SnapshotHeader;
+import org.cardamomthread.replication.generated.TermState;
+
+/**
+ * Keeps a replica's data in one folder: an identity, segments of records and one snapshot.
+ *
+ * <p>Invariants: each segment begins with the term state, so that earlier ones may be deleted; all
+ * segments but the last are synced; after a failed operation each further one fails. Used by one
+ * thread at a time.
+ */
+public final class FileLogStorage implements LogStorage {
+
+    private static final long SEGMENT_BYTES = 8L * 1024 * 1024;
+    private static final String LOCK_NAME = "lock";
+
+    private final Path folder;
+    private final FileAccess access;
+    private final long segmentBytes;
+    private final SnapshotFile snapshots;
+    private final FolderIdentityFile identityFile;
+    private final Deque<Segment> segments = new ArrayDeque<>();
+    private SnapshotFileHeader snapshot = SnapshotFileHeader.getDefaultInstance();
+    private TermState termState = TermState.getDefaultInstance();
+    private FileChannel lockChannel;
+    private FileChannel channel;
+    private boolean failed;
+
+    /**
+     * Creates a storage; the folder is opened by {@link #open}.
+     *
+     * @param folder the group's own folder; created if it does not exist
+     */
+    public FileLogStorage(Path folder) {
+        this(folder, new DefaultFileAccess(), SEGMENT_BYTES);
+    }
+
+    FileLogStorage(Path folder, FileAccess access, long segmentBytes) {
+        this.folder = folder;
+        this.access = access;
+        this.segmentBytes = segmentBytes;
+        this.snapshots = new SnapshotFile(folder, access);
+        this.identityFile = new FolderIdentityFile(folder, access);
+    }
+
+    @Override
+    public RecoveredState open(GroupId groupId, NodeId nodeId) throws StorageException {
+        try {
+            Files.createDirectories(folder);
+            lock();
+            VoterId voterId = openIdentity(groupId, nodeId);
+            snapshot = snapshots.readNewest().orElse(snapshot);
+            List<Entry> entries = readSegments();
+            openSegment();
+            return new RecoveredState(voterId, termState, snapshot.getHeader(), entries);
+        } catch (IOException e) {
+            throw fail("opening", e);
+        }
+    }
+
+    private void lock() throws IOException, StorageIdentityException {
+        lockChannel =
+                FileChannel.open(
+                        folder.resolve(LOCK_NAME),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.WRITE);
+        if (!tryLock()) {
+            close();
+            throw new StorageIdentityException(
+                    folder + " is in use by another process; stop that one first");
+        }
+    }
+
+    private boolean tryLock() throws IOException {
+        try {
+            FileLock lock = lockChannel.tryLock();
+            return lock != null;
+        } catch (OverlappingFileLockException e) {
+            return false;
+        }
+    }
+
+    private VoterId openIdentity(GroupId groupId, NodeId nodeId)
+            throws IOException, StorageException {
+        if (identityFile.exists()) {
+            return identityFile.read(groupId, nodeId);
+        }
+        if (!segmentNumbers().isEmpty() || snapshots.readNewest().isPresent()) {
+            throw new StorageDamagedException(
+                    folder.toString(), "there is a log but no identity file");
+        }
+        return identityFile.create(groupId, nodeId);
+    }
+
+    private List<Entry> readSegments() throws IOException, StorageException {
+        SegmentReader reader = new SegmentReader(folder, access, snapshot.getFirstSegment());
+        reader.readAll(segmentNumbers());
+        segments.addAll(reader.segments());
+        termState = reader.termState();
+        long snapshotIndex = snapshot.getHeader().getIndex();
+        List<Entry> entries =
+                reader.entries().stream().filter(e -> e.getIndex() > snapshotIndex).toList();
+        if (!entries.isEmpty() && entries.get(0).getIndex() != snapshotIndex + 1) {
+            throw new StorageDamagedException(
+                    folder.toString(),
+                    "the log begins at index "
+                            + entries.get(0).getIndex()
+                            + " but the snapshot ends at "
+                            + snapshotIndex);
+        }
+        return entries;
+    }
+
+    private List<Long> segmentNumbers() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(Segment::numberOf)
+                    .flatMap(number -> number.stream().boxed())
+                    .sorted()
+                    .toList();
+        }
+    }
+
+    private void openSegment() throws IOException {
+        if (segments.isEmpty() || segments.getLast().number() < snapshot.getFirstSegment()) {
+            startSegment();
+            return;
+        }
+        channel = openFile(segments.getLast());
+    }
+
+    private FileChannel openFile(Segment segment) throws IOException {
+        return FileChannel.open(
+                segment.file(folder),
+                StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE,
+                StandardOpenOption.APPEND);
+    }
+
+    private void startSegment() throws IOException {
+        if (channel != null) {
+            access.force(channel);
+            channel.close();
+        }
+        long number = segments.isEmpty() ? 1 : segments.getLast().number() + 1;
+        Segment segment = new Segment(number, 0);
+        channel = openFile(segment);
+        segments.addLast(segment);
+        writeRecord(LogRecord.newBuilder().setTermState(termState).build());
+        access.force(channel);
+        access.syncFolder(folder);
+    }
+
+    private void writeRecord(LogRecord logRecord) throws IOException {
+        access.write(channel, ByteBuffer.wrap(RecordFrame.encode(logRecord.toByteArray())));
+    }
+
+    @Override
+    public void writeTermState(TermState newTermState) throws StorageException {
+        requireUsable();
+        try {
+            termState = newTermState;
+            writeRecord(LogRecord.newBuilder().setTermState(newTermState).build());
+        } catch (IOException e) {
+            throw fail("writing the term", e);
+        }
+    }
+
+    @Override
+    public void append(List<Entry> entries) throws StorageException {
+        requireUsable();
+        try {
+            if (channel.size() >= segmentBytes) {
+                startSegment();
+            }
+            writeEntries(entries);
+        } catch (IOException e) {
+            throw fail("appending", e);
+        }
+    }
+
+    private void writeEntries(List<Entry> entries) throws IOException {
+        byte[][] frames = new byte[entries.size()][];
+        int size = 0;
+        for (int i = 0; i < frames.length; i++) {
+            LogRecord logRecord = LogRecord.newBuilder().setEntry(entries.get(i)).build();
+            frames[i] = RecordFrame.encode(logRecord.toByteArray());
+            size += frames[i].length;
+        }
+        ByteBuffer buffer = ByteBuffer.allocate(size);
+        for (byte[] frame : frames) {
+            buffer.put(frame);
+        }
+        access.write(channel, buffer.flip());
+        long highestIndex = entries.get(entries.size() - 1).getIndex();
+        segments.addLast(segments.removeLast().withIndex(highestIndex));
+    }
+
+    @Override
+    public void sync() throws StorageException {
+        requireUsable();
+        try {
+            access.force(channel);
+        } catch (IOException e) {
+            throw fail("syncing", e);
+        }
+    }
+
+    @Override
+    public void saveSnapshot(SnapshotHeader header, byte[] state) throws StorageException {
+        requireUsable();
+        try {
+            replaceSnapshot(header, state, snapshot.getFirstSegment());
+            deleteSegments(header.getIndex());
+        } catch (IOException e) {
+            throw fail("saving a snapshot", e);
+        }
+    }
+
+    @Override
+    public void installSnapshot(SnapshotHeader header, byte[] state) throws StorageException {
+        requireUsable();
+        try {
+            access.force(channel);
+            replaceSnapshot(header, state, segments.getLast().number() + 1);
+            startSegment();
+            deleteSegments(Long.MAX_VALUE);
+        } catch (IOException e) {
+            throw fail("installing a snapshot", e);
+        }
+    }
+
+    private void replaceSnapshot(SnapshotHeader header, byte[] state, long firstSegment)
+            throws IOException {
+        SnapshotFileHeader newSnapshot =
+                SnapshotFileHeader.newBuilder()
+                        .setHeader(header)
+                        .setFirstSegment(firstSegment)
+                        .build();
+        snapshots.write(newSnapshot, state);
+        snapshot = newSnapshot;
+        snapshots.deleteBefore(header.getIndex());
+    }
+
+    private void deleteSegments(long highestIndex) throws IOException {
+        while (segments.size() > 1 && segments.getFirst().highestIndex() <= highestIndex) {
+            access.delete(segments.removeFirst().file(folder));
+        }
+    }
+
+    @Override
+    public byte[] readSnapshot(long offset, int length) throws StorageException {
+        try {
+            return snapshots.read(snapshot, offset, length);
+        } catch (IOException e) {
+            throw fail("reading the snapshot", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        closeQuietly(channel);
+        closeQuietly(lockChannel);
+    }
+
+    private static void closeQuietly(FileChannel file) {
+        try {
+            if (file != null) {
+                file.close();
+            }
+        } catch (IOException ignored) {
+            // The content was synced before it counted, so nothing depends on the close.
+        }
+    }
+
+    private void requireUsable() throws StorageException {
+        if (failed || channel == null) {
+            throw new StorageException(
+                    folder + " failed earlier or is not open; restart the node to read it anew");
+        }
+    }
+
+    private StorageException fail(String action, IOException cause) {
+        failed = true;
+        return new StorageException(
+                action
+                        + " in "
+                        + folder
+                        + " failed: "
+                        + cause.getMessage()
+                        + "; free space or replace the disk, then restart the node",
+                cause);
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FolderIdentityFile.java
@@ -0,0 +1,101 @@
+package org.cardamomthread.replication.storage;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.UUID;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.generated.FolderIdentity;
+
+/** Reads and writes the identity of a folder. Used by one thread. */
+final class FolderIdentityFile {
+
+    private static final String NAME = "identity";
+    private static final String TEMPORARY = "temporary-identity";
+    private static final int FORMAT_VERSION = 1;
+
+    private final Path folder;
+    private final FileAccess access;
+
+    FolderIdentityFile(Path folder, FileAccess access) {
+        this.folder = folder;
+        this.access = access;
+    }
+
+    boolean exists() {
+        return Files.exists(folder.resolve(NAME));
+    }
+
+    VoterId create(GroupId groupId, NodeId nodeId) throws IOException {
+        VoterId voterId = new VoterId(UUID.randomUUID().toString());
+        FolderIdentity identity =
+                FolderIdentity.newBuilder()
+                        .setFormatVersion(FORMAT_VERSION)
+                        .setGroupId(groupId.value())
+                        .setNodeId(nodeId.value())
+                        .setVoterId(voterId.value())
+                        .build();
+        Path temporary = folder.resolve(TEMPORARY);
+        access.delete(temporary);
+        try (FileChannel channel =
+                FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            access.write(channel, ByteBuffer.wrap(RecordFrame.encode(identity.toByteArray())));
+            access.force(channel);
+        }
+        access.moveAtomically(temporary, folder.resolve(NAME));
+        access.syncFolder(folder);
+        return voterId;
+    }
+
+    VoterId read(GroupId groupId, NodeId nodeId) throws IOException, StorageException {
+        Path file = folder.resolve(NAME);
+        FolderIdentity identity = parse(file, Files.readAllBytes(file));
+        if (identity.getFormatVersion() != FORMAT_VERSION) {
+            throw new StorageIdentityException(
+                    file
+                            + " has format version "
+                            + identity.getFormatVersion()
+                            + "; start a release that reads it, this one reads version "
+                            + FORMAT_VERSION);
+        }
+        requireSame(file, "group", identity.getGroupId(), groupId.value());
+        requireSame(file, "node", identity.getNodeId(), nodeId.value());
+        return new VoterId(identity.getVoterId());
+    }
+
+    private static FolderIdentity parse(Path file, byte[] content) throws StorageException {
+        if (RecordFrame.examine(content, 0) != RecordFrame.Finding.VALID) {
+            throw new StorageDamagedException(file.toString(), "the identity has changed");
+        }
+        try {
+            int length = RecordFrame.payloadLength(content, 0);
+            return FolderIdentity.parseFrom(
+                    ByteBuffer.wrap(content, RecordFrame.HEADER_BYTES, length));
+        } catch (InvalidProtocolBufferException e) {
+            throw new StorageDamagedException(file.toString(), "the identity has an unknown form");
+        }
+    }
+
+    private static void requireSame(Path file, String kind, String found, String expected)
+            throws StorageIdentityException {
+        if (!found.equals(expected)) {
+            throw new StorageIdentityException(
+                    file
+                            + " belongs to "
+                            + kind
+                            + " \""
+                            + found
+                            + "\" but the settings name \""
+                            + expected
+                            + "\"; start with an empty folder instead of a copied one, or correct"
+                            + " the settings");
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/MemoryLogStorage.java
@@ -0,0 +1,123 @@
+package org.cardamomthread.replication.storage;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.generated.Entry;
+import org.cardamomthread.replication.generated.SnapshotHeader;
+import org.cardamomthread.replication.generated.TermState;
+
+/**
+ * Keeps a replica's data in memory, with the losses that a crash of a host brings.
+ *
+ * <p>Invariant: unsynced writes are held apart from durable ones until {@link #sync()}. For
+ * simulations and tests. Used by one thread at a time.
+ */
+public final class MemoryLogStorage implements LogStorage {
+
+    private final VoterId voterId;
+    private final StorageFaults faults;
+    private final List<Runnable> unsynced = new ArrayList<>();
+    private final List<Entry> entries = new ArrayList<>();
+    private TermState termState = TermState.getDefaultInstance();
+    private SnapshotHeader header = SnapshotHeader.getDefaultInstance();
+    private byte[] state = new byte[0];
+
+    /**
+     * Creates an empty storage.
+     *
+     * @param voterId its identity
+     * @param faults decides which steps fail
+     */
+    public MemoryLogStorage(VoterId voterId, StorageFaults faults) {
+        this.voterId = voterId;
+        this.faults = faults;
+    }
+
+    /**
+     * Loses a random suffix of the unsynced writes, as a crash of the host does.
+     *
+     * @param random chooses how much survives
+     */
+    public void crash(RandomGenerator random) {
+        int survivors = random.nextInt(unsynced.size() + 1);
+        unsynced.subList(0, survivors).forEach(Runnable::run);
+        unsynced.clear();
+    }
+
+    @Override
+    public RecoveredState open(GroupId groupId, NodeId nodeId) {
+        unsynced.clear();
+        return new RecoveredState(voterId, termState, header, entries);
+    }
+
+    @Override
+    public void writeTermState(TermState newTermState) throws StorageException {
+        faults.before(StorageFaults.Step.WRITE_TERM_STATE);
+        unsynced.add(() -> termState = newTermState);
+    }
+
+    @Override
+    public void append(List<Entry> newEntries) throws StorageException {
+        faults.before(StorageFaults.Step.APPEND);
+        for (Entry entry : newEntries) {
+            unsynced.add(() -> put(entry));
+        }
+    }
+
+    private void put(Entry entry) {
+        if (entry.getIndex() <= header.getIndex()) {
+            return;
+        }
+        int position = (int) (entry.getIndex() - header.getIndex() - 1);
+        if (position > entries.size()) {
+            throw new IllegalStateException(
+                    "entry " + entry.getIndex() + " must follow the last entry");
+        }
+        entries.subList(position, entries.size()).clear();
+        entries.add(entry);
+    }
+
+    @Override
+    public void sync() throws StorageException {
+        faults.before(StorageFaults.Step.SYNC);
+        unsynced.forEach(Runnable::run);
+        unsynced.clear();
+        faults.before(StorageFaults.Step.AFTER_SYNC);
+    }
+
+    @Override
+    public void saveSnapshot(SnapshotHeader newHeader, byte[] newState) throws StorageException {
+        faults.before(StorageFaults.Step.REPLACE_SNAPSHOT);
+        entries.removeIf(entry -> entry.getIndex() <= newHeader.getIndex());
+        header = newHeader;
+        state = newState;
+        faults.before(StorageFaults.Step.AFTER_REPLACE_SNAPSHOT);
+    }
+
+    @Override
+    public void installSnapshot(SnapshotHeader newHeader, byte[] newState) throws StorageException {
+        sync();
+        faults.before(StorageFaults.Step.REPLACE_SNAPSHOT);
+        entries.clear();
+        header = newHeader;
+        state = newState;
+        faults.before(StorageFaults.Step.AFTER_REPLACE_SNAPSHOT);
+    }
+
+    @Override
+    public byte[] readSnapshot(long offset, int length) {
+        int end = (int) Math.min(state.length, offset + length);
+        return Arrays.copyOfRange(state, (int) offset, end);
+    }
+
+    @Override
+    public void close() {
+        unsynced.clear();
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/Segment.java
@@ -0,0 +1,38 @@
+package org.cardamomthread.replication.storage;
+
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.OptionalLong;
+
+/**
+ * Names one file of the log and the highest index in it. Immutable.
+ *
+ * @param number the position among the segments, rising
+ * @param highestIndex the highest index of its entries, 0 without any
+ */
+record Segment(long number, long highestIndex) {
+
+    private static final String PREFIX = "segment-";
+    private static final String SUFFIX = ".log";
+
+    Segment withIndex(long index) {
+        return new Segment(number, Math.max(highestIndex, index));
+    }
+
+    Path file(Path folder) {
+        return folder.resolve(String.format(Locale.ROOT, "%s%010d%s", PREFIX, number, SUFFIX));
+    }
+
+    static OptionalLong numberOf(Path file) {
+        String name = file.getFileName().toString();
+        if (!name.startsWith(PREFIX) || !name.endsWith(SUFFIX)) {
+            return OptionalLong.empty();
+        }
+        String digits = name.substring(PREFIX.length(), name.length() - SUFFIX.length());
+        try {
+            return OptionalLong.of(Long.parseLong(digits));
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/SnapshotFile.java
@@ -0,0 +1,128 @@
+package org.cardamomthread.replication.storage;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.cardamomthread.replication.generated.SnapshotFileHeader;
+
+/**
+ * Reads and writes the snapshots of one folder.
+ *
+ * <p>Invariant: a file with a snapshot's final name is whole and durable. Used by one thread.
+ */
+final class SnapshotFile {
+
+    private static final String PREFIX = "snapshot-";
+    private static final String TEMPORARY = "temporary-snapshot";
+
+    private final Path folder;
+    private final FileAccess access;
+
+    SnapshotFile(Path folder, FileAccess access) {
+        this.folder = folder;
+        this.access = access;
+    }
+
+    Path fileOf(long index) {
+        return folder.resolve(String.format(Locale.ROOT, "%s%020d", PREFIX, index));
+    }
+
+    void write(SnapshotFileHeader header, byte[] state) throws IOException {
+        Path temporary = folder.resolve(TEMPORARY);
+        access.delete(temporary);
+        try (FileChannel channel =
+                FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            access.write(channel, ByteBuffer.wrap(RecordFrame.encode(header.toByteArray())));
+            access.write(channel, ByteBuffer.wrap(state));
+            access.force(channel);
+        }
+        access.moveAtomically(temporary, fileOf(header.getHeader().getIndex()));
+        access.syncFolder(folder);
+    }
+
+    void deleteBefore(long index) throws IOException {
+        for (Path file : list()) {
+            if (file.compareTo(fileOf(index)) < 0) {
+                access.delete(file);
+            }
+        }
+    }
+
+    /**
+     * Reads and checks the newest snapshot.
+     *
+     * @return its header, or empty without a snapshot
+     * @throws IOException if the file is unreadable
+     * @throws StorageDamagedException if a checksum differs
+     */
+    Optional<SnapshotFileHeader> readNewest() throws IOException, StorageDamagedException {
+        access.delete(folder.resolve(TEMPORARY));
+        Optional<Path> newest = list().stream().max(Comparator.naturalOrder());
+        if (newest.isEmpty()) {
+            return Optional.empty();
+        }
+        Path file = newest.get();
+        byte[] content = Files.readAllBytes(file);
+        if (RecordFrame.examine(content, 0) != RecordFrame.Finding.VALID) {
+            throw new StorageDamagedException(file.toString(), "the snapshot's header has changed");
+        }
+        SnapshotFileHeader header = parse(file, content);
+        int start = stateOffset(content);
+        int size = content.length - start;
+        if (size != header.getHeader().getSizeBytes()
+                || Checksums.of(content, start, size) != header.getHeader().getChecksum()) {
+            throw new StorageDamagedException(file.toString(), "the snapshot's state has changed");
+        }
+        return Optional.of(header);
+    }
+
+    byte[] read(SnapshotFileHeader header, long offset, int length) throws IOException {
+        Path file = fileOf(header.getHeader().getIndex());
+        long size = header.getHeader().getSizeBytes();
+        long start = RecordFrame.HEADER_BYTES + header.getSerializedSize() + offset;
+        int count = (int) Math.max(0, Math.min(length, size - offset));
+        ByteBuffer buffer = ByteBuffer.allocate(count);
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+            while (buffer.hasRemaining() && channel.read(buffer, start + buffer.position()) >= 0) {
+                continue;
+            }
+        }
+        if (buffer.hasRemaining()) {
+            throw new IOException(file + " ends before byte " + (start + count));
+        }
+        return buffer.array();
+    }
+
+    private static int stateOffset(byte[] content) {
+        return RecordFrame.HEADER_BYTES + RecordFrame.payloadLength(content, 0);
+    }
+
+    private static SnapshotFileHeader parse(Path file, byte[] content)
+            throws StorageDamagedException {
+        try {
+            int length = RecordFrame.payloadLength(content, 0);
+            return SnapshotFileHeader.parseFrom(
+                    ByteBuffer.wrap(content, RecordFrame.HEADER_BYTES, length));
+        } catch (InvalidProtocolBufferException e) {
+            throw new StorageDamagedException(file.toString(), "the header has an unknown form");
+        }
+    }
+
+    private List<Path> list() throws IOException {
+        List<Path> files = new ArrayList<>();
+        try (DirectoryStream<Path> stream = Files.newDirectoryStream(folder, PREFIX + "*")) {
+            stream.forEach(files::add);
+        }
+        return files;
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedCluster.java
@@ -0,0 +1,211 @@
+package org.cardamomthread.replication.simulation;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.ReplicaMember;
+import org.cardamomthread.replication.ReplicaRole;
+import org.cardamomthread.replication.ReplicationSettings;
+import org.cardamomthread.replication.ReplicationStatus;
+import org.cardamomthread.replication.VoterId;
+
+/** Runs three voter nodes and a spare node under random faults from one seed. */
+final class SimulatedCluster {
+
+    static final int VOTERS = 3;
+
+    private static final int STEP_MS = 3;
+    private static final long ELECTION_TIMEOUT_MS = 150;
+    private static final long HEARTBEAT_MS = 30;
+    private static final double CLOCK_RATE_ERROR = 0.1;
+
+    private final SplittableRandom random;
+    private final SimulatedNetwork network;
+    private final ClusterInvariants invariants = new ClusterInvariants();
+    private final List<SimulatedNode> nodes = new ArrayList<>();
+    private long nowMs;
+    private int proposals;
+
+    SimulatedCluster(long seed) {
+        random = new SplittableRandom(seed);
+        network = new SimulatedNetwork(random.split());
+        List<NodeId> voterNodes = new ArrayList<>();
+        for (int i = 1; i <= VOTERS; i++) {
+            voterNodes.add(new NodeId("node-" + i));
+        }
+        ReplicationSettings settings =
+                new ReplicationSettings(
+                        voterNodes,
+                        ELECTION_TIMEOUT_MS,
+                        HEARTBEAT_MS,
+                        CLOCK_RATE_ERROR,
+                        8,
+                        64,
+                        64,
+                        1000);
+        List<NodeId> all = new ArrayList<>(voterNodes);
+        all.add(new NodeId("spare"));
+        for (NodeId id : all) {
+            SimulatedNode node =
+                    new SimulatedNode(
+                            id,
+                            settings,
+                            random.split(),
+                            invariants,
+                            (to, message) -> network.send(nowMs, id, to, message),
+                            () -> nowMs);
+            node.start();
+            nodes.add(node);
+        }
+    }
+
+    SimulatedNode node(int index) {
+        return nodes.get(index);
+    }
+
+    ClusterInvariants invariants() {
+        return invariants;
+    }
+
+    SimulatedNetwork network() {
+        return network;
+    }
+
+    void step() {
+        nowMs += 1 + random.nextInt(STEP_MS);
+        for (SimulatedNetwork.Packet packet : network.takeDue(nowMs)) {
+            nodes.stream()
+                    .filter(node -> node.id().equals(packet.to()))
+                    .forEach(node -> node.receive(packet));
+        }
+        nodes.forEach(SimulatedNode::run);
+        invariants.onStatuses(statuses());
+    }
+
+    void run(int steps) {
+        for (int i = 0; i < steps; i++) {
+            step();
+        }
+    }
+
+    private List<ReplicationStatus> statuses() {
+        return nodes.stream().filter(SimulatedNode::isAwake).map(SimulatedNode::status).toList();
+    }
+
+    Optional<SimulatedNode> leader() {
+        return nodes.stream()
+                .filter(SimulatedNode::isAwake)
+                .filter(node -> node.status().isLeaseHeld())
+                .findFirst();
+    }
+
+    void proposeAt(SimulatedNode node) {
+        if (node.isAwake()) {
+            node.propose("command-" + proposals++);
+        }
+    }
+
+    void stepWithFaults() {
+        SimulatedNode node = nodes.get(random.nextInt(nodes.size()));
+        if (random.nextInt(3) == 0) {
+            proposeAt(random.nextBoolean() ? node : leader().orElse(node));
+        }
+        if (random.nextInt(5) == 0 && node.isAwake()) {
+            node.read();
+        }
+        if (random.nextInt(25) == 0) {
+            injectFault(node);
+        }
+        if (random.nextInt(60) == 0 && isWhole()) {
+            nodes.get(random.nextInt(VOTERS)).loseFolder();
+        }
+        step();
+    }
+
+    private void injectFault(SimulatedNode node) {
+        switch (random.nextInt(12)) {
+            case 0 -> node.crash();
+            case 1 -> node.crashWithinSteps(random.nextInt(6));
+            case 2, 3, 4 -> restart(node);
+            case 5 -> network.cutOff(randomNodes());
+            case 6 -> network.cutOff(Set.of());
+            case 7 -> network.setLossRate(random.nextInt(3) * 0.1);
+            case 8 -> leader().orElse(node).suspend();
+            case 9 -> nodes.forEach(SimulatedNode::resume);
+            default -> leader().ifPresent(leader -> leader.changeMembership(nodes.get(VOTERS)));
+        }
+    }
+
+    SimulationCounts counts() {
+        return new SimulationCounts(
+                invariants.acknowledgedCount(),
+                invariants.leaderCount(),
+                nodes.stream().mapToInt(SimulatedNode::crashes).sum(),
+                nodes.stream().mapToInt(SimulatedNode::lostFolders).sum());
+    }
+
+    private void restart(SimulatedNode node) {
+        if (!node.isRunning()) {
+            node.start();
+        }
+    }
+
+    private Set<NodeId> randomNodes() {
+        Set<NodeId> chosen = new HashSet<>();
+        nodes.stream().filter(node -> random.nextInt(3) == 0).forEach(n -> chosen.add(n.id()));
+        return chosen;
+    }
+
+    /** Tells whether all voters hold the folders that the committed membership names. */
+    boolean isWhole() {
+        Optional<ReplicationStatus> status = leader().map(SimulatedNode::status);
+        if (status.isEmpty() || status.get().commitIndex() < status.get().lastIndex()) {
+            return false;
+        }
+        Set<VoterId> current = new HashSet<>();
+        nodes.forEach(node -> current.add(node.voterId()));
+        List<ReplicaMember> voters =
+                status.get().members().stream().filter(ReplicaMember::isVoter).toList();
+        return voters.size() >= VOTERS
+                && voters.stream().allMatch(voter -> current.contains(voter.voterId()));
+    }
+
+    void heal() {
+        network.cutOff(Set.of());
+        network.setLossRate(0);
+        nodes.forEach(SimulatedNode::resume);
+        nodes.forEach(node -> node.crashWithinSteps(-1));
+        nodes.forEach(this::restart);
+    }
+
+    /** Steps until the group works with whole voters that all hold each acknowledged command. */
+    void requireRecovery(int maxSteps) {
+        for (int i = 0; i < maxSteps; i++) {
+            step();
+            if (i % 50 == 0) {
+                leader().ifPresent(this::proposeAt);
+            }
+            if (i > 200 && isWhole() && isLevel()) {
+                nodes.subList(0, VOTERS).forEach(n -> invariants.requireComplete(n.state()));
+                return;
+            }
+        }
+        throw new AssertionError("the group did not recover: " + statuses());
+    }
+
+    private boolean isLevel() {
+        List<ReplicationStatus> statuses = statuses();
+        long leaders = statuses.stream().filter(s -> s.role() == ReplicaRole.LEADER).count();
+        long lowestApplied =
+                statuses.stream()
+                        .limit(VOTERS)
+                        .mapToLong(ReplicationStatus::appliedIndex)
+                        .min()
+                        .orElse(0);
+        return leaders == 1 && lowestApplied >= invariants.highestAcknowledged();
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedNode.java
@@ -0,0 +1,220 @@
+package org.cardamomthread.replication.simulation;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.ReplicationException;
+import org.cardamomthread.replication.ReplicationSettings;
+import org.cardamomthread.replication.ReplicationStatus;
+import org.cardamomthread.replication.ReplicationTransport;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.runtime.ReplicaDriver;
+import org.cardamomthread.replication.storage.MemoryLogStorage;
+import org.cardamomthread.replication.storage.StorageFaults;
+
+/** Runs one replica that can crash at any storage step, be suspended and lose its folder. */
+final class SimulatedNode implements RecordingStateMachine.Listener {
+
+    static final GroupId GROUP = new GroupId("test");
+
+    private final NodeId id;
+    private final ReplicationSettings settings;
+    private final SplittableRandom random;
+    private final ClusterInvariants invariants;
+    private final ReplicationTransport transport;
+    private final TimeSource clock;
+    private final List<SimulatedNetwork.Packet> received = new ArrayList<>();
+    private RecordingStateMachine stateMachine;
+    private MemoryLogStorage storage;
+    private ReplicaDriver driver;
+    private boolean isSuspended;
+    private int folders;
+    private int crashes;
+    private int stepsUntilCrash = -1;
+
+    SimulatedNode(
+            NodeId id,
+            ReplicationSettings settings,
+            SplittableRandom random,
+            ClusterInvariants invariants,
+            ReplicationTransport transport,
+            LongSupplier realMs) {
+        this.id = id;
+        this.settings = settings;
+        this.random = random;
+        this.invariants = invariants;
+        this.transport = transport;
+        double error = settings.maxClockRateError() * (random.nextDouble() * 2 - 1);
+        long offsetMs = random.nextLong(100_000);
+        this.clock = new SkewedClock(realMs, 1 + error, offsetMs);
+        loseFolder();
+    }
+
+    /** Runs at its own rate. */
+    private record SkewedClock(LongSupplier realMs, double rate, long offsetMs)
+            implements TimeSource {
+        @Override
+        public Instant instant() {
+            return Instant.EPOCH;
+        }
+
+        @Override
+        public long monotonicMs() {
+            return (long) (offsetMs + realMs.getAsLong() * rate);
+        }
+    }
+
+    NodeId id() {
+        return id;
+    }
+
+    VoterId voterId() {
+        return new VoterId(id + "-" + folders);
+    }
+
+    int crashes() {
+        return crashes;
+    }
+
+    int lostFolders() {
+        return folders - 1;
+    }
+
+    boolean isRunning() {
+        return driver != null;
+    }
+
+    boolean isAwake() {
+        return driver != null && !isSuspended;
+    }
+
+    TreeMap<Long, String> state() {
+        return stateMachine.commands();
+    }
+
+    void start() {
+        stateMachine = new RecordingStateMachine(this);
+        driver =
+                new ReplicaDriver(
+                        GROUP, id, settings, storage, stateMachine, transport, clock, random);
+        try {
+            driver.open();
+        } catch (StorageException e) {
+            throw new AssertionError(e);
+        }
+        stepsUntilCrash = -1;
+    }
+
+    void crash() {
+        if (driver != null) {
+            driver.close("crashed");
+            storage.crash(random);
+            crashes++;
+        }
+        driver = null;
+        isSuspended = false;
+        received.clear();
+    }
+
+    void loseFolder() {
+        crash();
+        folders++;
+        storage = new MemoryLogStorage(voterId(), this::beforeStep);
+    }
+
+    void crashWithinSteps(int steps) {
+        stepsUntilCrash = steps;
+    }
+
+    private void beforeStep(StorageFaults.Step step) throws StorageException {
+        if (stepsUntilCrash >= 0 && stepsUntilCrash-- == 0) {
+            throw new StorageException("simulated crash before " + step);
+        }
+    }
+
+    void suspend() {
+        isSuspended = true;
+    }
+
+    void resume() {
+        isSuspended = false;
+    }
+
+    void receive(SimulatedNetwork.Packet packet) {
+        if (isRunning()) {
+            received.add(packet);
+        }
+    }
+
+    void run() {
+        if (!isAwake()) {
+            return;
+        }
+        try {
+            driver.tick();
+            received.forEach(packet -> driver.receive(packet.from(), packet.message()));
+            received.clear();
+            driver.flush();
+        } catch (StorageException e) {
+            crash();
+        }
+    }
+
+    ReplicationStatus status() {
+        return driver.status();
+    }
+
+    void propose(String command) {
+        CompletableFuture<byte[]> future = new CompletableFuture<>();
+        future.whenComplete(
+                (answer, failure) -> {
+                    if (answer != null) {
+                        invariants.onAcknowledged(command, ByteBuffer.wrap(answer).getLong());
+                    } else if (((ReplicationException) failure).isNotAppended()) {
+                        invariants.onNotAppended(command);
+                    }
+                });
+        driver.propose(command.getBytes(StandardCharsets.UTF_8), future);
+    }
+
+    void read() {
+        long required = invariants.highestAcknowledged();
+        CompletableFuture<Long> future = new CompletableFuture<>();
+        future.thenAccept(index -> invariants.onRead(required, index));
+        driver.readBarrier(future);
+    }
+
+    /** Moves another node one step along: learner, voter, then out. */
+    void changeMembership(SimulatedNode other) {
+        CompletableFuture<byte[]> ignored = new CompletableFuture<>();
+        boolean isMember =
+                status().members().stream().anyMatch(m -> m.voterId().equals(other.voterId()));
+        if (!isMember) {
+            driver.addLearner(other.voterId(), other.id(), ignored);
+        } else if (random.nextBoolean()) {
+            driver.promote(other.voterId(), ignored);
+        } else {
+            driver.remove(other.voterId(), ignored);
+        }
+    }
+
+    @Override
+    public void onApplied(long index, String command) {
+        invariants.onApplied(index, command);
+    }
+
+    @Override
+    public void onRestored(TreeMap<Long, String> state) {
+        invariants.onState(state);
+    }
+}
