Run version moves on the nodes: counts, gathering, decisions, division of traffic

Cause: the replicated configuration knew of moves, but nothing counted calls by version or moved traffic. One node a move, by rendezvous hashing, gathers growing counts and proposes steps that are named by their number; every node may stop a version by itself, which is final.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
@@ -3,14 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.function.Supplier;
-import org.cardamomthread.configuration.declaration.Declarations;
 import org.cardamomthread.configuration.settings.Listeners;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.PeerSettings;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.configuration.ConfigurationHolder;
 import org.cardamomthread.daemon.membership.ClassBearableRequests;
-import org.cardamomthread.daemon.membership.ControlThread;
 import org.cardamomthread.daemon.membership.MembershipService;
 import org.cardamomthread.membership.gateway.CreditPool;
 import org.cardamomthread.membership.gateway.CreditPoolSettings;
@@ -41,7 +40,7 @@
             TimeSource timeSource,
             PeerTransport transport,
             ControlThread control,
-            Supplier<Declarations> declarations) {
+            ConfigurationHolder configuration) {
         NodeEntry self = createSelf(settings, incarnation);
         directory =
                 new DefaultNodeDirectory(
@@ -55,7 +54,7 @@
                         self,
                         new HomeAssignment(directory),
                         HomeSettings.defaults(),
-                        new ClassBearableRequests(declarations, directory::isDrained, timeSource),
+                        new ClassBearableRequests(configuration, directory::isDrained, timeSource),
                         announcement -> {},
                         timeSource);
         pool = new DefaultCreditPool(directory, CreditPoolSettings.defaults(), timeSource);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -3,30 +3,26 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.cardamomthread.configuration.declaration.Declarations;
 import org.cardamomthread.configuration.settings.Listeners;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.RequestLimits;
+import org.cardamomthread.configuration.state.ConfigurationResult;
 import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.configuration.ConfigurationHolder;
 import org.cardamomthread.daemon.dispatch.AsyncEndpointClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
-import org.cardamomthread.daemon.gateway.ChoiceLog;
-import org.cardamomthread.daemon.gateway.ClassPriceBook;
-import org.cardamomthread.daemon.gateway.Gateway;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.HttpLimits;
 import org.cardamomthread.daemon.http.HttpServer;
 import org.cardamomthread.daemon.http.ListenException;
 import org.cardamomthread.daemon.membership.AnnouncementApi;
-import org.cardamomthread.daemon.membership.ControlThread;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
-import org.cardamomthread.policy.routing.PrefixKnowledge;
-import org.cardamomthread.policy.routing.ScoringEndpointSelector;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.cardamomthread.transport.TransportSettings;
 import org.cardamomthread.transport.TransportStartException;
@@ -56,12 +52,12 @@
     private final NettyPeerTransport transport;
     private final EndpointClient endpointClient;
     private final MembershipParts membership;
-    private final Gateway gateway;
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+    private final ServingParts serving;
     private final HttpServer callers;
     private final HttpServer endpoints;
     private final HttpServer operators;
     private final AtomicBoolean ready = new AtomicBoolean();
-    private volatile Declarations declarations = Declarations.empty();
 
     /**
      * Assembles a node that does not listen yet.
@@ -85,11 +81,21 @@
         endpointClient = new AsyncEndpointClient(eventLoops, timeSource);
         membership =
                 new MembershipParts(
-                        settings, incarnation, timeSource, transport, control, () -> declarations);
+                        settings, incarnation, timeSource, transport, control, configuration);
         CallTelemetry telemetry = new CallTelemetry(metrics, tracing, timeSource);
-        ChoiceLog choices = new ChoiceLog();
-        gateway = createGateway(telemetry, choices);
-        callers = createServer("callers", gateway.getCallerApi());
+        serving =
+                new ServingParts(
+                        new ServingParts.Environment(
+                                settings,
+                                incarnation,
+                                transport,
+                                control,
+                                membership,
+                                configuration,
+                                command -> unavailable(),
+                                endpointClient,
+                                telemetry));
+        callers = createServer("callers", serving.getGateway().getCallerApi());
         endpoints =
                 createServer(
                         "endpoints",
@@ -109,8 +115,9 @@
     void start() throws ListenException, TransportStartException {
         Listeners listeners = settings.listeners();
         transport.start();
-        membership.getService().setCreditListener(gateway::useCredits);
+        membership.getService().setCreditListener(serving.getGateway()::useCredits);
         membership.getService().start(settings.heartbeatMs());
+        serving.start();
         operators.listen(listeners.operators().toSocketAddress());
         endpoints.listen(listeners.endpoints().toSocketAddress());
         callers.listen(listeners.callers().toSocketAddress());
@@ -164,20 +171,6 @@
         return true;
     }
 
-    private Gateway createGateway(CallTelemetry telemetry, ChoiceLog choices) {
-        return Gateway.create(
-                new Gateway.GatewayParts(
-                        settings.dataCentre(),
-                        () -> declarations,
-                        membership.getPool(),
-                        new ScoringEndpointSelector(PrefixKnowledge.NONE),
-                        new ClassPriceBook(),
-                        endpointClient,
-                        choices,
-                        telemetry,
-                        new Random(incarnation)));
-    }
-
     private NettyPeerTransport createTransport() {
         return new NettyPeerTransport(
                 settings.nodeId(),
@@ -201,6 +194,11 @@
         return new HttpServer(name, eventLoops, bounds, handler);
     }
 
+    private static CompletableFuture<ConfigurationResult> unavailable() {
+        return CompletableFuture.failedFuture(
+                new IllegalStateException("the settings must name voters"));
+    }
+
     private static void sleep(long durationMs) {
         try {
             Thread.sleep(durationMs);
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
@@ -0,0 +1,102 @@
+package org.cardamomthread.daemon;
+
+import java.util.Random;
+import org.cardamomthread.configuration.settings.NodeSettings;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.configuration.ConfigurationDistribution;
+import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.dispatch.EndpointClient;
+import org.cardamomthread.daemon.gateway.CallTelemetry;
+import org.cardamomthread.daemon.gateway.ChoiceLog;
+import org.cardamomthread.daemon.gateway.ClassPriceBook;
+import org.cardamomthread.daemon.gateway.Gateway;
+import org.cardamomthread.daemon.rollout.ConfigurationProposer;
+import org.cardamomthread.daemon.rollout.MoveObserver;
+import org.cardamomthread.daemon.rollout.MoveVersionRouter;
+import org.cardamomthread.daemon.rollout.RolloutService;
+import org.cardamomthread.policy.routing.PrefixKnowledge;
+import org.cardamomthread.policy.routing.ScoringEndpointSelector;
+import org.cardamomthread.transport.PeerTransport;
+
+/** Assembles what follows the configuration: its spreading, version moves and the gateway. */
+final class ServingParts {
+
+    private final ConfigurationDistribution distribution;
+    private final RolloutService rollout;
+    private final ChoiceLog choices = new ChoiceLog();
+    private final Gateway gateway;
+
+    /**
+     * Groups what the parts work with. Immutable.
+     *
+     * @param settings the node's settings
+     * @param incarnation the node's incarnation, which seeds random choices
+     * @param transport the links to other nodes
+     * @param control runs the decisions
+     * @param membership nodes and credits
+     * @param configuration the configuration in force
+     * @param proposer proposes changes of the configuration
+     * @param client runs attempts on endpoints
+     * @param telemetry what each call reports to
+     */
+    record Environment(
+            NodeSettings settings,
+            long incarnation,
+            PeerTransport transport,
+            ControlThread control,
+            MembershipParts membership,
+            ConfigurationHolder configuration,
+            ConfigurationProposer proposer,
+            EndpointClient client,
+            CallTelemetry telemetry) {}
+
+    ServingParts(Environment environment) {
+        distribution =
+                new ConfigurationDistribution(
+                        environment.configuration(),
+                        environment.membership().getDirectory(),
+                        environment.transport(),
+                        environment.control(),
+                        new Random(environment.incarnation()));
+        rollout =
+                new RolloutService(
+                        environment.membership().getDirectory(),
+                        environment.configuration(),
+                        environment.proposer(),
+                        environment.transport(),
+                        environment.control(),
+                        environment.telemetry().timeSource());
+        gateway = createGateway(environment);
+    }
+
+    ChoiceLog getChoices() {
+        return choices;
+    }
+
+    Gateway getGateway() {
+        return gateway;
+    }
+
+    void start() {
+        distribution.start();
+        rollout.start();
+    }
+
+    private Gateway createGateway(Environment environment) {
+        TimeSource timeSource = environment.telemetry().timeSource();
+        return Gateway.create(
+                new Gateway.GatewayParts(
+                        environment.settings().dataCentre(),
+                        environment.configuration()::getDeclarations,
+                        environment.membership().getPool(),
+                        new ScoringEndpointSelector(PrefixKnowledge.NONE),
+                        new ClassPriceBook(),
+                        environment.client(),
+                        new MoveVersionRouter(environment.configuration(), rollout),
+                        choices,
+                        new MoveObserver(rollout, timeSource),
+                        environment.telemetry(),
+                        new Random(environment.incarnation())));
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/ControlThread.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/concurrent/ControlThread.java
@@ -1,4 +1,4 @@
-package org.cardamomthread.daemon.membership;
+package org.cardamomthread.daemon.concurrent;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/concurrent/package-info.java
@@ -0,0 +1,2 @@
+/** Threads of a node that are not event loops. */
+package org.cardamomthread.daemon.concurrent;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/ConfigurationDistribution.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/ConfigurationDistribution.java
@@ -12,7 +12,7 @@
 import org.cardamomthread.configuration.state.ConfigurationGapException;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.NodeId;
-import org.cardamomthread.daemon.membership.ControlThread;
+import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.membership.node.NodeDirectory;
 import org.cardamomthread.membership.node.NodeState;
 import org.cardamomthread.membership.node.NodeView;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptReport.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptReport.java
@@ -10,8 +10,17 @@
  * @param meanGapMs mean time between tokens in milliseconds, negative if fewer than two came
  * @param result a fixed name for metrics
  */
-record AttemptReport(boolean isFailed, long firstByteMs, double meanGapMs, String result) {
+public record AttemptReport(boolean isFailed, long firstByteMs, double meanGapMs, String result) {
 
     /** Shows an attempt that was given up for reasons outside the endpoint. */
     static final AttemptReport ABANDONED = new AttemptReport(false, -1, -1, "abandoned");
+
+    /**
+     * Tells whether the attempt says nothing about the endpoint.
+     *
+     * @return true if it was given up for reasons outside the endpoint
+     */
+    public boolean isAbandoned() {
+        return this == ABANDONED;
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallTarget.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallTarget.java
@@ -15,14 +15,15 @@
  * @param isRepeatable whether the call may run more than once
  * @param traffic what the service's profile asks
  */
-record CallTarget(
+public record CallTarget(
         ServiceId service,
         RouteId route,
         boolean isModel,
         boolean isRepeatable,
         TrafficClass traffic) {
 
-    CallTarget {
+    /** Checks the parts. */
+    public CallTarget {
         Objects.requireNonNull(service, "service must be given");
         Objects.requireNonNull(route, "route must be given");
         Objects.requireNonNull(traffic, "traffic must be given");
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ChoiceLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ChoiceLog.java
@@ -4,9 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.RequestId;
-import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.policy.routing.Selection;
 
 /**
@@ -38,12 +36,6 @@
         }
     }
 
-    @Override
-    public void report(
-            CallTarget target, EndpointId endpoint, VersionId version, AttemptReport report) {
-        // Results are shown by metrics and the log of requests.
-    }
-
     /**
      * Returns the choices made for a request on this node.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacedCall.java
@@ -14,7 +14,7 @@
     private final AvailableEndpoint endpoint;
     private final VersionId version;
     private final CreditHold hold;
-    private final PlacementObserver observer;
+    private final AttemptObserver observer;
     private final Runnable afterRelease;
     private final AtomicBoolean released = new AtomicBoolean();
 
@@ -23,7 +23,7 @@
             AvailableEndpoint endpoint,
             VersionId version,
             CreditHold hold,
-            PlacementObserver observer,
+            AttemptObserver observer,
             Runnable afterRelease) {
         this.target = target;
         this.endpoint = endpoint;
@@ -62,7 +62,7 @@
     public void release(AttemptReport report) {
         if (released.compareAndSet(false, true)) {
             hold.release();
-            observer.report(target, endpoint.endpoint(), version, report);
+            observer.report(target, endpoint, version, report);
             afterRelease.run();
         }
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
@@ -39,6 +39,7 @@
     private final SelectionRequestFactory requests;
     private final VersionRouter versions;
     private final PlacementObserver observer;
+    private final AttemptObserver attempts;
     private final RandomGenerator random;
     private final TimeSource timeSource;
     private final LinkedList<Waiting> waiting = new LinkedList<>();
@@ -50,6 +51,7 @@
             SelectionRequestFactory requests,
             VersionRouter versions,
             PlacementObserver observer,
+            AttemptObserver attempts,
             RandomGenerator random,
             TimeSource timeSource) {
         this.pool = pool;
@@ -58,6 +60,7 @@
         this.requests = requests;
         this.versions = versions;
         this.observer = observer;
+        this.attempts = attempts;
         this.random = random;
         this.timeSource = timeSource;
     }
@@ -133,7 +136,7 @@
     }
 
     private Optional<PlacedCall> tryPlace(PlacementRequest request) {
-        VersionId version = versions.choose(request.target(), random);
+        VersionId version = versions.choose(request.target().service(), random);
         Set<EndpointId> excluded = request.excluded();
         Optional<PlacedCall> placed = tryPlace(request, version, excluded);
         if (placed.isEmpty() && !excluded.isEmpty()) {
@@ -168,7 +171,7 @@
             VersionId version,
             CreditHold hold) {
         return new CreditPlacedCall(
-                request.target(), endpoint, version, hold, observer, this::pump);
+                request.target(), endpoint, version, hold, attempts, this::pump);
     }
 
     private static Problem createQueueFullProblem(PlacementRequest request) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -53,7 +53,9 @@
      * @param selector chooses endpoints
      * @param prices knows what endpoints cost
      * @param client runs attempts
-     * @param observer hears of choices and results
+     * @param versions divides calls between versions
+     * @param choices hears of choices
+     * @param attempts hears how attempts went
      * @param telemetry what each call reports to
      * @param random source for choices among near equals
      */
@@ -64,7 +66,9 @@
             EndpointSelector selector,
             PriceBook prices,
             EndpointClient client,
-            ChoiceLog observer,
+            VersionRouter versions,
+            ChoiceLog choices,
+            AttemptObserver attempts,
             CallTelemetry telemetry,
             RandomGenerator random) {}
 
@@ -97,8 +101,9 @@
                 new CandidateReader(parts.pool(), parts.prices(), parts.dataCentre()),
                 parts.selector(),
                 new SelectionRequestFactory(),
-                new CurrentVersionRouter(parts.configuration()),
-                parts.observer(),
+                parts.versions(),
+                parts.choices(),
+                parts.attempts(),
                 parts.random(),
                 parts.telemetry().timeSource());
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/TrafficClass.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/TrafficClass.java
@@ -12,7 +12,7 @@
  * @param riskWeight how much the risk of a reclaim counts, from 0 to 1
  * @param maxWaitMs longest wait for an endpoint, in milliseconds
  */
-record TrafficClass(
+public record TrafficClass(
         boolean isUrgent,
         long firstTokenTargetMs,
         long tokenGapTargetMs,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/ClassBearableRequests.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/ClassBearableRequests.java
@@ -2,11 +2,11 @@
 
 import java.util.Optional;
 import java.util.function.Predicate;
-import java.util.function.Supplier;
-import org.cardamomthread.configuration.declaration.Declarations;
 import org.cardamomthread.configuration.declaration.EndpointClass;
+import org.cardamomthread.configuration.state.ConfigurationView;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.configuration.ConfigurationHolder;
 import org.cardamomthread.membership.endpoint.EndpointDescription;
 import org.cardamomthread.membership.endpoint.EndpointState;
 import org.cardamomthread.membership.home.BearableRequests;
@@ -14,8 +14,8 @@
 
 /**
  * Judges what an endpoint bears by its declared class: the cold bound after a start and whenever it
- * says that it is cold, the warm bound afterwards, nothing while it leaves or its data centre is
- * drained.
+ * says that it is cold, the warm bound afterwards, nothing while it leaves, its data centre is out
+ * of service or all its versions were stopped.
  *
  * <p>Safe for use by several threads.
  */
@@ -23,22 +23,22 @@
 
     private static final int UNDECLARED_CLASS_BOUND = 1;
 
-    private final Supplier<Declarations> declarations;
+    private final ConfigurationHolder configuration;
     private final Predicate<DataCentreId> isDrained;
     private final TimeSource timeSource;
 
     /**
      * Creates the judgement.
      *
-     * @param declarations gives the declarations in force
-     * @param isDrained tells whether a data centre takes no new work
+     * @param configuration the configuration in force
+     * @param isDrained tells whether a data centre was taken out of service by word of other nodes
      * @param timeSource the node's clock
      */
     public ClassBearableRequests(
-            Supplier<Declarations> declarations,
+            ConfigurationHolder configuration,
             Predicate<DataCentreId> isDrained,
             TimeSource timeSource) {
-        this.declarations = declarations;
+        this.configuration = configuration;
         this.isDrained = isDrained;
         this.timeSource = timeSource;
     }
@@ -46,12 +46,14 @@
     @Override
     public int bearable(EndpointStatus endpoint) {
         EndpointDescription description = endpoint.announcement().description();
+        ConfigurationView view = configuration.getView();
         if (!description.state().takesRequests()
-                || isDrained.test(endpoint.announcement().dataCentre())) {
+                || isOut(endpoint.announcement().dataCentre(), view)
+                || isStopped(description, view)) {
             return 0;
         }
         Optional<EndpointClass> declared =
-                declarations.get().findEndpointClass(description.endpointClass());
+                view.declarations().findEndpointClass(description.endpointClass());
         if (declared.isEmpty()) {
             return UNDECLARED_CLASS_BOUND;
         }
@@ -60,6 +62,16 @@
                 : declared.get().warmConcurrency();
     }
 
+    private boolean isOut(DataCentreId dataCentre, ConfigurationView view) {
+        return isDrained.test(dataCentre) || view.dataCentreState(dataCentre).out();
+    }
+
+    private static boolean isStopped(EndpointDescription description, ConfigurationView view) {
+        return !description.services().isEmpty()
+                && description.services().stream()
+                        .allMatch(served -> view.isStopped(served.service(), served.version()));
+    }
+
     private boolean isCold(EndpointStatus endpoint, EndpointClass declared) {
         long ageMs = timeSource.monotonicMs() - endpoint.incarnationSinceMs();
         return endpoint.announcement().description().state() == EndpointState.COLD
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/MembershipService.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/MembershipService.java
@@ -11,6 +11,7 @@
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.membership.OutgoingMessage;
 import org.cardamomthread.membership.endpoint.EndpointAnnouncement;
 import org.cardamomthread.membership.gateway.CreditPool;
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/EvidenceCodec.java
@@ -0,0 +1,75 @@
+package org.cardamomthread.daemon.rollout;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.OperationId;
+import org.cardamomthread.core.id.RouteId;
+import org.cardamomthread.daemon.generated.EvidenceCounts;
+import org.cardamomthread.daemon.generated.EvidenceReport;
+import org.cardamomthread.daemon.generated.StopMessage;
+import org.cardamomthread.policy.rollout.CallCounts;
+import org.cardamomthread.policy.rollout.EvidenceKey;
+import org.cardamomthread.policy.rollout.MoveEvidence;
+import org.cardamomthread.policy.rollout.RolloutReason;
+import org.cardamomthread.policy.rollout.StopNotice;
+import org.cardamomthread.policy.rollout.VersionRole;
+
+/** Converts evidence to messages and back. Stateless and safe for use by several threads. */
+final class EvidenceCodec {
+
+    private EvidenceCodec() {}
+
+    static EvidenceReport toMessage(OperationId move, MoveEvidence evidence) {
+        EvidenceReport.Builder report = EvidenceReport.newBuilder().setMoveId(move.value());
+        evidence.counts()
+                .forEach(
+                        (key, counts) ->
+                                report.addCounts(
+                                        EvidenceCounts.newBuilder()
+                                                .setRoute(key.route().value())
+                                                .setIsNewVersion(key.role() == VersionRole.NEW)
+                                                .setEpoch(key.epoch())
+                                                .setCalls(counts.calls())
+                                                .setFailures(counts.failures())
+                                                .setTimedCalls(counts.timedCalls())
+                                                .setSlowFirstTokens(counts.slowFirstTokens())
+                                                .setSlowTokenGaps(counts.slowTokenGaps())));
+        evidence.stop().ifPresent(stop -> report.setStop(toMessage(stop)));
+        return report.build();
+    }
+
+    static MoveEvidence toEvidence(NodeId node, EvidenceReport report) {
+        Map<EvidenceKey, CallCounts> counts = new HashMap<>();
+        for (EvidenceCounts message : report.getCountsList()) {
+            EvidenceKey key =
+                    new EvidenceKey(
+                            node,
+                            new RouteId(message.getRoute()),
+                            message.getIsNewVersion() ? VersionRole.NEW : VersionRole.OLD,
+                            message.getEpoch());
+            counts.put(
+                    key,
+                    new CallCounts(
+                            message.getCalls(),
+                            message.getFailures(),
+                            message.getTimedCalls(),
+                            message.getSlowFirstTokens(),
+                            message.getSlowTokenGaps()));
+        }
+        MoveEvidence evidence = MoveEvidence.of(counts);
+        return report.hasStop() ? evidence.stopped(toStop(report.getStop())) : evidence;
+    }
+
+    static StopMessage toMessage(StopNotice stop) {
+        return StopMessage.newBuilder()
+                .setObserver(stop.observer().value())
+                .setReason(stop.reason().name())
+                .build();
+    }
+
+    static StopNotice toStop(StopMessage message) {
+        RolloutReason reason = RolloutReason.valueOf(message.getReason());
+        return new StopNotice(new NodeId(message.getObserver()), reason);
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveObserver.java
@@ -0,0 +1,60 @@
+package org.cardamomthread.daemon.rollout;
+
+import java.util.Optional;
+import org.cardamomthread.configuration.state.VersionMove;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.gateway.AttemptObserver;
+import org.cardamomthread.daemon.gateway.AttemptReport;
+import org.cardamomthread.daemon.gateway.CallTarget;
+import org.cardamomthread.membership.endpoint.EndpointState;
+import org.cardamomthread.membership.gateway.AvailableEndpoint;
+import org.cardamomthread.policy.rollout.CallOutcome;
+import org.cardamomthread.policy.rollout.VersionRole;
+
+/** Counts the attempts of services whose version moves. Safe for use by several threads. */
+public final class MoveObserver implements AttemptObserver {
+
+    private final RolloutService rollout;
+    private final TimeSource timeSource;
+
+    /**
+     * Creates an observer.
+     *
+     * @param rollout the version moves
+     * @param timeSource the node's clock
+     */
+    public MoveObserver(RolloutService rollout, TimeSource timeSource) {
+        this.rollout = rollout;
+        this.timeSource = timeSource;
+    }
+
+    @Override
+    public void report(
+            CallTarget target,
+            AvailableEndpoint endpoint,
+            VersionId version,
+            AttemptReport report) {
+        Optional<MoveWatch> watch = rollout.findWatch(target.service());
+        if (watch.isEmpty() || report.isAbandoned()) {
+            return;
+        }
+        VersionMove move = watch.get().getMove();
+        boolean isNew = version.equals(move.to());
+        if (!isNew && !version.equals(move.from())) {
+            return;
+        }
+        CallOutcome outcome =
+                new CallOutcome(
+                        report.isFailed(),
+                        endpoint.description().state() == EndpointState.READY,
+                        report.firstByteMs() > target.traffic().firstTokenTargetMs(),
+                        report.meanGapMs() > target.traffic().tokenGapTargetMs());
+        watch.get()
+                .record(
+                        target.route(),
+                        isNew ? VersionRole.NEW : VersionRole.OLD,
+                        outcome,
+                        timeSource.millis());
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveVersionRouter.java
@@ -0,0 +1,46 @@
+package org.cardamomthread.daemon.rollout;
+
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.cardamomthread.configuration.state.ConfigurationView;
+import org.cardamomthread.configuration.state.VersionMove;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.gateway.VersionRouter;
+
+/**
+ * Divides a service's calls between the versions of a running move, and sends them to the current
+ * version otherwise.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class MoveVersionRouter implements VersionRouter {
+
+    private final ConfigurationHolder configuration;
+    private final RolloutService rollout;
+
+    /**
+     * Creates a router.
+     *
+     * @param configuration the configuration in force
+     * @param rollout the version moves
+     */
+    public MoveVersionRouter(ConfigurationHolder configuration, RolloutService rollout) {
+        this.configuration = configuration;
+        this.rollout = rollout;
+    }
+
+    @Override
+    public VersionId choose(ServiceId service, RandomGenerator random) {
+        ConfigurationView view = configuration.getView();
+        Optional<MoveWatch> watch = rollout.findWatch(service);
+        if (watch.isEmpty()) {
+            return view.declarations().findService(service).orElseThrow().currentVersion();
+        }
+        VersionMove move = watch.get().getMove();
+        boolean isNew =
+                !view.isStopped(service, move.to()) && random.nextDouble() < watch.get().getShare();
+        return isNew ? move.to() : move.from();
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveWatch.java
@@ -0,0 +1,136 @@
+package org.cardamomthread.daemon.rollout;
+
+import org.cardamomthread.configuration.state.VersionMove;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.RouteId;
+import org.cardamomthread.daemon.generated.EvidenceAnswer;
+import org.cardamomthread.policy.rollout.CallOutcome;
+import org.cardamomthread.policy.rollout.EvidenceRecorder;
+import org.cardamomthread.policy.rollout.MoveEvidence;
+import org.cardamomthread.policy.rollout.MoveState;
+import org.cardamomthread.policy.rollout.RolloutDecider;
+import org.cardamomthread.policy.rollout.RolloutPlan;
+import org.cardamomthread.policy.rollout.RolloutReason;
+import org.cardamomthread.policy.rollout.RolloutVerdict;
+import org.cardamomthread.policy.rollout.StopNotice;
+import org.cardamomthread.policy.rollout.VersionRole;
+
+/**
+ * Follows one running version move on one node.
+ *
+ * <p>Invariants: the counts only grow; once the new version was stopped its share stays zero here.
+ * Safe for use by several threads.
+ */
+final class MoveWatch {
+
+    private final NodeId node;
+    private final RolloutPlan plan;
+    private final RolloutDecider decider;
+    private final EvidenceRecorder recorder;
+    private VersionMove move;
+    private MoveState state;
+    private MoveEvidence known = MoveEvidence.EMPTY;
+    private double share;
+
+    MoveWatch(NodeId node, VersionMove move, RolloutPlan plan, RolloutDecider decider) {
+        this.node = node;
+        this.plan = plan;
+        this.decider = decider;
+        this.recorder = new EvidenceRecorder(node, plan);
+        this.move = move;
+        this.state = MoveState.start(plan);
+        this.share = shareOf(move.step());
+        follow(move);
+    }
+
+    synchronized VersionMove getMove() {
+        return move;
+    }
+
+    /** Takes over what the replicated configuration says of the move. */
+    synchronized void follow(VersionMove newer) {
+        boolean isAhead = newer.step() > state.step();
+        move = newer;
+        if (isAhead) {
+            state =
+                    new MoveState(
+                            MoveState.Phase.MOVING,
+                            newer.step(),
+                            newer.changedAt().toEpochMilli(),
+                            countNewCalls(),
+                            MoveState.NOT_SUSPECTED,
+                            0);
+            share = shareOf(newer.step());
+        }
+    }
+
+    void record(RouteId route, VersionRole role, CallOutcome outcome, long nowMs) {
+        recorder.record(route, role, outcome, nowMs);
+    }
+
+    /** Returns the share of the traffic that the new version gets from this node. */
+    synchronized double getShare() {
+        return known.stop().isPresent() ? 0 : share;
+    }
+
+    /** Returns this node's own counts, and a stop if it knows of one. */
+    synchronized MoveEvidence getOwnEvidence() {
+        MoveEvidence own = recorder.snapshot();
+        return known.stop().map(own::stopped).orElse(own);
+    }
+
+    /** Stops the new version if this node's own counts prove it bad; other nodes hear of it. */
+    synchronized void judgeAlone(long nowMs) {
+        RolloutVerdict verdict = decider.decide(plan, state, recorder.snapshot(), nowMs);
+        boolean isProof = verdict.reason() != RolloutReason.DEADLINE_REACHED;
+        if (verdict.state().phase() == MoveState.Phase.TAKEN_BACK && isProof) {
+            known = known.stopped(new StopNotice(node, verdict.reason()));
+        }
+    }
+
+    /** Joins what another node knows. */
+    synchronized void merge(MoveEvidence evidence) {
+        known = known.merge(evidence);
+    }
+
+    /** Decides for all nodes; only the node that gathers the counts calls this. */
+    synchronized RolloutVerdict decide(long nowMs) {
+        known = known.merge(recorder.snapshot());
+        RolloutVerdict verdict = decider.decide(plan, state, known, nowMs);
+        if (verdict.state().phase() == MoveState.Phase.MOVING) {
+            if (verdict.state().step() == state.step()) {
+                state = verdict.state();
+                share = verdict.share();
+            }
+        } else if (verdict.state().phase() == MoveState.Phase.TAKEN_BACK) {
+            known = known.stopped(new StopNotice(node, verdict.reason()));
+        }
+        return verdict;
+    }
+
+    /** Returns what the gathering node tells the others. */
+    synchronized EvidenceAnswer createAnswer() {
+        EvidenceAnswer.Builder answer = EvidenceAnswer.newBuilder().setShare(share);
+        known.stop().ifPresent(stop -> answer.setStop(EvidenceCodec.toMessage(stop)));
+        return answer.build();
+    }
+
+    /** Takes what the gathering node told. */
+    synchronized void take(EvidenceAnswer answer) {
+        share = answer.getShare();
+        if (answer.hasStop()) {
+            known = known.stopped(EvidenceCodec.toStop(answer.getStop()));
+        }
+    }
+
+    private long countNewCalls() {
+        return known.counts().entrySet().stream()
+                .filter(entry -> entry.getKey().role() == VersionRole.NEW)
+                .mapToLong(entry -> entry.getValue().calls())
+                .sum();
+    }
+
+    private double shareOf(int step) {
+        return plan.steps().get(Math.min(step, plan.steps().size() - 1)).share();
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/RolloutService.java
@@ -0,0 +1,236 @@
+package org.cardamomthread.daemon.rollout;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cardamomthread.configuration.declaration.Service;
+import org.cardamomthread.configuration.generated.ConfigurationCommand;
+import org.cardamomthread.configuration.state.ConfigurationCommands;
+import org.cardamomthread.configuration.state.ConfigurationView;
+import org.cardamomthread.configuration.state.VersionMove;
+import org.cardamomthread.core.hash.RendezvousHash;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.OperationId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.generated.EvidenceAnswer;
+import org.cardamomthread.daemon.generated.EvidenceReport;
+import org.cardamomthread.membership.node.NodeDirectory;
+import org.cardamomthread.membership.node.NodeState;
+import org.cardamomthread.policy.rollout.MoveState;
+import org.cardamomthread.policy.rollout.RolloutVerdict;
+import org.cardamomthread.policy.rollout.SequentialRolloutDecider;
+import org.cardamomthread.transport.PeerTopic;
+import org.cardamomthread.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the version moves of the configuration in force.
+ *
+ * <p>Every node counts its own calls. One node a move, chosen by rendezvous hashing over the live
+ * nodes, gathers the counts, decides and proposes each step to the replicated log; two nodes that
+ * both think so do no harm, since a step is named by its number and a stop is final. Every node may
+ * stop a version by itself. Decisions run on the control thread.
+ */
+public final class RolloutService {
+
+    /** Carries reports of counts. */
+    public static final PeerTopic TOPIC = new PeerTopic(3, "rollout");
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(RolloutService.class);
+    private static final long INTERVAL_MS = 1_000;
+    private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(2);
+
+    private final NodeDirectory directory;
+    private final ConfigurationHolder configuration;
+    private final ConfigurationProposer proposer;
+    private final PeerTransport transport;
+    private final ControlThread control;
+    private final TimeSource timeSource;
+    private final Map<ServiceId, MoveWatch> watches = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a service that does not run yet.
+     *
+     * @param directory the nodes
+     * @param configuration the configuration in force
+     * @param proposer proposes the steps of moves
+     * @param transport the links to other nodes
+     * @param control runs the decisions
+     * @param timeSource the node's clock
+     */
+    public RolloutService(
+            NodeDirectory directory,
+            ConfigurationHolder configuration,
+            ConfigurationProposer proposer,
+            PeerTransport transport,
+            ControlThread control,
+            TimeSource timeSource) {
+        this.directory = directory;
+        this.configuration = configuration;
+        this.proposer = proposer;
+        this.transport = transport;
+        this.control = control;
+        this.timeSource = timeSource;
+    }
+
+    /** Begins to follow the moves of the configuration in force. */
+    public void start() {
+        transport.register(TOPIC, this::answer);
+        configuration.addListener(this::follow);
+        control.repeat(INTERVAL_MS, this::runMoves);
+    }
+
+    /**
+     * Finds the move that runs for a service.
+     *
+     * @param service the service
+     * @return what this node knows of the move, or empty
+     */
+    Optional<MoveWatch> findWatch(ServiceId service) {
+        return Optional.ofNullable(watches.get(service));
+    }
+
+    private void follow(ConfigurationView view) {
+        for (VersionMove move : view.versionMoves()) {
+            if (move.isRunning()) {
+                view.declarations()
+                        .findService(move.service())
+                        .ifPresent(service -> follow(move, service));
+            }
+        }
+        watches.values()
+                .removeIf(
+                        watch ->
+                                view.findMove(watch.getMove().id())
+                                        .filter(VersionMove::isRunning)
+                                        .isEmpty());
+    }
+
+    private void follow(VersionMove move, Service service) {
+        MoveWatch watch = watches.get(move.service());
+        if (watch != null && watch.getMove().id().equals(move.id())) {
+            watch.follow(move);
+            return;
+        }
+        watches.put(
+                move.service(),
+                new MoveWatch(
+                        directory.self().id(),
+                        move,
+                        RolloutPlans.create(move, service.rollout()),
+                        new SequentialRolloutDecider()));
+    }
+
+    private void runMoves() {
+        for (MoveWatch watch : watches.values()) {
+            watch.judgeAlone(timeSource.millis());
+            NodeId gatherer = chooseGatherer(watch.getMove());
+            if (gatherer.equals(directory.self().id())) {
+                decide(watch);
+            } else {
+                report(watch, gatherer);
+            }
+        }
+    }
+
+    private NodeId chooseGatherer(VersionMove move) {
+        List<NodeId> nodes = new ArrayList<>();
+        nodes.add(directory.self().id());
+        directory.others().stream()
+                .filter(node -> node.state() == NodeState.ALIVE && !node.entry().leaving())
+                .forEach(node -> nodes.add(node.entry().id()));
+        return RendezvousHash.choose(move.id().value(), nodes, NodeId::value).orElseThrow();
+    }
+
+    private void report(MoveWatch watch, NodeId gatherer) {
+        byte[] report =
+                EvidenceCodec.toMessage(watch.getMove().id(), watch.getOwnEvidence()).toByteArray();
+        transport
+                .request(gatherer, TOPIC, report, REPORT_TIMEOUT)
+                .whenComplete((answer, failure) -> take(watch, answer, failure));
+    }
+
+    private static void take(MoveWatch watch, byte[] answer, Throwable failure) {
+        if (failure != null || answer.length == 0) {
+            return;
+        }
+        try {
+            watch.take(EvidenceAnswer.parseFrom(answer));
+        } catch (InvalidProtocolBufferException broken) {
+            LOGGER.warn("dropped a malformed answer about a version move", broken);
+        }
+    }
+
+    private CompletionStage<byte[]> answer(NodeId from, byte[] payload) {
+        EvidenceReport report;
+        try {
+            report = EvidenceReport.parseFrom(payload);
+        } catch (InvalidProtocolBufferException broken) {
+            return CompletableFuture.failedFuture(broken);
+        }
+        byte[] answer =
+                watches.values().stream()
+                        .filter(watch -> watch.getMove().id().value().equals(report.getMoveId()))
+                        .findFirst()
+                        .map(watch -> gather(watch, from, report))
+                        .orElse(new byte[0]);
+        return CompletableFuture.completedFuture(answer);
+    }
+
+    private static byte[] gather(MoveWatch watch, NodeId from, EvidenceReport report) {
+        watch.merge(EvidenceCodec.toEvidence(from, report));
+        return watch.createAnswer().toByteArray();
+    }
+
+    private void decide(MoveWatch watch) {
+        VersionMove move = watch.getMove();
+        RolloutVerdict verdict = watch.decide(timeSource.millis());
+        MoveState state = verdict.state();
+        if (state.phase() == MoveState.Phase.DONE) {
+            propose(finish(move, true, verdict));
+        } else if (state.phase() == MoveState.Phase.TAKEN_BACK) {
+            propose(finish(move, false, verdict));
+        } else if (state.step() > move.step()) {
+            OperationId operation = createOperation(move, "step-" + state.step());
+            propose(
+                    ConfigurationCommands.advanceVersionMove(
+                            operation, move.id(), state.step(), timeSource.instant()));
+        }
+    }
+
+    private ConfigurationCommand finish(VersionMove move, boolean done, RolloutVerdict verdict) {
+        return ConfigurationCommands.finishVersionMove(
+                createOperation(move, "end"),
+                move.id(),
+                done,
+                verdict.reason() + ": " + verdict.detail(),
+                timeSource.instant());
+    }
+
+    private static OperationId createOperation(VersionMove move, String step) {
+        return new OperationId(move.id() + ":" + step);
+    }
+
+    private void propose(ConfigurationCommand command) {
+        proposer.propose(command)
+                .whenComplete(
+                        (result, failure) -> {
+                            if (failure != null) {
+                                LOGGER.info(
+                                        "a step of a version move was not confirmed and will be"
+                                                + " proposed again: {}",
+                                        failure.getMessage());
+                            }
+                        });
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Runs version moves: counts calls by version, gathers the counts, decides, and divides traffic.
+ */
+package org.cardamomthread.daemon.rollout;
