Link nodes by authenticated connections

The daemon had no way to talk to its peers. NettyPeerTransport carries one-way messages and requests over one outbound TCP connection a peer, as length-prefixed protobuf frames. Both sides prove the shared key by HMAC-SHA256 over both nonces, node identifiers and roles; each direction has its own frame key and sequence.

TLS with client certificates was ruled out for now: it needs certificates handed to each host, which the settings do not have; frames are therefore authentic but not confidential.

A request that was never written fails as PeerUnreachableException, one that was written and not answered as PeerOutcomeUnknownException. A connection on which nothing follows a ping is retired whole.

--- /dev/null
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/AcceptorHandshake.java
@@ -0,0 +1,106 @@
+package org.cardamomthread.transport;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cardamomthread.core.id.Identifiers;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.transport.generated.AcceptorParameters;
+import org.cardamomthread.transport.generated.Challenge;
+import org.cardamomthread.transport.generated.Confirmation;
+import org.cardamomthread.transport.generated.Hello;
+
+/**
+ * Decides the handshake of the side that accepted the connection.
+ *
+ * <p>Invariant: there is a session only after the peer proved that it holds the peer key and means
+ * this node. Not safe for use by several threads.
+ */
+final class AcceptorHandshake {
+
+    private final byte[] peerKey;
+    private final PeerIdentity self;
+    private final byte[] nonce;
+    private PeerIdentity initiator;
+    private HandshakeProof proof;
+
+    AcceptorHandshake(byte[] peerKey, PeerIdentity self, byte[] nonce) {
+        this.peerKey = peerKey;
+        this.self = self;
+        this.nonce = nonce.clone();
+    }
+
+    Challenge challenge(ByteString helloBytes) throws HandshakeException {
+        if (proof != null) {
+            throw new HandshakeException("the peer repeated the first step of the handshake");
+        }
+        Hello hello = parse(helloBytes);
+        check(hello);
+        initiator = new PeerIdentity(new NodeId(hello.getNode()), hello.getIncarnation());
+        ByteString parameters =
+                AcceptorParameters.newBuilder()
+                        .setNode(self.node().value())
+                        .setIncarnation(self.incarnation())
+                        .setNonce(ByteString.copyFrom(nonce))
+                        .build()
+                        .toByteString();
+        proof = new HandshakeProof(peerKey, helloBytes, parameters);
+        return Challenge.newBuilder()
+                .setParameters(parameters)
+                .setProof(proof.ofAcceptor())
+                .build();
+    }
+
+    Session accept(Confirmation confirmation) throws HandshakeException {
+        if (proof == null) {
+            throw new HandshakeException("the peer left out the first step of the handshake");
+        }
+        if (!HandshakeProof.isSame(proof.ofInitiator(), confirmation.getProof())) {
+            throw new HandshakeException(
+                    "the process that claims to be node \""
+                            + initiator.node()
+                            + "\" holds another peer key: set the same one on all nodes");
+        }
+        return new Session(
+                initiator,
+                new FrameSealer(proof.keyFromAcceptor()),
+                new FrameOpener(proof.keyFromInitiator()));
+    }
+
+    private void check(Hello hello) throws HandshakeException {
+        if (hello.getProtocolVersion() != HandshakeProof.PROTOCOL_VERSION) {
+            throw new HandshakeException(
+                    "protocol version "
+                            + hello.getProtocolVersion()
+                            + " is not "
+                            + HandshakeProof.PROTOCOL_VERSION
+                            + ": run compatible releases on both nodes");
+        }
+        if (!hello.getTarget().equals(self.node().value())) {
+            throw new HandshakeException(
+                    "this is node \""
+                            + self.node()
+                            + "\", not the wanted one: correct its address");
+        }
+        if (!Identifiers.isValid(hello.getNode()) || isSelf(hello)) {
+            throw new HandshakeException(
+                    "the initiator must name itself by the identifier of another node");
+        }
+        if (hello.getNonce().size() != HandshakeProof.NONCE_BYTES) {
+            throw new HandshakeException(
+                    "the nonce must have " + HandshakeProof.NONCE_BYTES + " bytes");
+        }
+    }
+
+    private boolean isSelf(Hello hello) {
+        return hello.getNode().equals(self.node().value());
+    }
+
+    private static Hello parse(ByteString bytes) throws HandshakeException {
+        try {
+            return Hello.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw new HandshakeException(
+                    "the first step of the handshake is malformed (" + e.getMessage() + ")");
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/HandshakeHandler.java
@@ -0,0 +1,85 @@
+package org.cardamomthread.transport;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.cardamomthread.transport.generated.Handshake;
+import org.cardamomthread.transport.generated.Refusal;
+
+/**
+ * Runs the handshake of one connection and then gives way to a {@link SealedFrameHandler}.
+ *
+ * <p>Used on the thread of the transport only.
+ */
+abstract class HandshakeHandler extends SimpleChannelInboundHandler<ByteBuf> {
+
+    private final TransportSettings settings;
+    private final TransportListener listener;
+    private final ConnectionEvents events;
+
+    HandshakeHandler(
+            TransportSettings settings, TransportListener listener, ConnectionEvents events) {
+        this.settings = settings;
+        this.listener = listener;
+        this.events = events;
+    }
+
+    /** Handles one step of the peer. */
+    abstract void step(ChannelHandlerContext context, Handshake handshake)
+            throws HandshakeException;
+
+    final void write(ChannelHandlerContext context, Handshake handshake) {
+        context.writeAndFlush(Unpooled.wrappedBuffer(handshake.toByteArray()));
+    }
+
+    /** Replaces the handshake by the handling of frames, which may follow in the same packet. */
+    final void establish(ChannelHandlerContext context, Session session) {
+        PeerChannel channel = new PeerChannel(context.channel(), session, listener);
+        PeerPipeline.establish(
+                context.pipeline(),
+                settings,
+                this,
+                new SealedFrameHandler(session, listener, events),
+                () -> events.established(channel));
+    }
+
+    @Override
+    protected final void channelRead0(ChannelHandlerContext context, ByteBuf buffer)
+            throws HandshakeException {
+        Handshake handshake = parse(ByteBufUtil.getBytes(buffer));
+        if (handshake.hasRefusal()) {
+            throw new HandshakeException(
+                    "the peer refused the connection: " + handshake.getRefusal().getReason());
+        }
+        step(context, handshake);
+    }
+
+    @Override
+    public final void channelInactive(ChannelHandlerContext context) {
+        events.ended("the connection was closed during the handshake");
+    }
+
+    @Override
+    public final void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        String reason = String.valueOf(cause.getMessage());
+        Refusal refusal = Refusal.newBuilder().setReason(reason).build();
+        Handshake handshake = Handshake.newBuilder().setRefusal(refusal).build();
+        context.writeAndFlush(Unpooled.wrappedBuffer(handshake.toByteArray()))
+                .addListener(ChannelFutureListener.CLOSE);
+        events.ended(reason);
+    }
+
+    private static Handshake parse(byte[] bytes) throws HandshakeException {
+        try {
+            return Handshake.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw new HandshakeException(
+                    "bytes that are no step of the handshake arrived: connect nodes of this"
+                            + " deployment only to the peer listener");
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/InboundConnection.java
@@ -0,0 +1,185 @@
+package org.cardamomthread.transport;
+
+import io.netty.channel.Channel;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.transport.generated.Failure;
+import org.cardamomthread.transport.generated.Frame;
+import org.cardamomthread.transport.generated.OneWay;
+import org.cardamomthread.transport.generated.Request;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Serves one connection that a peer opened.
+ *
+ * <p>Invariant: handlers are called only after the handshake, and the number of requests being
+ * handled is bounded. Used on the thread of the transport only.
+ */
+final class InboundConnection implements ConnectionEvents {
+
+    private static final Logger LOG = LoggerFactory.getLogger(InboundConnection.class);
+
+    private final TransportContext context;
+    private final Topics topics;
+    private final InboundConnections connections;
+    private final Channel socket;
+    private final long acceptedAtMs;
+    private PeerChannel channel;
+    private long lastHeardMs;
+    private int running;
+    private boolean ended;
+
+    InboundConnection(
+            TransportContext context,
+            Topics topics,
+            InboundConnections connections,
+            Channel socket) {
+        this.context = context;
+        this.topics = topics;
+        this.connections = connections;
+        this.socket = socket;
+        acceptedAtMs = context.nowMs();
+    }
+
+    boolean isEstablished() {
+        return channel != null;
+    }
+
+    PeerIdentity peer() {
+        return channel.peer();
+    }
+
+    void tick(long nowMs) {
+        TransportSettings settings = context.settings();
+        if (!isEstablished()) {
+            if (nowMs - acceptedAtMs >= settings.handshakeTimeoutMs()) {
+                ended("no handshake was completed within its timeout");
+            }
+            return;
+        }
+        long silentMs = 2 * settings.pingIntervalMs() + settings.silentAfterMs();
+        if (nowMs - lastHeardMs >= silentMs) {
+            ended("no ping arrived in time");
+        }
+    }
+
+    @Override
+    public void established(PeerChannel established) {
+        channel = established;
+        lastHeardMs = context.nowMs();
+        if (!connections.admit(this)) {
+            ended("a later incarnation of the node is connected: stop the earlier process");
+            return;
+        }
+        channel.writeAndFlush(Frames.ACCEPTED);
+    }
+
+    @Override
+    public void received(Frame frame) {
+        if (ended) {
+            return;
+        }
+        lastHeardMs = context.nowMs();
+        switch (frame.getBodyCase()) {
+            case PING -> channel.writeAndFlush(Frames.PONG);
+            case ONE_WAY -> handle(frame.getOneWay());
+            case REQUEST -> handle(frame.getRequest());
+            default -> ended("the peer sent " + frame.getBodyCase() + " as the initiator");
+        }
+    }
+
+    @Override
+    public void writable() {
+        LOG.trace("connection from {} is writable", socket.remoteAddress());
+    }
+
+    @Override
+    public void ended(String reason) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        connections.remove(this);
+        socket.close();
+        if (isEstablished()) {
+            LOG.debug("connection from node {} ended: {}", peer().node(), reason);
+        } else {
+            LOG.warn("connection from {} was refused: {}", socket.remoteAddress(), reason);
+        }
+    }
+
+    private void handle(OneWay oneWay) {
+        if (!topics.isKnown(oneWay.getTopic())) {
+            LOG.debug("message of unknown topic {} from {}", oneWay.getTopic(), peer().node());
+            return;
+        }
+        NodeId from = peer().node();
+        topics.dispatch(from, oneWay.getTopic(), oneWay.getPayload().toByteArray())
+                .whenComplete((ignored, failure) -> logFailure(oneWay.getTopic(), failure));
+    }
+
+    private void handle(Request request) {
+        if (!topics.isKnown(request.getTopic())) {
+            String reason = "topic " + request.getTopic() + " is not known there: run one release";
+            refuse(request, reason);
+        } else if (running >= context.settings().pendingRequests()) {
+            refuse(request, "the node handles too many requests: send fewer at a time");
+        } else {
+            running++;
+            topics.dispatch(peer().node(), request.getTopic(), request.getPayload().toByteArray())
+                    .whenComplete((payload, failure) -> finish(request, payload, failure));
+        }
+    }
+
+    private void finish(Request request, byte[] payload, Throwable failure) {
+        Frame frame = toFrame(request, payload, failure);
+        logFailure(request.getTopic(), failure);
+        if (context.loop().inEventLoop()) {
+            respond(frame);
+        } else if (!context.loop().isShuttingDown()) {
+            context.loop().execute(() -> respond(frame));
+        }
+    }
+
+    private Frame toFrame(Request request, byte[] payload, Throwable failure) {
+        if (failure != null) {
+            return Frames.failure(
+                    request.getId(),
+                    Failure.Kind.HANDLER_FAILED,
+                    String.valueOf(failure.getMessage()));
+        }
+        if (payload == null || payload.length > context.settings().maxPayloadBytes()) {
+            return Frames.failure(
+                    request.getId(),
+                    Failure.Kind.HANDLER_FAILED,
+                    "the response must have at most "
+                            + context.settings().maxPayloadBytes()
+                            + " bytes");
+        }
+        return Frames.response(request.getId(), payload);
+    }
+
+    private void respond(Frame frame) {
+        running--;
+        if (!ended) {
+            write(frame);
+        }
+    }
+
+    private void refuse(Request request, String reason) {
+        write(Frames.failure(request.getId(), Failure.Kind.NOT_HANDLED, reason));
+    }
+
+    private void write(Frame frame) {
+        channel.writeAndFlush(frame);
+        if (channel.excessBytes() > context.settings().queueBytes()) {
+            ended("the peer does not read its responses");
+        }
+    }
+
+    private static void logFailure(int topic, Throwable failure) {
+        if (failure != null) {
+            LOG.warn("handler of topic {} failed", topic, failure);
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/InitiatorHandshake.java
@@ -0,0 +1,85 @@
+package org.cardamomthread.transport;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cardamomthread.core.id.Identifiers;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.transport.generated.AcceptorParameters;
+import org.cardamomthread.transport.generated.Challenge;
+import org.cardamomthread.transport.generated.Confirmation;
+import org.cardamomthread.transport.generated.Hello;
+
+/**
+ * Decides the handshake of the side that opened the connection.
+ *
+ * <p>Invariant: there is a session only after the peer proved that it holds the peer key and is the
+ * wanted node. Not safe for use by several threads.
+ */
+final class InitiatorHandshake {
+
+    private final byte[] peerKey;
+    private final NodeId target;
+    private final ByteString hello;
+    private Session session;
+
+    InitiatorHandshake(byte[] peerKey, PeerIdentity self, NodeId target, byte[] nonce) {
+        this.peerKey = peerKey;
+        this.target = target;
+        hello =
+                Hello.newBuilder()
+                        .setProtocolVersion(HandshakeProof.PROTOCOL_VERSION)
+                        .setNode(self.node().value())
+                        .setTarget(target.value())
+                        .setIncarnation(self.incarnation())
+                        .setNonce(ByteString.copyFrom(nonce))
+                        .build()
+                        .toByteString();
+    }
+
+    ByteString hello() {
+        return hello;
+    }
+
+    Confirmation confirm(Challenge challenge) throws HandshakeException {
+        HandshakeProof proof = new HandshakeProof(peerKey, hello, challenge.getParameters());
+        if (!HandshakeProof.isSame(proof.ofAcceptor(), challenge.getProof())) {
+            throw new HandshakeException(
+                    "the process that listens for node \""
+                            + target
+                            + "\" holds another peer key: set the same one on all nodes");
+        }
+        PeerIdentity peer = parse(challenge.getParameters());
+        if (!peer.node().equals(target)) {
+            throw new HandshakeException(
+                    "node \""
+                            + peer.node()
+                            + "\" listens at the address of node \""
+                            + target
+                            + "\": correct the address");
+        }
+        session =
+                new Session(
+                        peer,
+                        new FrameSealer(proof.keyFromInitiator()),
+                        new FrameOpener(proof.keyFromAcceptor()));
+        return Confirmation.newBuilder().setProof(proof.ofInitiator()).build();
+    }
+
+    Session session() {
+        return session;
+    }
+
+    private static PeerIdentity parse(ByteString bytes) throws HandshakeException {
+        try {
+            AcceptorParameters parameters = AcceptorParameters.parseFrom(bytes);
+            if (Identifiers.isValid(parameters.getNode())) {
+                return new PeerIdentity(
+                        new NodeId(parameters.getNode()), parameters.getIncarnation());
+            }
+        } catch (InvalidProtocolBufferException e) {
+            throw new HandshakeException(
+                    "the peer's parameters are malformed (" + e.getMessage() + ")");
+        }
+        throw new HandshakeException("the peer's parameters lack a valid node identifier");
+    }
+}
--- /dev/null
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/NettyPeerTransport.java
@@ -0,0 +1,318 @@
+package org.cardamomthread.transport;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Exchanges messages over TCP, with mutual authentication by a shared key.
+ *
+ * <p>Invariants: see {@link PeerTransport}; all connections, timeouts and handlers run on one
+ * thread. Timeouts follow the {@link TimeSource} at a resolution of {@value #TICK_INTERVAL_MS} ms.
+ * Safe for use by several threads.
+ */
+public final class NettyPeerTransport implements PeerTransport {
+
+    /** Shortest peer key, in bytes. */
+    public static final int MIN_PEER_KEY_BYTES = 16;
+
+    private static final Logger LOG = LoggerFactory.getLogger(NettyPeerTransport.class);
+    private static final long TICK_INTERVAL_MS = 20;
+    private static final long SHUTDOWN_TIMEOUT_MS = 5_000;
+    private static final String CLOSED = "this node is shutting down";
+
+    private final InetSocketAddress listen;
+    private final MultiThreadIoEventLoopGroup group;
+    private final TransportContext context;
+    private final Topics topics = new Topics();
+    private final InboundConnections inbound = new InboundConnections();
+    private final Map<NodeId, PeerLink> links = new ConcurrentHashMap<>();
+    private final PendingRequests local = new PendingRequests();
+    private volatile Channel listener;
+    private volatile boolean closed;
+
+    /**
+     * Creates a transport with the usual limits and no observer.
+     *
+     * @param self this node
+     * @param incarnation rises with each start of this node
+     * @param listen where peers connect; port 0 chooses a free one
+     * @param peerKey the key that all nodes hold, at least {@value #MIN_PEER_KEY_BYTES} bytes
+     * @param timeSource the clock
+     */
+    public NettyPeerTransport(
+            NodeId self,
+            long incarnation,
+            InetSocketAddress listen,
+            byte[] peerKey,
+            TimeSource timeSource) {
+        this(
+                self,
+                incarnation,
+                listen,
+                peerKey,
+                timeSource,
+                TransportSettings.defaults(),
+                TransportListener.NONE);
+    }
+
+    /**
+     * Creates a transport. It listens after {@link #start()}.
+     *
+     * @param self this node
+     * @param incarnation rises with each start of this node
+     * @param listen where peers connect; port 0 chooses a free one
+     * @param peerKey the key that all nodes hold, at least {@value #MIN_PEER_KEY_BYTES} bytes
+     * @param timeSource the clock
+     * @param settings the limits
+     * @param observer observes the links
+     */
+    public NettyPeerTransport(
+            NodeId self,
+            long incarnation,
+            InetSocketAddress listen,
+            byte[] peerKey,
+            TimeSource timeSource,
+            TransportSettings settings,
+            TransportListener observer) {
+        if (peerKey.length < MIN_PEER_KEY_BYTES) {
+            throw new IllegalArgumentException(
+                    "the peer key must have at least " + MIN_PEER_KEY_BYTES + " bytes");
+        }
+        this.listen = listen;
+        group =
+                new MultiThreadIoEventLoopGroup(
+                        1,
+                        new DefaultThreadFactory("peer-transport", true),
+                        NioIoHandler.newFactory());
+        EventLoop loop = (EventLoop) group.next();
+        context =
+                new TransportContext(
+                        new PeerIdentity(self, incarnation),
+                        peerKey.clone(),
+                        settings,
+                        timeSource,
+                        new SecureRandom(),
+                        observer,
+                        loop);
+    }
+
+    /**
+     * Opens the listener. Register the handlers before.
+     *
+     * @throws TransportStartException if the address is not free or not of this host
+     */
+    public void start() throws TransportStartException {
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel socket) {
+                                        accept(socket);
+                                    }
+                                })
+                        .bind(listen)
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new TransportStartException(listen, bound.cause());
+        }
+        listener = bound.channel();
+        context.loop()
+                .scheduleWithFixedDelay(
+                        this::tick, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns where this node listens.
+     *
+     * @return the address with the port in use, null before the start
+     */
+    public InetSocketAddress localAddress() {
+        Channel bound = listener;
+        return bound == null ? null : (InetSocketAddress) bound.localAddress();
+    }
+
+    @Override
+    public void register(PeerTopic topic, PeerHandler handler) {
+        topics.register(topic, handler);
+    }
+
+    @Override
+    public void setAddress(NodeId node, InetSocketAddress address) {
+        if (isSelf(node) || closed) {
+            return;
+        }
+        PeerLink link = link(node);
+        execute(() -> link.setAddress(address));
+    }
+
+    @Override
+    public void send(NodeId to, PeerTopic topic, byte[] payload) {
+        if (payload.length > context.settings().maxPayloadBytes()) {
+            throw new IllegalArgumentException(oversized(payload));
+        }
+        if (closed) {
+            context.listener().messageDropped(to);
+        } else if (isSelf(to)) {
+            execute(() -> sendLocally(topic, payload));
+        } else {
+            link(to).submit(new Outgoing(topic, payload, context.nowMs(), null));
+        }
+    }
+
+    @Override
+    public CompletableFuture<byte[]> request(
+            NodeId to, PeerTopic topic, byte[] payload, Duration timeout) {
+        long nowMs = context.nowMs();
+        PendingRequest request =
+                new PendingRequest(
+                        to, topic, nowMs + timeout.toMillis(), new CompletableFuture<>());
+        if (payload.length > context.settings().maxPayloadBytes()) {
+            request.failUnreachable(oversized(payload));
+        } else if (closed) {
+            request.failUnreachable(CLOSED);
+        } else if (isSelf(to)) {
+            if (!execute(() -> requestLocally(request, payload))) {
+                request.failUnreachable(CLOSED);
+            }
+        } else {
+            link(to).submit(new Outgoing(topic, payload, nowMs, request));
+        }
+        return request.future();
+    }
+
+    @Override
+    public TransportStatus status() {
+        List<PeerLinkStatus> statuses =
+                new TreeMap<>(links).values().stream().map(PeerLink::status).toList();
+        return new TransportStatus(localAddress(), statuses, inbound.peers());
+    }
+
+    @Override
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        if (listener != null) {
+            listener.close();
+        }
+        execute(
+                () -> {
+                    links.values().forEach(link -> link.close(CLOSED));
+                    inbound.closeAll(CLOSED);
+                    local.failAll(CLOSED);
+                });
+        group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        if (!context.loop().inEventLoop()) {
+            group.terminationFuture().awaitUninterruptibly(SHUTDOWN_TIMEOUT_MS);
+        }
+    }
+
+    private void accept(SocketChannel socket) {
+        InboundConnection connection = new InboundConnection(context, topics, inbound, socket);
+        if (!inbound.add(connection)) {
+            socket.close();
+            return;
+        }
+        AcceptorHandshake handshake =
+                new AcceptorHandshake(context.peerKey(), context.self(), context.newNonce());
+        PeerPipeline.prepare(
+                socket.pipeline(),
+                new AcceptorHandler(handshake, context.settings(), context.listener(), connection));
+    }
+
+    private void tick() {
+        try {
+            links.values().forEach(PeerLink::tick);
+            long nowMs = context.nowMs();
+            inbound.tick(nowMs);
+            local.expire(nowMs);
+        } catch (RuntimeException e) {
+            LOG.error("periodic work on the links failed; it is tried again", e);
+        }
+    }
+
+    private void sendLocally(PeerTopic topic, byte[] payload) {
+        if (topics.isKnown(topic.number())) {
+            topics.dispatch(context.self().node(), topic.number(), payload);
+        }
+    }
+
+    private void requestLocally(PendingRequest request, byte[] payload) {
+        int number = request.topic().number();
+        if (!topics.isKnown(number)) {
+            request.failUnreachable("topic " + number + " has no handler: register one");
+            return;
+        }
+        long id = local.add(request);
+        topics.dispatch(context.self().node(), number, payload)
+                .whenComplete(
+                        (response, failure) -> execute(() -> finishLocally(id, response, failure)));
+    }
+
+    private void finishLocally(long id, byte[] response, Throwable failure) {
+        PendingRequest request = local.remove(id);
+        if (request == null) {
+            return;
+        }
+        if (failure == null) {
+            request.complete(response);
+        } else {
+            request.failUnknown("the handler failed: " + failure.getMessage());
+        }
+    }
+
+    private PeerLink link(NodeId node) {
+        return links.computeIfAbsent(node, added -> new PeerLink(added, context));
+    }
+
+    private boolean isSelf(NodeId node) {
+        return node.equals(context.self().node());
+    }
+
+    private boolean execute(Runnable task) {
+        try {
+            context.loop().execute(task);
+            return true;
+        } catch (RejectedExecutionException e) {
+            LOG.debug("task was rejected after the shutdown", e);
+            return false;
+        }
+    }
+
+    private String oversized(byte[] payload) {
+        return "payload of "
+                + payload.length
+                + " bytes must have at most "
+                + context.settings().maxPayloadBytes()
+                + ": split it";
+    }
+}
--- /dev/null
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/PeerPipeline.java
@@ -0,0 +1,47 @@
+package org.cardamomthread.transport;
+
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+
+/**
+ * Arranges the handlers of a connection.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+final class PeerPipeline {
+
+    /** Longest step of the handshake, in bytes: what an unknown peer can make a node hold. */
+    static final int MAX_HANDSHAKE_BYTES = 2_048;
+
+    private static final String DECODER = "decoder";
+
+    private PeerPipeline() {}
+
+    static void prepare(ChannelPipeline pipeline, HandshakeHandler handshakeHandler) {
+        pipeline.addLast(DECODER, decoder(MAX_HANDSHAKE_BYTES));
+        pipeline.addLast(new LengthFieldPrepender(PeerChannel.LENGTH_BYTES));
+        pipeline.addLast(handshakeHandler);
+    }
+
+    /**
+     * Replaces the handshake by the frames.
+     *
+     * @param established called before the first frame is handled
+     */
+    static void establish(
+            ChannelPipeline pipeline,
+            TransportSettings settings,
+            HandshakeHandler handshakeHandler,
+            SealedFrameHandler frameHandler,
+            Runnable established) {
+        pipeline.replace(handshakeHandler, "frames", frameHandler);
+        established.run();
+        pipeline.replace(DECODER, DECODER, decoder(settings.maxFrameBytes()));
+    }
+
+    private static LengthFieldBasedFrameDecoder decoder(int maxBytes) {
+        return new LengthFieldBasedFrameDecoder(
+                maxBytes, 0, PeerChannel.LENGTH_BYTES, 0, PeerChannel.LENGTH_BYTES);
+    }
+}
--- /dev/null
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/SealedFrameHandler.java
@@ -0,0 +1,65 @@
+package org.cardamomthread.transport;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.cardamomthread.transport.generated.Frame;
+import org.cardamomthread.transport.generated.SealedFrame;
+
+/**
+ * Opens the frames of an established connection and closes it on the first that is not authentic.
+ *
+ * <p>Used on the thread of the transport only.
+ */
+final class SealedFrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
+
+    private final Session session;
+    private final TransportListener listener;
+    private final ConnectionEvents events;
+
+    SealedFrameHandler(Session session, TransportListener listener, ConnectionEvents events) {
+        this.session = session;
+        this.listener = listener;
+        this.events = events;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer)
+            throws FrameException {
+        int wireBytes = buffer.readableBytes() + PeerChannel.LENGTH_BYTES;
+        Frame frame = session.opener().open(parse(ByteBufUtil.getBytes(buffer)));
+        listener.frameReceived(session.peer().node(), wireBytes);
+        events.received(frame);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (context.channel().isWritable()) {
+            events.writable();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        events.ended("the connection was closed by the peer or the network");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        events.ended(String.valueOf(cause.getMessage()));
+        context.close();
+    }
+
+    private static SealedFrame parse(byte[] bytes) throws FrameException {
+        try {
+            return SealedFrame.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw new FrameException(
+                    "bytes that are no sealed frame arrived ("
+                            + e.getMessage()
+                            + "): the connection is closed");
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/Topics.java
@@ -0,0 +1,47 @@
+package org.cardamomthread.transport;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cardamomthread.core.id.NodeId;
+
+/**
+ * Finds the handlers of topics.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class Topics {
+
+    private record Registration(PeerTopic topic, PeerHandler handler) {}
+
+    private final Map<Integer, Registration> registrations = new ConcurrentHashMap<>();
+
+    void register(PeerTopic topic, PeerHandler handler) {
+        Registration added = new Registration(topic, handler);
+        Registration present = registrations.putIfAbsent(topic.number(), added);
+        if (present != null) {
+            throw new IllegalArgumentException(
+                    "topic number "
+                            + topic.number()
+                            + " must have one handler, but is taken by \""
+                            + present.topic().name()
+                            + "\"");
+        }
+    }
+
+    boolean isKnown(int number) {
+        return registrations.containsKey(number);
+    }
+
+    /** Calls the handler of a known topic; a failure of any kind is in the returned stage. */
+    CompletionStage<byte[]> dispatch(NodeId from, int number, byte[] payload) {
+        try {
+            PeerHandler handler = registrations.get(number).handler();
+            return Objects.requireNonNull(handler.handle(from, payload), "response stage");
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-transport/src/test/java/org/cardamomthread/transport/FaultyRelay.java
@@ -0,0 +1,137 @@
+package org.cardamomthread.transport;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
+
+/**
+ * Relays TCP connections to a port of loopback and breaks them on command.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class FaultyRelay implements AutoCloseable {
+
+    private static final int BUFFER_BYTES = 65_536;
+
+    private final ServerSocket listener;
+    private final List<Connection> connections = new CopyOnWriteArrayList<>();
+    private volatile InetSocketAddress target;
+    private volatile boolean refusing;
+    private volatile UnaryOperator<byte[]> change = UnaryOperator.identity();
+
+    /** Relays to a port of loopback. */
+    public FaultyRelay(int targetPort) throws IOException {
+        target = new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort);
+        listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+        start(this::acceptAll);
+    }
+
+    /** Returns the address to connect to. */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort());
+    }
+
+    /** Relays new connections to another port. */
+    public void setTargetPort(int port) {
+        target = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** Leaves the present connections open but passes nothing on; new connections work. */
+    public void silence() {
+        connections.forEach(connection -> connection.silent = true);
+    }
+
+    /** Closes the present connections and every new one, until {@link #heal()}. */
+    public void cut() {
+        refusing = true;
+        connections.forEach(Connection::close);
+    }
+
+    /** Lets new connections through again. */
+    public void heal() {
+        refusing = false;
+    }
+
+    /** Changes each chunk of bytes on its way to the target. */
+    public void changeBytes(UnaryOperator<byte[]> changed) {
+        change = changed;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        connections.forEach(Connection::close);
+    }
+
+    private void acceptAll() {
+        while (!listener.isClosed()) {
+            try {
+                Socket client = listener.accept();
+                if (refusing) {
+                    client.close();
+                    continue;
+                }
+                Socket server = new Socket(target.getAddress(), target.getPort());
+                Connection connection = new Connection(client, server);
+                connections.add(connection);
+                start(() -> connection.copy(client, server, true));
+                start(() -> connection.copy(server, client, false));
+            } catch (IOException e) {
+                connections.removeIf(connection -> connection.client.isClosed());
+            }
+        }
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "faulty-relay");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private final class Connection {
+
+        private final Socket client;
+        private final Socket server;
+        private volatile boolean silent;
+
+        Connection(Socket client, Socket server) {
+            this.client = client;
+            this.server = server;
+        }
+
+        void copy(Socket from, Socket to, boolean changing) {
+            byte[] buffer = new byte[BUFFER_BYTES];
+            try {
+                InputStream in = from.getInputStream();
+                OutputStream out = to.getOutputStream();
+                for (int length = in.read(buffer); length >= 0; length = in.read(buffer)) {
+                    byte[] chunk = java.util.Arrays.copyOf(buffer, length);
+                    if (!silent) {
+                        out.write(changing ? change.apply(chunk) : chunk);
+                    }
+                }
+            } catch (IOException e) {
+                close();
+            }
+            if (!silent) {
+                close();
+            }
+        }
+
+        void close() {
+            try {
+                client.close();
+                server.close();
+            } catch (IOException e) {
+                throw new IllegalStateException("sockets must close", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-transport/src/test/java/org/cardamomthread/transport/OutboxTests.java
@@ -0,0 +1,62 @@
+package org.cardamomthread.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.cardamomthread.core.id.NodeId;
+import org.testng.annotations.Test;
+
+/** Tests {@link Outbox} and {@link Backoff}. */
+public class OutboxTests {
+
+    private static final PeerTopic TOPIC = new PeerTopic(1, "test");
+
+    @Test
+    public void dropsTheOldestMessageWhenFull() {
+        Outbox outbox = new Outbox(2, 100);
+        Outgoing first = message(10);
+        outbox.offer(first);
+        outbox.offer(message(10));
+        assertEquals(outbox.offer(message(10)), List.of(first));
+        assertEquals(outbox.size(), 2);
+    }
+
+    @Test
+    public void countsBytes() {
+        Outbox outbox = new Outbox(10, 100);
+        outbox.offer(message(60));
+        assertEquals(outbox.offer(message(60)).size(), 1);
+        outbox.poll();
+        assertEquals(outbox.offer(message(100)).size(), 0);
+    }
+
+    @Test
+    public void keepsRequestsAndRefusesTheNewMessage() {
+        Outbox outbox = new Outbox(1, 100);
+        PendingRequest pending =
+                new PendingRequest(new NodeId("b"), TOPIC, 10, new CompletableFuture<>());
+        Outgoing request = new Outgoing(TOPIC, new byte[1], 0, pending);
+        outbox.offer(request);
+        Outgoing added = message(1);
+        assertEquals(outbox.offer(added), List.of(added));
+        assertSame(outbox.poll(), request);
+    }
+
+    @Test
+    public void backsOffWithinBoundsThatDouble() {
+        Backoff backoff = new Backoff(50, 2_000, new SplittableRandom(1));
+        for (long bound : new long[] {50, 100, 200, 400, 800, 1_600, 2_000, 2_000}) {
+            long delay = backoff.failed();
+            assertEquals(delay >= bound / 2 && delay <= bound, true, delay + " of " + bound);
+        }
+        backoff.succeeded();
+        assertEquals(backoff.failed() <= 50, true);
+    }
+
+    private static Outgoing message(int bytes) {
+        return new Outgoing(TOPIC, new byte[bytes], 0, null);
+    }
+}
