--- /dev/null
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/runtime/DefaultReplicationGroupTests.java
@@ -0,0 +1,174 @@
+package org.cardamomthread.replication.runtime;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.GroupUnavailableException;
+import org.cardamomthread.replication.NotLeaderException;
+import org.cardamomthread.replication.OutcomeUnknownException;
+import org.cardamomthread.replication.ReplicaRole;
+import org.cardamomthread.replication.ReplicationGroup;
+import org.cardamomthread.replication.ReplicationSettings;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.simulation.RecordingStateMachine;
+import org.cardamomthread.replication.storage.MemoryLogStorage;
+import org.cardamomthread.replication.storage.StorageFaults;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class DefaultReplicationGroupTests {
+
+    private static final GroupId GROUP = new GroupId("claims");
+    private static final List<NodeId> NODES =
+            List.of(new NodeId("node-1"), new NodeId("node-2"), new NodeId("node-3"));
+    private static final long TIMEOUT_MS = 10_000;
+
+    private final Map<NodeId, ReplicationGroup> groups = new HashMap<>();
+    private final ManualTimeSource timeSource = new ManualTimeSource();
+    private final AtomicReference<StorageFaults.Step> failing = new AtomicReference<>();
+
+    /** Needs nothing to be told. */
+    private static final class Silent implements RecordingStateMachine.Listener {
+        @Override
+        public void onApplied(long index, String command) {}
+
+        @Override
+        public void onRestored(TreeMap<Long, String> state) {}
+    }
+
+    @BeforeMethod
+    public void startGroups() throws Exception {
+        failing.set(null);
+        ReplicationSettings settings = ReplicationSettings.withDefaults(NODES).withTimings(300, 30);
+        for (NodeId node : NODES) {
+            MemoryLogStorage storage =
+                    new MemoryLogStorage(new VoterId(node + "-folder"), this::beforeStep);
+            groups.put(
+                    node,
+                    new DefaultReplicationGroup(
+                            GROUP,
+                            node,
+                            settings,
+                            storage,
+                            new RecordingStateMachine(new Silent()),
+                            (to, message) -> groups.get(to).receive(node, message),
+                            timeSource,
+                            new Random(node.hashCode())));
+        }
+        for (ReplicationGroup group : groups.values()) {
+            group.start();
+        }
+    }
+
+    private void beforeStep(StorageFaults.Step step) throws StorageException {
+        if (step == failing.get()) {
+            throw new StorageException("disk failed at " + step + "; replace it");
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void closeGroups() {
+        groups.values().forEach(ReplicationGroup::close);
+    }
+
+    /** Lets time pass until there is a leader; then it stands still, so the leader remains. */
+    private ReplicationGroup awaitLeader() throws InterruptedException {
+        long endMs = System.currentTimeMillis() + TIMEOUT_MS;
+        while (System.currentTimeMillis() < endMs) {
+            for (ReplicationGroup group : groups.values()) {
+                if (group.status().isLeaseHeld()) {
+                    return group;
+                }
+            }
+            timeSource.advanceMs(2);
+            Thread.sleep(2);
+        }
+        throw new AssertionError("no leader within " + TIMEOUT_MS + " ms");
+    }
+
+    private static <T> T get(CompletableFuture<T> future) throws Exception {
+        return future.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    public void answersProposalsAndReads() throws Exception {
+        ReplicationGroup leader = awaitLeader();
+        List<CompletableFuture<byte[]>> answers = new ArrayList<>();
+        for (int i = 0; i < 1000; i++) {
+            answers.add(leader.propose(bytes("command-" + i)));
+        }
+        for (CompletableFuture<byte[]> answer : answers) {
+            assertEquals(get(answer).length, Long.BYTES);
+        }
+        assertTrue(get(leader.readBarrier()) >= 1000);
+    }
+
+    @Test
+    public void namesTheLeaderInARefusal() throws Exception {
+        ReplicationGroup leader = awaitLeader();
+        ReplicationGroup follower =
+                groups.values().stream().filter(g -> g != leader).findFirst().orElseThrow();
+        for (int i = 0; i < TIMEOUT_MS / 5 && follower.status().leader().isEmpty(); i++) {
+            Thread.sleep(5);
+        }
+        ExecutionException failure =
+                expectThrows(
+                        ExecutionException.class, () -> get(follower.propose(bytes("command"))));
+        NotLeaderException refusal = (NotLeaderException) failure.getCause();
+        assertEquals(refusal.leader().orElseThrow(), leader.status().nodeId());
+        assertTrue(refusal.isNotAppended());
+    }
+
+    @DataProvider
+    public Object[][] failingSteps() {
+        return new Object[][] {{StorageFaults.Step.APPEND}, {StorageFaults.Step.SYNC}};
+    }
+
+    @Test(dataProvider = "failingSteps")
+    public void stopsAfterAStorageFailureAndSaysWhy(StorageFaults.Step step) throws Exception {
+        ReplicationGroup leader = awaitLeader();
+        failing.set(step);
+        ExecutionException unknown =
+                expectThrows(ExecutionException.class, () -> get(leader.propose(bytes("command"))));
+        assertTrue(unknown.getCause() instanceof OutcomeUnknownException);
+        ExecutionException refused =
+                expectThrows(ExecutionException.class, () -> get(leader.propose(bytes("another"))));
+        assertTrue(refused.getCause() instanceof GroupUnavailableException);
+        assertTrue(refused.getCause().getMessage().contains("replace it"));
+        assertEquals(leader.status().role(), ReplicaRole.STOPPED);
+        assertTrue(leader.status().failure().orElseThrow().contains("disk failed at " + step));
+        assertFalse(leader.status().isLeaseHeld());
+    }
+
+    @Test
+    public void refusesProposalsAfterClose() throws Exception {
+        ReplicationGroup leader = awaitLeader();
+        leader.close();
+        ExecutionException failure =
+                expectThrows(ExecutionException.class, () -> get(leader.propose(bytes("command"))));
+        assertTrue(((GroupUnavailableException) failure.getCause()).isNotAppended());
+    }
+}
--- /dev/null
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
@@ -0,0 +1,343 @@
+package org.cardamomthread.replication.storage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.replication.generated.Entry;
+import org.cardamomthread.replication.generated.SnapshotHeader;
+import org.cardamomthread.replication.generated.TermState;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class FileLogStorageTests {
+
+    private static final GroupId GROUP = new GroupId("claims");
+    private static final NodeId NODE = new NodeId("node-1");
+    private static final long SMALL_SEGMENT_BYTES = 300;
+
+    private Path parent;
+    private Path folder;
+
+    @BeforeMethod
+    public void createFolder() throws IOException {
+        parent = Files.createTempDirectory("replication");
+        folder = parent.resolve("claims");
+    }
+
+    @AfterMethod
+    public void deleteFolder() throws IOException {
+        try (Stream<Path> files = Files.walk(parent)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    @Test
+    public void recoversSyncedTermEntriesAndIdentity() throws Exception {
+        RecoveredState first = write(LongStream.rangeClosed(1, 50).toArray());
+        RecoveredState recovered = reopen();
+        assertEquals(recovered.voterId(), first.voterId());
+        assertEquals(recovered.termState(), term(3));
+        assertEquals(recovered.entries(), entries(1, 50, 3));
+    }
+
+    @Test
+    public void replacesEntriesFromTheFirstIndexOfAnAppend() throws Exception {
+        FileLogStorage storage = storage(new DefaultFileAccess());
+        storage.open(GROUP, NODE);
+        storage.append(entries(1, 10, 1));
+        storage.append(entries(4, 5, 2));
+        storage.sync();
+        storage.close();
+        List<Entry> expected = new ArrayList<>(entries(1, 3, 1));
+        expected.addAll(entries(4, 5, 2));
+        assertEquals(reopen().entries(), expected);
+    }
+
+    @Test
+    public void cutsAnIncompleteRecordOffTheEnd() throws Exception {
+        write(1, 2, 3);
+        Path segment = lastSegment();
+        byte[] content = Files.readAllBytes(segment);
+        for (int lostBytes = 1; lostBytes < 40; lostBytes++) {
+            Files.write(segment, Arrays.copyOf(content, content.length - lostBytes));
+            List<Entry> survivors = reopen().entries();
+            assertTrue(survivors.size() < 3);
+            assertEquals(survivors, entries(1, survivors.size(), 3));
+            assertEquals(reopen().entries(), survivors);
+        }
+    }
+
+    @Test
+    public void cutsSectorsOfZerosOffTheEnd() throws Exception {
+        write(1, 2, 3);
+        Path segment = lastSegment();
+        byte[] content = Files.readAllBytes(segment);
+        Files.write(segment, Arrays.copyOf(content, content.length + 1500));
+        assertEquals(reopen().entries(), entries(1, 3, 3));
+    }
+
+    @Test
+    public void refusesAnyFlippedBitAndNamesTheRemedy() throws Exception {
+        write(1, 2, 3);
+        Path segment = lastSegment();
+        byte[] content = Files.readAllBytes(segment);
+        for (int bit = 0; bit < content.length * 8; bit += 3) {
+            byte[] changed = content.clone();
+            changed[bit / 8] ^= (byte) (1 << bit % 8);
+            Files.write(segment, changed);
+            StorageException failure = expectThrows(StorageDamagedException.class, this::reopen);
+            assertTrue(failure.getMessage().contains("move the group's folder away"));
+            assertTrue(failure.getMessage().contains(segment.toString()));
+        }
+    }
+
+    @Test
+    public void refusesACutSegmentThatIsNotTheLast() throws Exception {
+        write(LongStream.rangeClosed(1, 50).toArray());
+        Path first = segments().get(0);
+        byte[] content = Files.readAllBytes(first);
+        Files.write(first, Arrays.copyOf(content, content.length - 1));
+        expectThrows(StorageDamagedException.class, this::reopen);
+    }
+
+    @Test
+    public void refusesAMissingSegment() throws Exception {
+        write(LongStream.rangeClosed(1, 50).toArray());
+        Files.delete(segments().get(1));
+        expectThrows(StorageDamagedException.class, this::reopen);
+    }
+
+    @Test
+    public void refusesADamagedSnapshot() throws Exception {
+        writeSnapshot(new DefaultFileAccess(), 50);
+        Path file = folder.resolve(String.format("snapshot-%020d", 50));
+        byte[] content = Files.readAllBytes(file);
+        content[content.length - 1] ^= 1;
+        Files.write(file, content);
+        expectThrows(StorageDamagedException.class, this::reopen);
+    }
+
+    @Test
+    public void refusesTheFolderOfAnotherNodeOrGroup() throws Exception {
+        write(1);
+        FileLogStorage copied = storage(new DefaultFileAccess());
+        StorageException failure =
+                expectThrows(
+                        StorageIdentityException.class,
+                        () -> copied.open(GROUP, new NodeId("node-2")));
+        assertTrue(failure.getMessage().contains("start with an empty folder"));
+        copied.close();
+        FileLogStorage other = storage(new DefaultFileAccess());
+        expectThrows(
+                StorageIdentityException.class,
+                () -> other.open(new GroupId("configuration"), NODE));
+        other.close();
+    }
+
+    @Test
+    public void refusesAFolderInUse() throws Exception {
+        FileLogStorage storage = storage(new DefaultFileAccess());
+        storage.open(GROUP, NODE);
+        expectThrows(StorageIdentityException.class, this::reopen);
+        storage.close();
+    }
+
+    @Test
+    public void refusesALogWithoutIdentity() throws Exception {
+        write(1);
+        Files.delete(folder.resolve("identity"));
+        expectThrows(StorageDamagedException.class, this::reopen);
+    }
+
+    @Test
+    public void givesALostFolderANewIdentity() throws Exception {
+        RecoveredState first = write(1);
+        deleteFolder();
+        parent = Files.createTempDirectory("replication");
+        folder = parent.resolve("claims");
+        RecoveredState second = reopen();
+        assertNotEquals(second.voterId(), first.voterId());
+        assertTrue(second.entries().isEmpty());
+    }
+
+    @Test
+    public void dropsSegmentsThatASnapshotCovers() throws Exception {
+        writeSnapshot(new DefaultFileAccess(), 50);
+        assertEquals(segments().size(), 1);
+        RecoveredState recovered = reopen();
+        assertEquals(recovered.snapshot().getIndex(), 50);
+        assertTrue(recovered.entries().isEmpty());
+        assertEquals(recovered.termState(), term(3));
+    }
+
+    @DataProvider
+    public Object[][] failures() {
+        return new Object[][] {
+            {FaultyFileAccess.Operation.WRITE, "No space left on device"},
+            {FaultyFileAccess.Operation.FORCE, "Input/output error"}
+        };
+    }
+
+    @Test(dataProvider = "failures")
+    public void staysStoppedAfterAFailedWriteOrSync(
+            FaultyFileAccess.Operation operation, String reason) throws Exception {
+        write(1, 2);
+        FaultyFileAccess access = new FaultyFileAccess(operation, 1);
+        FileLogStorage storage = storage(access);
+        storage.open(GROUP, NODE);
+        StorageException failure =
+                expectThrows(
+                        StorageException.class,
+                        () -> {
+                            storage.append(entries(3, 3, 3));
+                            storage.sync();
+                            storage.append(entries(4, 4, 3));
+                            storage.sync();
+                        });
+        assertTrue(failure.getMessage().contains(reason), failure.getMessage());
+        assertTrue(failure.getMessage().contains("restart the node"));
+        expectThrows(StorageException.class, storage::sync);
+        expectThrows(StorageException.class, () -> storage.append(entries(4, 4, 3)));
+        storage.close();
+        assertTrue(reopen().entries().size() >= 2);
+    }
+
+    @Test
+    public void keepsWhatWasSyncedThroughACrashAtEachOperation() throws Exception {
+        int operations = 0;
+        boolean hasFailed = true;
+        while (hasFailed) {
+            deleteFolder();
+            createFolder();
+            write(LongStream.rangeClosed(1, 20).toArray());
+            FaultyFileAccess access =
+                    new FaultyFileAccess(FaultyFileAccess.Operation.ANY, operations++);
+            long synced = crashWhileWriting(access);
+            hasFailed = access.hasFailed();
+            RecoveredState recovered = reopen();
+            long last = recovered.snapshot().getIndex() + recovered.entries().size();
+            assertTrue(last >= synced, "operation " + operations + ": " + last);
+            assertEquals(recovered.termState(), term(3));
+            long first = recovered.snapshot().getIndex() + 1;
+            assertEquals(recovered.entries(), entries(first, last, first > 100 ? 4 : 3));
+        }
+        assertTrue(operations > 30, "operations " + operations);
+    }
+
+    /** Appends, saves and installs snapshots until the access fails; returns the synced index. */
+    private long crashWhileWriting(FileAccess access) {
+        long synced = 20;
+        try (FileLogStorage storage = storage(access)) {
+            storage.open(GROUP, NODE);
+            for (long index = 21; index <= 30; index++) {
+                storage.append(entries(index, index, 3));
+                storage.sync();
+                synced = index;
+            }
+            storage.saveSnapshot(header(28, "state"), bytes("state"));
+            storage.installSnapshot(header(100, "other"), bytes("other"));
+            synced = 100;
+            storage.append(entries(101, 101, 4));
+            storage.sync();
+            synced = 101;
+        } catch (StorageException expected) {
+            return synced;
+        }
+        return synced;
+    }
+
+    private void writeSnapshot(FileAccess access, long index) throws StorageException {
+        write(LongStream.rangeClosed(1, index).toArray());
+        FileLogStorage storage = storage(access);
+        storage.open(GROUP, NODE);
+        storage.saveSnapshot(header(index, "the state"), bytes("the state"));
+        assertEquals(storage.readSnapshot(4, 100), bytes("state"));
+        storage.close();
+    }
+
+    private RecoveredState write(long... indexes) throws StorageException {
+        FileLogStorage storage = storage(new DefaultFileAccess());
+        RecoveredState opened = storage.open(GROUP, NODE);
+        storage.writeTermState(term(3));
+        for (long index : indexes) {
+            storage.append(entries(index, index, 3));
+        }
+        storage.sync();
+        storage.close();
+        return opened;
+    }
+
+    private RecoveredState reopen() throws StorageException {
+        try (FileLogStorage storage = storage(new DefaultFileAccess())) {
+            return storage.open(GROUP, NODE);
+        }
+    }
+
+    private FileLogStorage storage(FileAccess access) {
+        return new FileLogStorage(folder, access, SMALL_SEGMENT_BYTES);
+    }
+
+    private Path lastSegment() throws IOException {
+        List<Path> all = segments();
+        return all.get(all.size() - 1);
+    }
+
+    private List<Path> segments() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            List<Path> found =
+                    files.filter(file -> Segment.numberOf(file).isPresent()).sorted().toList();
+            assertFalse(found.isEmpty());
+            return found;
+        }
+    }
+
+    private static SnapshotHeader header(long index, String state) {
+        return SnapshotHeader.newBuilder()
+                .setIndex(index)
+                .setTerm(3)
+                .setSizeBytes(state.length())
+                .setChecksum(Checksums.of(bytes(state)))
+                .build();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static TermState term(long term) {
+        return TermState.newBuilder().setTerm(term).setVotedFor("voter").build();
+    }
+
+    private static List<Entry> entries(long first, long last, long term) {
+        return LongStream.rangeClosed(first, last)
+                .mapToObj(
+                        index ->
+                                Entry.newBuilder()
+                                        .setIndex(index)
+                                        .setTerm(term)
+                                        .setData(ByteString.copyFromUtf8("command-" + index))
+                                        .build())
+                .toList();
+    }
+}
