--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/BudgetRetryPolicy.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/BudgetRetryPolicy.java
@@ -1,35 +1,43 @@
 package org.cardamomthread.daemon.gateway;
 
-import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.policy.admission.RetryBudget;
 
-/**
- * Lets each service make further attempts for a share of its successes, above a small reserve.
- *
- * <p>Invariant: over any run of calls the further attempts of a service are at most {@value
- * #EARNED_PER_SUCCESS} of its successes plus {@value #MAX_TOKENS}. Safe for use by several threads.
- */
+/** Keeps a retry budget for each service. Safe for use by several threads. */
 final class BudgetRetryPolicy implements RetryPolicy {
 
-    private static final double EARNED_PER_SUCCESS = 0.2;
-    private static final double MAX_TOKENS = 50;
+    private static final double SHARE_OF_SUCCESSES = 0.2;
+    private static final double LEAST_PER_SECOND = 1.0;
+    private static final double BURST = 50.0;
 
-    private final Map<ServiceId, Double> tokens = new HashMap<>();
+    private final TimeSource timeSource;
+    private final Map<ServiceId, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+    BudgetRetryPolicy(TimeSource timeSource) {
+        this.timeSource = timeSource;
+    }
 
     @Override
-    public synchronized void recordSuccess(ServiceId service) {
-        double available = tokens.getOrDefault(service, MAX_TOKENS);
-        tokens.put(service, Math.min(MAX_TOKENS, available + EARNED_PER_SUCCESS));
+    public void recordSuccess(ServiceId service) {
+        findBudget(service).onSuccess();
     }
 
     @Override
-    public synchronized boolean tryRetry(ServiceId service) {
-        double available = tokens.getOrDefault(service, MAX_TOKENS);
-        if (available < 1) {
-            return false;
-        }
-        tokens.put(service, available - 1);
-        return true;
+    public boolean tryRetry(ServiceId service) {
+        return findBudget(service).trySpend(timeSource.monotonicMs());
+    }
+
+    private RetryBudget findBudget(ServiceId service) {
+        return budgets.computeIfAbsent(
+                service,
+                id ->
+                        new RetryBudget(
+                                SHARE_OF_SUCCESSES,
+                                LEAST_PER_SECOND,
+                                BURST,
+                                timeSource.monotonicMs()));
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
@@ -1,19 +1,26 @@
 package org.cardamomthread.daemon.gateway;
 
 import java.util.ArrayList;
-import java.util.Iterator;
-import java.util.LinkedList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.Identifiers;
+import org.cardamomthread.core.id.RequestId;
+import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.http.Problem;
 import org.cardamomthread.membership.gateway.AvailableEndpoint;
 import org.cardamomthread.membership.gateway.CreditHold;
 import org.cardamomthread.membership.gateway.CreditPool;
+import org.cardamomthread.policy.admission.QueuedRequest;
+import org.cardamomthread.policy.profile.Priority;
 import org.cardamomthread.policy.routing.EndpointCandidate;
 import org.cardamomthread.policy.routing.EndpointSelector;
 import org.cardamomthread.policy.routing.Selection;
@@ -23,13 +30,11 @@
  * Places attempts on endpoints for which this gateway holds a leased credit.
  *
  * <p>Invariants: no attempt is placed without a credit; each wait ends once, with an endpoint, a
- * refusal or a cancel. Attempts wait in order of arrival, retries first. Safe for use by several
- * threads; listeners run outside the lock.
+ * refusal or a cancel. Attempts wait in a fair queue a service. Safe for use by several threads;
+ * listeners run outside the lock.
  */
 final class CreditPlacement implements Placement {
 
-    private static final int MAX_WAITING = 10_000;
-    private static final int MAX_REFUSED_SCANS = 8;
     private static final int MAX_DEMANDED_ENDPOINTS = 3;
     private static final long RETRY_AFTER_S = 1;
 
@@ -42,7 +47,9 @@
     private final AttemptObserver attempts;
     private final RandomGenerator random;
     private final TimeSource timeSource;
-    private final LinkedList<Waiting> waiting = new LinkedList<>();
+    private final ToDoubleFunction<ClientAccountId> weights;
+    private final Map<ServiceId, ServiceQueue> queues = new HashMap<>();
+    private long lastPlace;
 
     CreditPlacement(
             CreditPool pool,
@@ -53,7 +60,8 @@
             PlacementObserver observer,
             AttemptObserver attempts,
             RandomGenerator random,
-            TimeSource timeSource) {
+            TimeSource timeSource,
+            ToDoubleFunction<ClientAccountId> weights) {
         this.pool = pool;
         this.candidates = candidates;
         this.selector = selector;
@@ -63,27 +71,26 @@
         this.attempts = attempts;
         this.random = random;
         this.timeSource = timeSource;
+        this.weights = weights;
     }
 
     @Override
     public PlacementTicket place(PlacementRequest request, PlacementListener listener) {
-        long deadlineMs = timeSource.monotonicMs() + request.target().traffic().maxWaitMs();
-        Waiting entry = new Waiting(request, listener, deadlineMs);
+        long nowMs = timeSource.monotonicMs();
+        WaitingCall call;
         Optional<PlacedCall> placed;
-        boolean isFull = false;
+        List<WaitingCall> refused = List.of();
         synchronized (this) {
-            placed = tryPlace(request);
+            call = createWaitingCall(request, listener, nowMs);
+            ServiceQueue queue = findQueue(request.target().service());
+            placed = queue.size() == 0 ? tryPlace(request) : Optional.empty();
             if (placed.isEmpty()) {
-                isFull = waiting.size() >= MAX_WAITING;
-                enqueue(entry, isFull);
+                refused = queue.offer(call, nowMs);
             }
         }
-        if (placed.isPresent()) {
-            listener.onPlaced(placed.get());
-        } else if (isFull) {
-            listener.onRefused(createQueueFullProblem(request));
-        }
-        return () -> remove(entry);
+        placed.ifPresent(listener::onPlaced);
+        refused.forEach(CreditPlacement::refuseForQueue);
+        return () -> remove(call);
     }
 
     /** Gives credits that have come to those who wait, and refuses those whose time is over. */
@@ -91,48 +98,57 @@
         List<Runnable> results = new ArrayList<>();
         synchronized (this) {
             long nowMs = timeSource.monotonicMs();
-            int refusedScans = 0;
-            Iterator<Waiting> entries = waiting.iterator();
-            while (entries.hasNext()) {
-                Waiting entry = entries.next();
-                if (nowMs >= entry.deadlineMs()) {
-                    entries.remove();
-                    results.add(
-                            () ->
-                                    entry.listener()
-                                            .onRefused(createTimeoutProblem(entry.request())));
-                } else if (refusedScans < MAX_REFUSED_SCANS) {
-                    Optional<PlacedCall> placed = tryPlace(entry.request());
-                    if (placed.isPresent()) {
-                        entries.remove();
-                        results.add(() -> entry.listener().onPlaced(placed.get()));
-                    } else {
-                        refusedScans++;
-                    }
-                }
+            for (ServiceQueue queue : queues.values()) {
+                queue.expire(nowMs).forEach(late -> results.add(() -> refuseForTime(late)));
+                placeWaiting(queue, results);
             }
+            queues.values().removeIf(queue -> queue.size() == 0);
         }
         results.forEach(Runnable::run);
     }
 
     /** Returns the number of attempts that wait for a credit. */
     synchronized int getWaitingCount() {
-        return waiting.size();
+        return queues.values().stream().mapToInt(ServiceQueue::size).sum();
     }
 
-    private void enqueue(Waiting entry, boolean isFull) {
-        if (isFull) {
-            return;
-        }
-        if (entry.request().isRetry()) {
-            waiting.addFirst(entry);
-        } else {
-            waiting.addLast(entry);
+    private void placeWaiting(ServiceQueue queue, List<Runnable> results) {
+        Optional<WaitingCall> next = queue.peek();
+        while (next.isPresent()) {
+            WaitingCall call = next.get();
+            Optional<PlacedCall> placed = tryPlace(call.request());
+            if (placed.isEmpty()) {
+                return;
+            }
+            queue.removeFirst();
+            results.add(() -> call.listener().onPlaced(placed.get()));
+            next = queue.peek();
         }
     }
 
-    private synchronized void remove(Waiting entry) {
-        waiting.remove(entry);
+    private WaitingCall createWaitingCall(
+            PlacementRequest request, PlacementListener listener, long nowMs) {
+        String place = request.requestId() + ":" + (++lastPlace);
+        String id = place.substring(Math.max(0, place.length() - Identifiers.MAX_LENGTH));
+        Priority priority =
+                request.target().traffic().isUrgent() ? Priority.URGENT : Priority.PATIENT;
+        double cost = 1.0 + request.promptTokens() + request.outputTokens();
+        long latestStartMs = nowMs + request.target().traffic().maxWaitMs();
+        QueuedRequest queued =
+                new QueuedRequest(
+                        new RequestId(id), request.account(), priority, cost, latestStartMs);
+        return new WaitingCall(request, listener, queued);
+    }
+
+    private ServiceQueue findQueue(ServiceId service) {
+        return queues.computeIfAbsent(service, id -> new ServiceQueue(weights));
+    }
+
+    private synchronized void remove(WaitingCall call) {
+        ServiceQueue queue = queues.get(call.request().target().service());
+        if (queue != null) {
+            queue.remove(call);
+        }
     }
 
     private Optional<PlacedCall> tryPlace(PlacementRequest request) {
@@ -174,30 +190,35 @@
                 request.target(), endpoint, version, hold, attempts, this::pump);
     }
 
-    private static Problem createQueueFullProblem(PlacementRequest request) {
-        return Problem.createNotRun(
-                        503,
-                        "queue-full",
-                        "Too many requests wait",
-                        String.format(
-                                "%d requests wait for an endpoint of service \"%s\": send it again"
-                                        + " later",
-                                MAX_WAITING, request.target().service()))
-                .withRetryAfterS(RETRY_AFTER_S);
+    private static void refuseForQueue(WaitingCall call) {
+        call.listener()
+                .onRefused(
+                        Problem.createNotRun(
+                                        503,
+                                        "queue-full",
+                                        "Too many requests wait",
+                                        String.format(
+                                                "the queue for service \"%s\" is full and client"
+                                                        + " account \"%s\" has its share of it: send"
+                                                        + " the request again later",
+                                                call.request().target().service(),
+                                                call.request().account()))
+                                .withRetryAfterS(RETRY_AFTER_S));
     }
 
-    private static Problem createTimeoutProblem(PlacementRequest request) {
-        return Problem.createNotRun(
-                        503,
-                        "no-endpoint",
-                        "No endpoint available",
-                        String.format(
-                                "no endpoint of service \"%s\" took the request within %d ms: send"
-                                        + " it again later, or start more endpoints",
-                                request.target().service(), request.target().traffic().maxWaitMs()))
-                .withRetryAfterS(RETRY_AFTER_S);
+    private static void refuseForTime(WaitingCall call) {
+        CallTarget target = call.request().target();
+        call.listener()
+                .onRefused(
+                        Problem.createNotRun(
+                                        503,
+                                        "no-endpoint",
+                                        "No endpoint available",
+                                        String.format(
+                                                "no endpoint of service \"%s\" took the request"
+                                                        + " within %d ms: send it again later, or"
+                                                        + " start more endpoints",
+                                                target.service(), target.traffic().maxWaitMs()))
+                                .withRetryAfterS(RETRY_AFTER_S));
     }
-
-    /** Holds one attempt that waits. */
-    private record Waiting(PlacementRequest request, PlacementListener listener, long deadlineMs) {}
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -1,6 +1,8 @@
 package org.cardamomthread.daemon.gateway;
 
 import java.util.random.RandomGenerator;
+import org.cardamomthread.configuration.declaration.ClientAccount;
+import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.http.HttpHandler;
@@ -34,7 +36,7 @@
                 new CallServices(
                         placement,
                         new AttemptRunner(parts.client(), parts.telemetry().tracing()),
-                        new BudgetRetryPolicy(),
+                        new BudgetRetryPolicy(parts.telemetry().timeSource()),
                         parts.telemetry().timeSource());
         callerApi =
                 new CallerApi(
@@ -105,6 +107,12 @@
                 parts.choices(),
                 parts.attempts(),
                 parts.random(),
-                parts.telemetry().timeSource());
+                parts.telemetry().timeSource(),
+                account -> weightOf(parts.configuration(), account));
+    }
+
+    private static double weightOf(ConfigurationSource configuration, ClientAccountId account) {
+        ClientAccount declared = configuration.getDeclarations().clientAccounts().get(account);
+        return declared == null ? 1.0 : declared.weight();
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
@@ -134,7 +134,7 @@
                 new CallServices(
                         placement,
                         new AttemptRunner(endpoints, tracing),
-                        new BudgetRetryPolicy(),
+                        new BudgetRetryPolicy(timeSource),
                         timeSource);
         ModelRequest request = ModelRequest.parse(BODY.getBytes(StandardCharsets.UTF_8));
         new ModelStreamCall(scope, services, request).start();
