Answer operators free of transport, against a narrow control plane

Operators had no way in. OperatorApi answers the calls of the protocols page; it checks tokens in constant time, checks declarations before they are proposed, and answers refusals as problem documents with a remedy.

A drain is passed on directly only when the configuration group gives no answer. Passing it on before asking was tried: a resent drain then took a data centre out again after its return, and a return that had not seen the drain won.

--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/DeclarationsLoader.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/DeclarationsLoader.java
@@ -28,7 +28,7 @@
     public static final String SCHEMA_RESOURCE =
             "/org/cardamomthread/configuration/declarations.schema.json";
 
-    private final DocumentSchema schema = DocumentSchema.load(SCHEMA_RESOURCE);
+    private static final DocumentSchema SCHEMA = DocumentSchema.load(SCHEMA_RESOURCE);
 
     /**
      * Loads all files of a folder whose names end in .yaml or .yml, without its subfolders.
@@ -76,7 +76,7 @@
     private Declarations load(List<Document> documents, List<Problem> problems)
             throws InvalidDocumentException {
         for (Document document : documents) {
-            problems.addAll(schema.check(document));
+            problems.addAll(SCHEMA.check(document));
         }
         require(problems);
         DeclarationCollector collector = new DeclarationCollector();
@@ -90,7 +90,7 @@
     }
 
     private void collect(Document document, DeclarationCollector collector) {
-        ObjectNode tree = (ObjectNode) schema.withDefaults(document.root());
+        ObjectNode tree = (ObjectNode) SCHEMA.withDefaults(document.root());
         for (DeclarationKind kind : DeclarationKind.values()) {
             JsonNode section = tree.path(kind.section());
             for (int i = 0; i < section.size(); i++) {
--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/settings/NodeSettingsLoader.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/settings/NodeSettingsLoader.java
@@ -26,7 +26,7 @@
     public static final String SCHEMA_RESOURCE =
             "/org/cardamomthread/configuration/settings.schema.json";
 
-    private final DocumentSchema schema = DocumentSchema.load(SCHEMA_RESOURCE);
+    private static final DocumentSchema SCHEMA = DocumentSchema.load(SCHEMA_RESOURCE);
     private final DocumentMapper mapper = mapper();
 
     /**
@@ -51,10 +51,10 @@
      * @throws InvalidDocumentException if anything in the document is wrong
      */
     public NodeSettings load(Document document, Path folder) throws InvalidDocumentException {
-        List<Problem> problems = new ArrayList<>(schema.check(document));
+        List<Problem> problems = new ArrayList<>(SCHEMA.check(document));
         problems.addAll(new AddressCheck(document).check());
         require(problems);
-        ObjectNode tree = (ObjectNode) schema.withDefaults(document.root());
+        ObjectNode tree = (ObjectNode) SCHEMA.withDefaults(document.root());
         new SecretReader(document, folder, problems).readInto(tree);
         require(problems);
         resolveDataFolder(tree, folder);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/ConfigurationHolder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/ConfigurationHolder.java
@@ -69,8 +69,7 @@
      * @return true if it was put in force
      * @throws ConfigurationGapException if the delta begins after the revision in force
      */
-    public synchronized boolean install(ConfigurationDelta delta)
-            throws ConfigurationGapException {
+    public synchronized boolean install(ConfigurationDelta delta) throws ConfigurationGapException {
         return install(view.applyDelta(delta));
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AccountGate.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AccountGate.java
@@ -11,8 +11,8 @@
  * Bounds the calls of each client account on this node: some run, some wait, the rest are refused.
  *
  * <p>Invariants: never more than {@code maxConcurrent} calls of an account run and never more than
- * {@code queueLength} wait; a place that is given back goes to the first that waits. Safe for use by
- * several threads; actions run outside the lock.
+ * {@code queueLength} wait; a place that is given back goes to the first that waits. Safe for use
+ * by several threads; actions run outside the lock.
  */
 final class AccountGate {
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallerApi.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallerApi.java
@@ -16,8 +16,8 @@
 import org.cardamomthread.daemon.http.Problem;
 
 /**
- * Answers callers: identifies the client account and the target of each call, lets it in, and starts
- * it.
+ * Answers callers: identifies the client account and the target of each call, lets it in, and
+ * starts it.
  *
  * <p>Safe for use by several threads.
  */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CandidateReader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CandidateReader.java
@@ -37,8 +37,7 @@
     }
 
     /** Holds the candidates of a request and the endpoints that they stand for. */
-    record Candidates(
-            List<EndpointCandidate> list, Map<EndpointId, AvailableEndpoint> endpoints) {}
+    record Candidates(List<EndpointCandidate> list, Map<EndpointId, AvailableEndpoint> endpoints) {}
 
     /**
      * Reads the candidates of a request.
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ChoiceLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ChoiceLog.java
@@ -1,9 +1,9 @@
 package org.cardamomthread.daemon.gateway;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.ArrayList;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.RequestId;
 import org.cardamomthread.core.id.VersionId;
@@ -32,8 +32,7 @@
 
     @Override
     public synchronized void observe(PlacementRequest request, Selection selection) {
-        List<String> lines =
-                choices.computeIfAbsent(request.requestId(), id -> new ArrayList<>());
+        List<String> lines = choices.computeIfAbsent(request.requestId(), id -> new ArrayList<>());
         if (lines.size() < MAX_CHOICES_PER_REQUEST) {
             lines.add(describe(selection));
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
@@ -95,7 +95,9 @@
                 if (nowMs >= entry.deadlineMs()) {
                     entries.remove();
                     results.add(
-                            () -> entry.listener().onRefused(createTimeoutProblem(entry.request())));
+                            () ->
+                                    entry.listener()
+                                            .onRefused(createTimeoutProblem(entry.request())));
                 } else if (refusedScans < MAX_REFUSED_SCANS) {
                     Optional<PlacedCall> placed = tryPlace(entry.request());
                     if (placed.isPresent()) {
@@ -165,7 +167,8 @@
             AvailableEndpoint endpoint,
             VersionId version,
             CreditHold hold) {
-        return new CreditPlacedCall(request.target(), endpoint, version, hold, observer, this::pump);
+        return new CreditPlacedCall(
+                request.target(), endpoint, version, hold, observer, this::pump);
     }
 
     private static Problem createQueueFullProblem(PlacementRequest request) {
@@ -188,8 +191,7 @@
                         String.format(
                                 "no endpoint of service \"%s\" took the request within %d ms: send"
                                         + " it again later, or start more endpoints",
-                                request.target().service(),
-                                request.target().traffic().maxWaitMs()))
+                                request.target().service(), request.target().traffic().maxWaitMs()))
                 .withRetryAfterS(RETRY_AFTER_S);
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/SelectionRequestFactory.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/SelectionRequestFactory.java
@@ -16,8 +16,7 @@
 
     private static final int TOKENS_PER_BLOCK = CHARACTERS_PER_BLOCK / 4;
 
-    SelectionRequest create(
-            PlacementRequest request, VersionId version, Set<EndpointId> excluded) {
+    SelectionRequest create(PlacementRequest request, VersionId version, Set<EndpointId> excluded) {
         TrafficClass traffic = request.target().traffic();
         TrafficProfile profile =
                 new TrafficProfile(
@@ -32,11 +31,6 @@
                         : PromptPrefix.ofText(
                                 request.prompt(), CHARACTERS_PER_BLOCK, TOKENS_PER_BLOCK);
         return new SelectionRequest(
-                profile,
-                version,
-                request.promptTokens(),
-                request.outputTokens(),
-                prefix,
-                excluded);
+                profile, version, request.promptTokens(), request.outputTokens(), prefix, excluded);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/ClassBearableRequests.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/ClassBearableRequests.java
@@ -1,16 +1,16 @@
 package org.cardamomthread.daemon.membership;
 
 import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.cardamomthread.configuration.declaration.Declarations;
 import org.cardamomthread.configuration.declaration.EndpointClass;
+import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.membership.endpoint.EndpointDescription;
 import org.cardamomthread.membership.endpoint.EndpointState;
 import org.cardamomthread.membership.home.BearableRequests;
 import org.cardamomthread.membership.home.EndpointStatus;
-import java.util.function.Predicate;
-import java.util.function.Supplier;
-import org.cardamomthread.core.id.DataCentreId;
 
 /**
  * Judges what an endpoint bears by its declared class: the cold bound after a start and whenever it
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/ChangeHandler.java
@@ -0,0 +1,185 @@
+package org.cardamomthread.daemon.operator;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.cardamomthread.configuration.declaration.Declarations;
+import org.cardamomthread.configuration.declaration.DeclarationsLoader;
+import org.cardamomthread.configuration.document.InvalidDocumentException;
+import org.cardamomthread.configuration.state.ConfigurationCommands;
+import org.cardamomthread.configuration.state.ConfigurationResult;
+import org.cardamomthread.configuration.state.ConfigurationResult.Accepted;
+import org.cardamomthread.configuration.state.ConfigurationResult.Rejected;
+import org.cardamomthread.configuration.state.ConfigurationResult.Stale;
+import org.cardamomthread.configuration.state.DataCentreState;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.OperationId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.core.time.TimeSource;
+
+/** Answers requests that change something. Immutable and safe for use by several threads. */
+final class ChangeHandler {
+
+    private static final String OPERATION_ID = "operationId";
+    private static final String STATE = "state";
+    private static final String REVISION = "revision";
+    private static final String CONFIRMED = "confirmed";
+
+    private final ControlPlane controlPlane;
+    private final TimeSource timeSource;
+    private final DeclarationsLoader loader = new DeclarationsLoader();
+
+    ChangeHandler(ControlPlane controlPlane, TimeSource timeSource) {
+        this.controlPlane = controlPlane;
+        this.timeSource = timeSource;
+    }
+
+    CompletableFuture<OperatorResponse> applyDeclarations(String text)
+            throws InvalidOperatorRequestException, InvalidDocumentException {
+        RequestBody body =
+                RequestBody.parse(text, Set.of(OPERATION_ID, "baseRevision", "declarations"));
+        OperationId operation = body.operationId();
+        long base = body.revision("baseRevision");
+        Declarations declarations = loader.load("declarations", body.object("declarations"));
+        return controlPlane
+                .propose(ConfigurationCommands.applyDeclarations(operation, base, declarations))
+                .thenApply(result -> answer(result, acceptedBody(result)));
+    }
+
+    CompletableFuture<OperatorResponse> startVersionMove(String text)
+            throws InvalidOperatorRequestException {
+        RequestBody body = RequestBody.parse(text, Set.of(OPERATION_ID, "service", "to", "by"));
+        OperationId operation = body.operationId();
+        ServiceId service = body.id("service", ServiceId::new);
+        VersionId to = body.id("to", VersionId::new);
+        Instant deadline = body.instant("by");
+        return controlPlane
+                .propose(
+                        ConfigurationCommands.startVersionMove(
+                                operation, service, to, deadline, timeSource.instant()))
+                .thenApply(
+                        result ->
+                                answer(result, acceptedBody(result).put("id", operation.value())));
+    }
+
+    /**
+     * Sets the state of a data centre. If the configuration group is out of reach, a drain is taken
+     * in force here and passed on to the nodes in reach. It is not passed on before, since only the
+     * group knows a resend of an earlier drain that was followed by a return.
+     */
+    CompletableFuture<OperatorResponse> setDataCentreState(
+            DataCentreId id, boolean out, String text) throws InvalidOperatorRequestException {
+        RequestBody body = RequestBody.parse(text, Set.of(OPERATION_ID));
+        OperationId operation = body.operationId();
+        if (!controlPlane.configuration().declarations().dataCentres().containsKey(id)) {
+            return CompletableFuture.completedFuture(unknownDataCentre(id));
+        }
+        DataCentreState known = controlPlane.dataCentreState(id);
+        DataCentreState wanted =
+                known.out() == out && known.epoch() > 0
+                        ? known
+                        : new DataCentreState(out, known.epoch() + 1);
+        return controlPlane
+                .propose(ConfigurationCommands.setDataCentreState(operation, id, wanted))
+                .thenApply(result -> answer(result, dataCentreBody(id, wanted, result)))
+                .exceptionally(failure -> unconfirmed(id, wanted, failure));
+    }
+
+    private OperatorResponse unconfirmed(
+            DataCentreId id, DataCentreState wanted, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (!wanted.out() || !(cause instanceof ProposalFailedException)) {
+            return FailureResponses.of(cause);
+        }
+        controlPlane.spreadDataCentreState(id, wanted);
+        ObjectNode body = stateBody(id, wanted);
+        body.put("epoch", wanted.epoch());
+        body.put(CONFIRMED, false);
+        body.put(
+                "detail",
+                "taken in force on the nodes in reach of this one; the configuration group has not"
+                        + " confirmed it: "
+                        + cause.getMessage());
+        body.put("remedy", "send it to a node of each other side as well, and watch the status");
+        return json(202, body);
+    }
+
+    private OperatorResponse unknownDataCentre(DataCentreId id) {
+        return new OperatorProblem(
+                        404,
+                        "unknown-data-centre",
+                        "The data centre is not declared",
+                        "data centre \"" + id + "\" is not declared",
+                        "use one of "
+                                + controlPlane.configuration().declarations().dataCentres().keySet()
+                                + ", or declare it")
+                .toResponse();
+    }
+
+    private static ObjectNode acceptedBody(ConfigurationResult result) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put(REVISION, result.revision());
+        body.put(STATE, "accepted");
+        return body;
+    }
+
+    private static ObjectNode dataCentreBody(
+            DataCentreId id, DataCentreState state, ConfigurationResult result) {
+        ObjectNode body = stateBody(id, state);
+        body.put(CONFIRMED, true);
+        body.put(REVISION, result.revision());
+        return body;
+    }
+
+    private static ObjectNode stateBody(DataCentreId id, DataCentreState state) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("dataCentre", id.value());
+        body.put(STATE, state.out() ? "out" : "in");
+        return body;
+    }
+
+    private static OperatorResponse answer(ConfigurationResult result, ObjectNode acceptedBody) {
+        if (result instanceof Accepted) {
+            return json(200, acceptedBody);
+        }
+        return result instanceof Stale stale ? conflict(stale) : rejection((Rejected) result);
+    }
+
+    private static OperatorResponse conflict(Stale stale) {
+        OperatorProblem problem =
+                new OperatorProblem(
+                        409,
+                        "stale-revision",
+                        "The configuration has changed since",
+                        "the change was made against an earlier revision than " + stale.revision(),
+                        "read the configuration, make the change against its revision and send it"
+                                + " with a new operationId");
+        problem.document().put("currentRevision", stale.revision());
+        problem.document().put("differenceCount", stale.differenceCount());
+        ArrayNode differences = problem.document().putArray("differences");
+        stale.differences().forEach(differences::add);
+        return problem.toResponse();
+    }
+
+    private static OperatorResponse rejection(Rejected rejected) {
+        OperatorProblem problem =
+                new OperatorProblem(
+                        422,
+                        "rejected",
+                        "The change is not possible",
+                        rejected.reason(),
+                        rejected.remedy());
+        problem.document().put("currentRevision", rejected.revision());
+        return problem.toResponse();
+    }
+
+    private static OperatorResponse json(int status, ObjectNode body) {
+        return new OperatorResponse(status, "application/json", body.toString(), Map.of());
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/FailureResponses.java
@@ -0,0 +1,63 @@
+package org.cardamomthread.daemon.operator;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import org.cardamomthread.configuration.document.InvalidDocumentException;
+import org.cardamomthread.configuration.document.Problem;
+
+/** Builds the answers to failures. Stateless and safe for use by several threads. */
+final class FailureResponses {
+
+    private FailureResponses() {}
+
+    static OperatorResponse of(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof ProposalFailedException proposal) {
+            return ofProposal(proposal);
+        }
+        OperatorProblem problem =
+                new OperatorProblem(
+                        500,
+                        "internal",
+                        "The node failed to answer",
+                        String.valueOf(cause),
+                        "send the request again with the same operationId, and report the fault");
+        problem.document().put("execution", "unknown");
+        return problem.toResponse();
+    }
+
+    static OperatorResponse ofDeclarations(InvalidDocumentException invalid) {
+        OperatorProblem problem =
+                new OperatorProblem(
+                        422,
+                        "invalid-declarations",
+                        "The declarations are wrong",
+                        invalid.problems().size() + " errors were found",
+                        "correct each of the errors; cardamomthread validate shows their lines");
+        ArrayNode errors = problem.document().putArray("errors");
+        for (Problem each : invalid.problems()) {
+            ObjectNode error = errors.addObject();
+            error.put("key", each.key());
+            error.put("detail", each.detail());
+            error.put("remedy", each.remedy());
+        }
+        return problem.toResponse();
+    }
+
+    private static OperatorResponse ofProposal(ProposalFailedException failure) {
+        OperatorProblem problem =
+                new OperatorProblem(
+                        503,
+                        failure.isCertain() ? "unavailable" : "outcome-unknown",
+                        failure.isCertain()
+                                ? "The configuration group is out of reach"
+                                : "The outcome of the change is unknown",
+                        failure.getMessage(),
+                        "send the request again with the same operationId, here or to another"
+                                + " node");
+        problem.document().put("execution", failure.isCertain() ? "not-run" : "unknown");
+        return problem.toResponse(Map.of("Retry-After", "1"));
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/InvalidOperatorRequestException.java
@@ -0,0 +1,20 @@
+package org.cardamomthread.daemon.operator;
+
+import org.cardamomthread.core.CardamomthreadException;
+
+/** Reports a body of an operator's request that has the wrong form. */
+final class InvalidOperatorRequestException extends CardamomthreadException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final String remedy;
+
+    InvalidOperatorRequestException(String detail, String remedy) {
+        super(detail);
+        this.remedy = remedy;
+    }
+
+    String remedy() {
+        return remedy;
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/OperatorApi.java
@@ -0,0 +1,197 @@
+package org.cardamomthread.daemon.operator;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.cardamomthread.configuration.document.InvalidDocumentException;
+import org.cardamomthread.configuration.settings.Secret;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.OperationId;
+import org.cardamomthread.core.id.RequestId;
+import org.cardamomthread.core.time.TimeSource;
+
+/**
+ * Answers the requests of operators.
+ *
+ * <p>Each request must present one of the operators' tokens. Each change carries an operation id,
+ * and the same one again gets the first answer. Immutable and safe for use by several threads.
+ */
+public final class OperatorApi {
+
+    private static final String BEARER = "Bearer ";
+    private static final String VERSION_MOVES = "version-moves";
+    private static final int VERSION_SEGMENT = 1;
+
+    private final List<Secret> tokens;
+    private final QueryHandler queries;
+    private final ChangeHandler changes;
+
+    /**
+     * Creates the API.
+     *
+     * @param tokens the operators' tokens, at least one
+     * @param controlPlane what operators may see and change
+     * @param timeSource the clock that stamps version moves
+     */
+    public OperatorApi(List<Secret> tokens, ControlPlane controlPlane, TimeSource timeSource) {
+        if (tokens.isEmpty()) {
+            throw new IllegalArgumentException("tokens must hold at least one token");
+        }
+        this.tokens = List.copyOf(tokens);
+        this.queries = new QueryHandler(controlPlane);
+        this.changes = new ChangeHandler(controlPlane, timeSource);
+    }
+
+    /**
+     * Answers a request.
+     *
+     * @param request the request
+     * @return the answer; never fails
+     */
+    public CompletableFuture<OperatorResponse> handle(OperatorRequest request) {
+        if (!isAuthorized(request)) {
+            return done(unauthorized());
+        }
+        try {
+            return route(request).exceptionally(FailureResponses::of);
+        } catch (InvalidOperatorRequestException e) {
+            return done(invalid(e.getMessage(), e.remedy()));
+        } catch (InvalidDocumentException e) {
+            return done(FailureResponses.ofDeclarations(e));
+        } catch (RuntimeException e) {
+            return done(FailureResponses.of(e));
+        }
+    }
+
+    /** Compares with every token, so that the time does not tell which one is near. */
+    private boolean isAuthorized(OperatorRequest request) {
+        String header = request.authorization().orElse("");
+        boolean bearer = header.regionMatches(true, 0, BEARER, 0, BEARER.length());
+        String presented = bearer ? header.substring(BEARER.length()).strip() : "";
+        boolean matched = false;
+        for (Secret token : tokens) {
+            matched |= token.matches(presented);
+        }
+        return matched;
+    }
+
+    private CompletableFuture<OperatorResponse> route(OperatorRequest request)
+            throws InvalidOperatorRequestException, InvalidDocumentException {
+        List<String> segments = List.of(request.path().split("/", -1));
+        boolean known = segments.size() >= 3 && segments.get(VERSION_SEGMENT).equals("v1");
+        if (!known) {
+            return done(notFound(request.path()));
+        }
+        List<String> resource = segments.subList(VERSION_SEGMENT + 1, segments.size());
+        return switch (resource.size()) {
+            case 1 -> routeCollection(request, resource.get(0));
+            case 2 -> routeMember(request, resource.get(0), resource.get(1));
+            case 3 -> routeAction(request, resource);
+            default -> done(notFound(request.path()));
+        };
+    }
+
+    private CompletableFuture<OperatorResponse> routeCollection(
+            OperatorRequest request, String name) throws InvalidOperatorRequestException {
+        switch (name) {
+            case "configuration":
+                return read(request, Optional.of(queries.configuration()));
+            case "status":
+                return read(request, Optional.of(queries.status()));
+            case VERSION_MOVES:
+                return request.method().equals("POST")
+                        ? changes.startVersionMove(request.body())
+                        : read(request, Optional.of(queries.versionMoves()));
+            default:
+                return done(notFound(request.path()));
+        }
+    }
+
+    private CompletableFuture<OperatorResponse> routeMember(
+            OperatorRequest request, String name, String id)
+            throws InvalidOperatorRequestException, InvalidDocumentException {
+        if (name.equals("configuration") && id.equals("changes")) {
+            return request.method().equals("POST")
+                    ? changes.applyDeclarations(request.body())
+                    : done(methodNotAllowed(request, "POST"));
+        }
+        return switch (name) {
+            case VERSION_MOVES -> read(request, queries.versionMove(id(id, OperationId::new)));
+            case "explanations" -> read(request, queries.explanation(id(id, RequestId::new)));
+            default -> done(notFound(request.path()));
+        };
+    }
+
+    private CompletableFuture<OperatorResponse> routeAction(
+            OperatorRequest request, List<String> resource) throws InvalidOperatorRequestException {
+        String action = resource.get(2);
+        boolean known = action.equals("drain") || action.equals("return");
+        if (!resource.get(0).equals("data-centres") || !known) {
+            return done(notFound(request.path()));
+        }
+        if (!request.method().equals("POST")) {
+            return done(methodNotAllowed(request, "POST"));
+        }
+        DataCentreId dataCentre = id(resource.get(1), DataCentreId::new);
+        return changes.setDataCentreState(dataCentre, action.equals("drain"), request.body());
+    }
+
+    private static <T> T id(String text, Function<String, T> type)
+            throws InvalidOperatorRequestException {
+        try {
+            return type.apply(text);
+        } catch (IllegalArgumentException e) {
+            throw new InvalidOperatorRequestException(e.getMessage(), "name an id of this form");
+        }
+    }
+
+    private static CompletableFuture<OperatorResponse> read(
+            OperatorRequest request, Optional<OperatorResponse> found) {
+        if (!request.method().equals("GET")) {
+            return done(methodNotAllowed(request, "GET"));
+        }
+        return done(found.orElseGet(() -> notFound(request.path())));
+    }
+
+    private static OperatorResponse unauthorized() {
+        return new OperatorProblem(
+                        401,
+                        "unauthorized",
+                        "The token is missing or unknown",
+                        "the request presents no token of an operator",
+                        "send Authorization: Bearer with a token from secrets/operatorTokens")
+                .toResponse(Map.of("WWW-Authenticate", "Bearer"));
+    }
+
+    private static OperatorResponse notFound(String path) {
+        return new OperatorProblem(
+                        404,
+                        "not-found",
+                        "There is no such resource",
+                        "the path " + path + " names nothing that this node knows",
+                        "see docs/PROTOCOLS.md for the paths, or ask another node")
+                .toResponse();
+    }
+
+    private static OperatorResponse methodNotAllowed(OperatorRequest request, String allowed) {
+        return new OperatorProblem(
+                        405,
+                        "method-not-allowed",
+                        "The method is not allowed here",
+                        request.method() + " is not allowed on " + request.path(),
+                        "use " + allowed)
+                .toResponse(Map.of("Allow", allowed));
+    }
+
+    private static OperatorResponse invalid(String detail, String remedy) {
+        return new OperatorProblem(
+                        400, "invalid-request", "The request has the wrong form", detail, remedy)
+                .toResponse();
+    }
+
+    private static CompletableFuture<OperatorResponse> done(OperatorResponse response) {
+        return CompletableFuture.completedFuture(response);
+    }
+}
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/AccountGateTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/AccountGateTests.java
@@ -43,7 +43,6 @@
 
     private static ClientAccount createAccount(String id, int maxConcurrent, int queueLength) {
         String digest = "0".repeat(64);
-        return new ClientAccount(
-                new ClientAccountId(id), digest, maxConcurrent, queueLength, 1.0);
+        return new ClientAccount(new ClientAccountId(id), digest, maxConcurrent, queueLength, 1.0);
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
@@ -52,11 +52,12 @@
 
     @Test(dataProvider = "breaks")
     public void goesOnFromTheLastDeliveredTokenOnAnotherEndpoint(Kind broken) throws Exception {
-        endpoints.add(listener -> {
-            FakeEndpointClient.beginStream(listener);
-            FakeEndpointClient.sendToken(listener, "two ");
-            listener.onFailure(FakeEndpointClient.createFailure(broken));
-        });
+        endpoints.add(
+                listener -> {
+                    FakeEndpointClient.beginStream(listener);
+                    FakeEndpointClient.sendToken(listener, "two ");
+                    listener.onFailure(FakeEndpointClient.createFailure(broken));
+                });
         endpoints.add(FakeEndpointClient.streamWhole("bags"));
         start();
         assertEquals(caller.getTokens(), List.of("two ", "bags"));
@@ -68,11 +69,12 @@
 
     @Test
     public void treatsAStreamWithoutItsEndMarkerAsBroken() throws Exception {
-        endpoints.add(listener -> {
-            FakeEndpointClient.beginStream(listener);
-            FakeEndpointClient.sendToken(listener, "two ");
-            listener.onComplete();
-        });
+        endpoints.add(
+                listener -> {
+                    FakeEndpointClient.beginStream(listener);
+                    FakeEndpointClient.sendToken(listener, "two ");
+                    listener.onComplete();
+                });
         endpoints.add(FakeEndpointClient.streamWhole("bags"));
         start();
         assertEquals(caller.getTokens(), List.of("two ", "bags"));
@@ -82,11 +84,12 @@
     @Test
     public void neverEndsABrokenStreamAsWhole() throws Exception {
         for (int attempt = 0; attempt < 10; attempt++) {
-            endpoints.add(listener -> {
-                FakeEndpointClient.beginStream(listener);
-                FakeEndpointClient.sendToken(listener, "x");
-                listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST));
-            });
+            endpoints.add(
+                    listener -> {
+                        FakeEndpointClient.beginStream(listener);
+                        FakeEndpointClient.sendToken(listener, "x");
+                        listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST));
+                    });
         }
         start();
         assertFalse(caller.isWhole());
@@ -98,8 +101,9 @@
     @Test
     public void saysNotRunOnlyIfTheSingleAttemptWasNotSent() throws Exception {
         placement.refuseAfter(1);
-        endpoints.add(listener ->
-                listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST)));
+        endpoints.add(
+                listener ->
+                        listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST)));
         start();
         assertEquals(caller.getStatus(), 503);
         assertEquals(placement.getReleased(), 1);
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/operator/FakeControlPlane.java
@@ -0,0 +1,101 @@
+package org.cardamomthread.daemon.operator;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cardamomthread.configuration.generated.ConfigurationCommand;
+import org.cardamomthread.configuration.state.ConfigurationResult;
+import org.cardamomthread.configuration.state.ConfigurationStateMachine;
+import org.cardamomthread.configuration.state.ConfigurationView;
+import org.cardamomthread.configuration.state.DataCentreState;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.RequestId;
+
+/** Applies commands to one state machine, and can lose answers or refuse commands. */
+final class FakeControlPlane implements ControlPlane {
+
+    private final ConfigurationStateMachine machine = new ConfigurationStateMachine();
+    private final Map<DataCentreId, DataCentreState> spread = new HashMap<>();
+    private boolean losesAnswers;
+    private boolean cutOff;
+    private ConfigurationView laggingView;
+
+    void setLosesAnswers(boolean losesAnswers) {
+        this.losesAnswers = losesAnswers;
+    }
+
+    void setCutOff(boolean cutOff) {
+        this.cutOff = cutOff;
+    }
+
+    /** Keeps showing the present view while commands go on. */
+    void freezeView() {
+        laggingView = machine.view();
+    }
+
+    ConfigurationView committedView() {
+        return machine.view();
+    }
+
+    @Override
+    public ConfigurationView configuration() {
+        return laggingView == null ? machine.view() : laggingView;
+    }
+
+    @Override
+    public CompletableFuture<ConfigurationResult> propose(ConfigurationCommand command) {
+        if (cutOff) {
+            return CompletableFuture.failedFuture(
+                    new ProposalFailedException("no majority is in reach", true));
+        }
+        ConfigurationResult result = machine.apply(command);
+        if (losesAnswers) {
+            return CompletableFuture.failedFuture(
+                    new ProposalFailedException("the answer was lost", false));
+        }
+        return CompletableFuture.completedFuture(result);
+    }
+
+    @Override
+    public DataCentreState dataCentreState(DataCentreId id) {
+        DataCentreState heard = spread.getOrDefault(id, DataCentreState.INITIAL);
+        return configuration().dataCentreState(id).join(heard);
+    }
+
+    @Override
+    public void spreadDataCentreState(DataCentreId id, DataCentreState state) {
+        spread.merge(id, state, DataCentreState::join);
+    }
+
+    @Override
+    public SystemStatus status() {
+        NodeId node = new NodeId("node-a");
+        DataCentreId dataCentre = new DataCentreId("perth-a");
+        return new SystemStatus(
+                node,
+                List.of(
+                        new NodeStatus(node, dataCentre, true, machine.view().revision(), true),
+                        new NodeStatus(new NodeId("node-b"), dataCentre, false, 0, false)),
+                List.of(),
+                List.of(new VoterStatus("configuration", node, "leader", true, 7)));
+    }
+
+    @Override
+    public Optional<RequestExplanation> explain(RequestId id) {
+        if (!id.value().equals("request-1")) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new RequestExplanation(
+                        id,
+                        "chat",
+                        "completed",
+                        List.of(
+                                new RequestExplanation.Decision(
+                                        Instant.EPOCH, "sent", "runner-1", "lowest score"))));
+    }
+}
