--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationSettings.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationSettings.java
@@ -27,6 +27,7 @@
         int maxPendingProposals) {
 
     private static final long DEFAULT_ELECTION_TIMEOUT_MS = 1000;
+    private static final long CLOCK_RESOLUTION_MS = 2;
     private static final long DEFAULT_HEARTBEAT_MS = 150;
     private static final double DEFAULT_CLOCK_RATE_ERROR = 0.01;
     private static final double LARGEST_CLOCK_RATE_ERROR = 0.2;
@@ -117,13 +118,14 @@
      * Returns how long a leader may act alone after it sent a message that a majority answered.
      *
      * <p>The fastest allowed clock ends a voter's silence after electionTimeoutMs ÷ (1 + error);
-     * the slowest allowed clock of the leader must have measured the lease by then.
+     * the slowest allowed clock of the leader must have measured the lease by then. Either clock
+     * shows whole milliseconds, which can cost one each.
      *
      * @return the lease in milliseconds of the leader's own clock
      */
     public long leaseMs() {
-        return (long)
-                Math.floor(electionTimeoutMs * (1 - maxClockRateError) / (1 + maxClockRateError));
+        double shareOfTimeout = (1 - maxClockRateError) / (1 + maxClockRateError);
+        return (long) Math.floor(electionTimeoutMs * shareOfTimeout) - CLOCK_RESOLUTION_MS;
     }
 
     private static void require(boolean condition, String message) {
--- /dev/null
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/ReplicationSettingsTests.java
@@ -0,0 +1,51 @@
+package org.cardamomthread.replication;
+
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.cardamomthread.core.id.NodeId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ReplicationSettingsTests {
+
+    private static final List<NodeId> NODES = List.of(new NodeId("node-1"));
+
+    @DataProvider
+    public Object[][] timings() {
+        return new Object[][] {{30L, 10L}, {150L, 30L}, {300L, 30L}, {1000L, 150L}};
+    }
+
+    /** Clocks show whole milliseconds, which shortens one interval and lengthens another. */
+    @Test(dataProvider = "timings")
+    public void leaseEndsBeforeTheFastestVoterIsFree(long electionTimeoutMs, long heartbeatMs) {
+        ReplicationSettings settings =
+                ReplicationSettings.withDefaults(NODES).withTimings(electionTimeoutMs, heartbeatMs);
+        double slow = 1 - settings.maxClockRateError();
+        double fast = 1 + settings.maxClockRateError();
+        SplittableRandom random = new SplittableRandom(1);
+        for (int i = 0; i < 10_000; i++) {
+            double leaderPhase = random.nextDouble();
+            double voterPhase = random.nextDouble();
+            long leaseEndMs = (long) leaderPhase + settings.leaseMs();
+            double leaseEndsAt = (leaseEndMs - leaderPhase) / slow;
+            long voterFreeMs = (long) voterPhase + electionTimeoutMs;
+            double voterFreeAt = (voterFreeMs - voterPhase) / fast;
+            assertTrue(leaseEndsAt <= voterFreeAt, leaseEndsAt + " > " + voterFreeAt);
+        }
+    }
+
+    @Test
+    public void refusesAnElectionTimeoutNearTheHeartbeat() {
+        ReplicationSettings settings = ReplicationSettings.withDefaults(NODES);
+        expectThrows(IllegalArgumentException.class, () -> settings.withTimings(100, 50));
+    }
+
+    @Test
+    public void refusesANodeNamedTwice() {
+        List<NodeId> twice = List.of(NODES.get(0), NODES.get(0));
+        expectThrows(IllegalArgumentException.class, () -> ReplicationSettings.withDefaults(twice));
+    }
+}
