--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/NodeControlPlane.java
@@ -0,0 +1,147 @@
+package org.cardamomthread.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cardamomthread.configuration.generated.ConfigurationCommand;
+import org.cardamomthread.configuration.state.ConfigurationResult;
+import org.cardamomthread.configuration.state.ConfigurationView;
+import org.cardamomthread.configuration.state.DataCentreState;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.RequestId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.gateway.ChoiceLog;
+import org.cardamomthread.daemon.operator.ControlPlane;
+import org.cardamomthread.daemon.operator.EndpointStatus;
+import org.cardamomthread.daemon.operator.NodeStatus;
+import org.cardamomthread.daemon.operator.RequestExplanation;
+import org.cardamomthread.daemon.operator.SystemStatus;
+import org.cardamomthread.daemon.operator.VoterStatus;
+import org.cardamomthread.membership.gateway.AvailableEndpoint;
+import org.cardamomthread.membership.node.DrainRecord;
+import org.cardamomthread.membership.node.NodeDirectory;
+import org.cardamomthread.membership.node.NodeEntry;
+import org.cardamomthread.membership.node.NodeState;
+import org.cardamomthread.membership.node.NodeView;
+
+/** Shows operators what this node knows, and takes their changes. Safe for use by several threads. */
+final class NodeControlPlane implements ControlPlane {
+
+    private final ConfigurationHolder configuration;
+    private final MembershipParts membership;
+    private final ControlParts control;
+    private final ChoiceLog choices;
+    private final TimeSource timeSource;
+
+    NodeControlPlane(
+            ConfigurationHolder configuration,
+            MembershipParts membership,
+            ControlParts control,
+            ChoiceLog choices,
+            TimeSource timeSource) {
+        this.configuration = configuration;
+        this.membership = membership;
+        this.control = control;
+        this.choices = choices;
+        this.timeSource = timeSource;
+    }
+
+    @Override
+    public ConfigurationView configuration() {
+        return configuration.getView();
+    }
+
+    @Override
+    public CompletableFuture<ConfigurationResult> propose(ConfigurationCommand command) {
+        return control.propose(command)
+                .thenCompose(
+                        result ->
+                                result instanceof ConfigurationResult.Accepted
+                                        ? awaitInForce(result)
+                                        : CompletableFuture.completedFuture(result));
+    }
+
+    @Override
+    public DataCentreState dataCentreState(DataCentreId id) {
+        DataCentreState state = configuration.getView().dataCentreState(id);
+        for (DrainRecord record : membership.getDirectory().drainRecords()) {
+            if (record.dataCentre().equals(id)) {
+                state = state.join(new DataCentreState(record.out(), record.epoch()));
+            }
+        }
+        return state;
+    }
+
+    @Override
+    public void spreadDataCentreState(DataCentreId id, DataCentreState state) {
+        membership.getDirectory().joinDrain(new DrainRecord(id, state.epoch(), state.out()));
+    }
+
+    @Override
+    public SystemStatus status() {
+        NodeDirectory directory = membership.getDirectory();
+        List<NodeStatus> nodes = new ArrayList<>();
+        NodeEntry self = directory.self();
+        long revision = configuration.getView().revision();
+        nodes.add(new NodeStatus(self.id(), self.dataCentre(), true, revision, true));
+        directory.others().forEach(node -> nodes.add(describe(node, revision)));
+        return new SystemStatus(self.id(), nodes, describeEndpoints(), describeVoters());
+    }
+
+    @Override
+    public Optional<RequestExplanation> explain(RequestId id) {
+        List<RequestExplanation.Decision> decisions = choices.explain(id);
+        if (decisions.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new RequestExplanation(
+                        id, choices.findService(id), choices.findOutcome(id), decisions));
+    }
+
+    private CompletableFuture<ConfigurationResult> awaitInForce(ConfigurationResult result) {
+        return configuration.awaitRevision(result.revision()).thenApply(view -> result);
+    }
+
+    private static NodeStatus describe(NodeView node, long revision) {
+        boolean isReachable = node.state() == NodeState.ALIVE;
+        return new NodeStatus(
+                node.entry().id(),
+                node.entry().dataCentre(),
+                isReachable,
+                node.revisionInForce(),
+                isReachable && node.revisionInForce() >= revision);
+    }
+
+    private List<EndpointStatus> describeEndpoints() {
+        List<EndpointStatus> statuses = new ArrayList<>();
+        for (AvailableEndpoint endpoint : membership.getPool().endpoints()) {
+            statuses.add(describe(endpoint));
+        }
+        return statuses;
+    }
+
+    private static EndpointStatus describe(AvailableEndpoint endpoint) {
+        EndpointId id = endpoint.endpoint();
+        List<String> versions =
+                endpoint.description().services().stream()
+                        .map(served -> served.service() + ":" + served.version())
+                        .toList();
+        return new EndpointStatus(
+                id,
+                endpoint.dataCentre(),
+                endpoint.home(),
+                endpoint.description().state().text(),
+                endpoint.description().priceClass().text(),
+                versions,
+                endpoint.load().inFlight(),
+                endpoint.load().bearableRequests());
+    }
+
+    private List<VoterStatus> describeVoters() {
+        return control.describeVoters(membership.getDirectory());
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
@@ -6,12 +6,13 @@
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationDistribution;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.configuration.DrainSync;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
 import org.cardamomthread.daemon.gateway.ChoiceLog;
 import org.cardamomthread.daemon.gateway.ClassPriceBook;
 import org.cardamomthread.daemon.gateway.Gateway;
-import org.cardamomthread.daemon.rollout.ConfigurationProposer;
+import org.cardamomthread.daemon.configuration.ConfigurationProposer;
 import org.cardamomthread.daemon.rollout.MoveObserver;
 import org.cardamomthread.daemon.rollout.MoveVersionRouter;
 import org.cardamomthread.daemon.rollout.RolloutService;
@@ -24,7 +25,8 @@
 
     private final ConfigurationDistribution distribution;
     private final RolloutService rollout;
-    private final ChoiceLog choices = new ChoiceLog();
+    private final DrainSync drains;
+    private final ChoiceLog choices;
     private final Gateway gateway;
 
     /**
@@ -67,6 +69,13 @@
                         environment.transport(),
                         environment.control(),
                         environment.telemetry().timeSource());
+        drains =
+                new DrainSync(
+                        environment.configuration(),
+                        environment.membership().getDirectory(),
+                        environment.proposer(),
+                        environment.control());
+        choices = new ChoiceLog(environment.telemetry().timeSource());
         gateway = createGateway(environment);
     }
 
@@ -81,6 +90,7 @@
     void start() {
         distribution.start();
         rollout.start();
+        drains.start();
     }
 
     private Gateway createGateway(Environment environment) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/ConfigurationHolder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/ConfigurationHolder.java
@@ -1,6 +1,9 @@
 package org.cardamomthread.daemon.configuration;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.cardamomthread.configuration.declaration.Declarations;
@@ -17,6 +20,8 @@
 public final class ConfigurationHolder {
 
     private final List<Consumer<ConfigurationView>> listeners = new CopyOnWriteArrayList<>();
+    private final TreeMap<Long, List<CompletableFuture<ConfigurationView>>> waiting =
+            new TreeMap<>();
     private volatile ConfigurationView view = ConfigurationView.empty();
 
     /**
@@ -47,6 +52,22 @@
         listener.accept(view);
     }
 
+    /**
+     * Waits until a revision is in force here.
+     *
+     * @param revision the revision
+     * @return completes with the view of that revision or a later one
+     */
+    public synchronized CompletableFuture<ConfigurationView> awaitRevision(long revision) {
+        CompletableFuture<ConfigurationView> reached = new CompletableFuture<>();
+        if (view.revision() >= revision) {
+            reached.complete(view);
+        } else {
+            waiting.computeIfAbsent(revision, key -> new ArrayList<>()).add(reached);
+        }
+        return reached;
+    }
+
     /**
      * Puts a view in force unless this node has it or a later one.
      *
@@ -59,6 +80,9 @@
         }
         view = newer;
         listeners.forEach(listener -> listener.accept(newer));
+        var reached = waiting.headMap(newer.revision(), true);
+        reached.values().forEach(futures -> futures.forEach(future -> future.complete(newer)));
+        reached.clear();
         return true;
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/ConfigurationProposer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/ConfigurationProposer.java
@@ -1,4 +1,4 @@
-package org.cardamomthread.daemon.rollout;
+package org.cardamomthread.daemon.configuration;
 
 import java.util.concurrent.CompletableFuture;
 import org.cardamomthread.configuration.generated.ConfigurationCommand;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/ClassBearableRequests.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/ClassBearableRequests.java
@@ -31,7 +31,7 @@
      * Creates the judgement.
      *
      * @param configuration the configuration in force
-     * @param isDrained tells whether a data centre was taken out of service by word of other nodes
+     * @param isDrained tells whether a data centre is out of service
      * @param timeSource the node's clock
      */
     public ClassBearableRequests(
@@ -48,7 +48,7 @@
         EndpointDescription description = endpoint.announcement().description();
         ConfigurationView view = configuration.getView();
         if (!description.state().takesRequests()
-                || isOut(endpoint.announcement().dataCentre(), view)
+                || isDrained.test(endpoint.announcement().dataCentre())
                 || isStopped(description, view)) {
             return 0;
         }
@@ -62,10 +62,6 @@
                 : declared.get().warmConcurrency();
     }
 
-    private boolean isOut(DataCentreId dataCentre, ConfigurationView view) {
-        return isDrained.test(dataCentre) || view.dataCentreState(dataCentre).out();
-    }
-
     private static boolean isStopped(EndpointDescription description, ConfigurationView view) {
         return !description.services().isEmpty()
                 && description.services().stream()
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/RolloutService.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/RolloutService.java
@@ -21,6 +21,7 @@
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.configuration.ConfigurationProposer;
 import org.cardamomthread.daemon.generated.EvidenceAnswer;
 import org.cardamomthread.daemon.generated.EvidenceReport;
 import org.cardamomthread.membership.node.NodeDirectory;
