Run the replicated groups on their voters and reach them from any node

Nodes without a disk had no way to a group's leader. A client asks voters in turn, follows the hint to the leader, and resends a command of unknown outcome, which the state machines recognise; after one unknown attempt a request never ends as certainly not appended.

--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/ControlGroups.java
@@ -0,0 +1,164 @@
+package org.cardamomthread.daemon.control;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGenerator.SplittableGenerator;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.ReplicationGroup;
+import org.cardamomthread.replication.ReplicationSettings;
+import org.cardamomthread.replication.ReplicationStatus;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.replication.runtime.DefaultReplicationGroup;
+import org.cardamomthread.replication.storage.FileLogStorage;
+import org.cardamomthread.transport.PeerTransport;
+
+/**
+ * Runs the groups of which this node is a voter, and offers access to all groups.
+ *
+ * <p>Lifecycle: {@link #start()} once after the transport has been created, then {@link #close()}.
+ * Safe for use by several threads.
+ */
+public final class ControlGroups implements AutoCloseable {
+
+    /** The longest wait for one voter before another one is asked, in milliseconds. */
+    static final long ATTEMPT_TIMEOUT_MS = 1500;
+
+    private static final String FOLDER_NAME = "replication";
+
+    private final NodeId self;
+    private final List<GroupDefinition> definitions;
+    private final PeerTransport transport;
+    private final Map<GroupId, RunningGroup> running = new LinkedHashMap<>();
+    private final GroupServer server;
+    private final ProposalClient client;
+
+    /**
+     * Creates the groups; nothing runs yet.
+     *
+     * @param self this node
+     * @param dataFolder the node's data folder, empty on a node without a disk
+     * @param definitions the groups
+     * @param transport the links to other nodes
+     * @param timeSource the clock
+     * @param random spreads election timeouts
+     */
+    public ControlGroups(
+            NodeId self,
+            Optional<Path> dataFolder,
+            List<GroupDefinition> definitions,
+            PeerTransport transport,
+            TimeSource timeSource,
+            SplittableGenerator random) {
+        this.self = self;
+        this.definitions = List.copyOf(definitions);
+        this.transport = transport;
+        Map<GroupId, List<NodeId>> voters = new LinkedHashMap<>();
+        for (GroupDefinition definition : definitions) {
+            voters.put(definition.id(), definition.voters());
+            if (definition.voters().contains(self)) {
+                Path folder = folderOf(dataFolder, definition);
+                ReplicationGroup group = create(definition, folder, timeSource, random.split());
+                running.put(definition.id(), new RunningGroup(group, definition.queryHandler()));
+            }
+        }
+        server = new GroupServer(running);
+        client = new DefaultProposalClient(self, voters, server, transport, timeSource);
+    }
+
+    private Path folderOf(Optional<Path> dataFolder, GroupDefinition definition) {
+        Path parent =
+                dataFolder.orElseThrow(
+                        () ->
+                                new IllegalArgumentException(
+                                        "node \""
+                                                + self
+                                                + "\" is a voter of \""
+                                                + definition.id()
+                                                + "\" and must have a dataFolder in its"
+                                                + " settings"));
+        return parent.resolve(FOLDER_NAME).resolve(definition.id().value());
+    }
+
+    private ReplicationGroup create(
+            GroupDefinition definition,
+            Path folder,
+            TimeSource timeSource,
+            RandomGenerator random) {
+        return new DefaultReplicationGroup(
+                definition.id(),
+                self,
+                ReplicationSettings.withDefaults(definition.voters()),
+                new FileLogStorage(folder),
+                definition.stateMachine(),
+                (to, message) -> transport.send(to, definition.topic(), message),
+                timeSource,
+                random);
+    }
+
+    /**
+     * Registers the handlers and starts the groups of this node.
+     *
+     * @throws StorageException if a group's folder is damaged, unreadable or belongs to another
+     *     node; its message names the remedy
+     */
+    public void start() throws StorageException {
+        for (GroupDefinition definition : definitions) {
+            RunningGroup group = running.get(definition.id());
+            if (group != null) {
+                transport.register(
+                        definition.topic(),
+                        (from, message) -> {
+                            group.group().receive(from, message);
+                            return CompletableFuture.completedFuture(new byte[0]);
+                        });
+            }
+        }
+        transport.register(DefaultProposalClient.TOPIC, server::handle);
+        for (RunningGroup group : running.values()) {
+            group.group().start();
+        }
+    }
+
+    /**
+     * Returns access to the groups from this node.
+     *
+     * @return the client
+     */
+    public ProposalClient client() {
+        return client;
+    }
+
+    /**
+     * Shows the replicas of this node.
+     *
+     * @return one status for each group of which this node is a voter
+     */
+    public List<ReplicationStatus> statuses() {
+        List<ReplicationStatus> statuses = new ArrayList<>();
+        running.values().forEach(group -> statuses.add(group.group().status()));
+        return statuses;
+    }
+
+    /**
+     * Returns this node's replica of a group, for changes of its membership.
+     *
+     * @param group the group
+     * @return the replica, or empty if this node is no voter of it
+     */
+    public Optional<ReplicationGroup> replica(GroupId group) {
+        return Optional.ofNullable(running.get(group)).map(RunningGroup::group);
+    }
+
+    @Override
+    public void close() {
+        running.values().forEach(group -> group.group().close());
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/DefaultProposalClient.java
@@ -0,0 +1,89 @@
+package org.cardamomthread.daemon.control;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.control.generated.GroupRequest;
+import org.cardamomthread.daemon.control.generated.GroupResponse;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.GroupUnavailableException;
+import org.cardamomthread.transport.PeerTopic;
+import org.cardamomthread.transport.PeerTransport;
+
+/** Forwards requests to the voters of their groups. Safe for use by several threads. */
+final class DefaultProposalClient implements ProposalClient {
+
+    /** Carries requests to voters. */
+    static final PeerTopic TOPIC = new PeerTopic(12, "group-requests");
+
+    private final NodeId self;
+    private final Map<GroupId, List<NodeId>> votersByGroup;
+    private final GroupServer localServer;
+    private final PeerTransport transport;
+    private final TimeSource timeSource;
+    private final Map<GroupId, LeaderGuess> guesses = new ConcurrentHashMap<>();
+
+    DefaultProposalClient(
+            NodeId self,
+            Map<GroupId, List<NodeId>> votersByGroup,
+            GroupServer localServer,
+            PeerTransport transport,
+            TimeSource timeSource) {
+        this.self = self;
+        this.votersByGroup = Map.copyOf(votersByGroup);
+        this.localServer = localServer;
+        this.transport = transport;
+        this.timeSource = timeSource;
+    }
+
+    @Override
+    public CompletableFuture<byte[]> propose(GroupId group, byte[] command, Duration timeout) {
+        return forward(
+                group,
+                GroupRequest.newBuilder()
+                        .setGroupId(group.value())
+                        .setCommand(ByteString.copyFrom(command))
+                        .build(),
+                timeout);
+    }
+
+    @Override
+    public CompletableFuture<byte[]> query(GroupId group, byte[] query, Duration timeout) {
+        return forward(
+                group,
+                GroupRequest.newBuilder()
+                        .setGroupId(group.value())
+                        .setQuery(ByteString.copyFrom(query))
+                        .build(),
+                timeout);
+    }
+
+    private CompletableFuture<byte[]> forward(
+            GroupId group, GroupRequest request, Duration timeout) {
+        List<NodeId> voters = votersByGroup.getOrDefault(group, List.of());
+        if (voters.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new GroupUnavailableException(
+                            group, "the settings name no voters; set bootstrapVoters"));
+        }
+        LeaderGuess guess = guesses.computeIfAbsent(group, id -> new LeaderGuess());
+        return new ForwardedRequest(group, request, voters, guess, this::send, timeSource, timeout)
+                .run();
+    }
+
+    private CompletableFuture<byte[]> send(NodeId to, GroupRequest request, Duration timeout) {
+        if (to.equals(self)) {
+            return localServer
+                    .execute(request)
+                    .thenApply(GroupResponse::toByteArray)
+                    .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        }
+        return transport.request(to, TOPIC, request.toByteArray(), timeout);
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupDefinition.java
@@ -0,0 +1,71 @@
+package org.cardamomthread.daemon.control;
+
+import java.util.List;
+import java.util.Objects;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.StateMachine;
+import org.cardamomthread.transport.PeerTopic;
+
+/**
+ * Describes one replicated group of the system. Immutable.
+ *
+ * @param id the group
+ * @param topic carries its messages between voters
+ * @param voters the nodes that keep its log, the same list in the same order on each node
+ * @param stateMachine the state on this node, used only if this node is a voter
+ * @param queryHandler reads from that state
+ */
+public record GroupDefinition(
+        GroupId id,
+        PeerTopic topic,
+        List<NodeId> voters,
+        StateMachine stateMachine,
+        QueryHandler queryHandler) {
+
+    /** The group of the configuration. */
+    public static final GroupId CONFIGURATION = new GroupId("configuration");
+
+    /** The group of claims and accepted work. */
+    public static final GroupId CLAIMS = new GroupId("claims");
+
+    private static final PeerTopic CONFIGURATION_TOPIC =
+            new PeerTopic(10, "replication-configuration");
+    private static final PeerTopic CLAIMS_TOPIC = new PeerTopic(11, "replication-claims");
+
+    /** Copies the list of voters. */
+    public GroupDefinition {
+        Objects.requireNonNull(id, "id must not be null");
+        Objects.requireNonNull(topic, "topic must not be null");
+        Objects.requireNonNull(stateMachine, "stateMachine must not be null");
+        Objects.requireNonNull(queryHandler, "queryHandler must not be null");
+        voters = List.copyOf(voters);
+    }
+
+    /**
+     * Describes the group of the configuration.
+     *
+     * @param voters its voters
+     * @param stateMachine its state on this node
+     * @param queryHandler reads from that state
+     * @return the description
+     */
+    public static GroupDefinition configuration(
+            List<NodeId> voters, StateMachine stateMachine, QueryHandler queryHandler) {
+        return new GroupDefinition(
+                CONFIGURATION, CONFIGURATION_TOPIC, voters, stateMachine, queryHandler);
+    }
+
+    /**
+     * Describes the group of claims and accepted work.
+     *
+     * @param voters its voters
+     * @param stateMachine its state on this node
+     * @param queryHandler reads from that state
+     * @return the description
+     */
+    public static GroupDefinition claims(
+            List<NodeId> voters, StateMachine stateMachine, QueryHandler queryHandler) {
+        return new GroupDefinition(CLAIMS, CLAIMS_TOPIC, voters, stateMachine, queryHandler);
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupResponses.java
@@ -0,0 +1,54 @@
+package org.cardamomthread.daemon.control;
+
+import com.google.protobuf.ByteString;
+import java.util.concurrent.CompletionException;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.daemon.control.generated.GroupResponse;
+import org.cardamomthread.daemon.control.generated.NotAppended;
+import org.cardamomthread.daemon.control.generated.OutcomeUnknown;
+import org.cardamomthread.replication.NotLeaderException;
+import org.cardamomthread.replication.ReplicationException;
+import org.cardamomthread.transport.PeerUnreachableException;
+
+/** Forms responses from answers and failures. Stateless and safe for use by several threads. */
+final class GroupResponses {
+
+    private GroupResponses() {}
+
+    static GroupResponse of(byte[] answer, Throwable failure) {
+        return failure == null ? answer(answer) : failure(failure);
+    }
+
+    static GroupResponse answer(byte[] answer) {
+        return GroupResponse.newBuilder().setAnswer(ByteString.copyFrom(answer)).build();
+    }
+
+    static GroupResponse failure(Throwable failure) {
+        Throwable cause = unwrap(failure);
+        if (cause instanceof NotLeaderException notLeader) {
+            return notAppended(
+                    notLeader.leader().map(NodeId::value).orElse(""), cause.getMessage());
+        }
+        boolean isNotAppended =
+                cause instanceof PeerUnreachableException
+                        || cause instanceof ReplicationException replication
+                                && replication.isNotAppended();
+        return isNotAppended ? notAppended("", cause.getMessage()) : unknown(cause.toString());
+    }
+
+    static GroupResponse notAppended(String leader, String reason) {
+        NotAppended outcome = NotAppended.newBuilder().setLeader(leader).setReason(reason).build();
+        return GroupResponse.newBuilder().setNotAppended(outcome).build();
+    }
+
+    static GroupResponse unknown(String reason) {
+        return GroupResponse.newBuilder()
+                .setOutcomeUnknown(OutcomeUnknown.newBuilder().setReason(reason))
+                .build();
+    }
+
+    private static Throwable unwrap(Throwable failure) {
+        boolean isWrapped = failure instanceof CompletionException && failure.getCause() != null;
+        return isWrapped ? failure.getCause() : failure;
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupServer.java
@@ -0,0 +1,60 @@
+package org.cardamomthread.daemon.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.daemon.control.generated.GroupRequest;
+import org.cardamomthread.daemon.control.generated.GroupResponse;
+import org.cardamomthread.replication.GroupId;
+
+/**
+ * Carries out requests on the groups that run on this node.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class GroupServer {
+
+    private final Map<GroupId, RunningGroup> groups;
+
+    GroupServer(Map<GroupId, RunningGroup> groups) {
+        this.groups = Map.copyOf(groups);
+    }
+
+    CompletionStage<byte[]> handle(NodeId from, byte[] payload) {
+        try {
+            return execute(GroupRequest.parseFrom(payload)).thenApply(GroupResponse::toByteArray);
+        } catch (InvalidProtocolBufferException e) {
+            GroupResponse refusal =
+                    GroupResponses.notAppended("", "unreadable; use one release on all nodes");
+            return CompletableFuture.completedFuture(refusal.toByteArray());
+        }
+    }
+
+    /** Carries out a request; the future never fails. */
+    CompletableFuture<GroupResponse> execute(GroupRequest request) {
+        RunningGroup running =
+                groups.entrySet().stream()
+                        .filter(entry -> entry.getKey().value().equals(request.getGroupId()))
+                        .map(Map.Entry::getValue)
+                        .findFirst()
+                        .orElse(null);
+        if (running == null) {
+            return CompletableFuture.completedFuture(
+                    GroupResponses.notAppended(
+                            "", "this node keeps no log of \"" + request.getGroupId() + "\""));
+        }
+        CompletableFuture<byte[]> answer =
+                request.hasCommand()
+                        ? running.group().propose(request.getCommand().toByteArray())
+                        : read(running, request.getQuery().toByteArray());
+        return answer.handle(GroupResponses::of);
+    }
+
+    private static CompletableFuture<byte[]> read(RunningGroup running, byte[] query) {
+        return running.group()
+                .readBarrier()
+                .thenApply(index -> running.queryHandler().query(query));
+    }
+}
