--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
@@ -15,6 +15,7 @@
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.NodeSettingsLoader;
 import org.cardamomthread.daemon.http.ListenException;
+import org.cardamomthread.replication.StorageException;
 import org.cardamomthread.transport.TransportStartException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -94,6 +95,10 @@
             logger.error(failure.getMessage());
             node.close();
             return ExitCode.LISTEN_FAILURE;
+        } catch (StorageException failure) {
+            logger.error(failure.getMessage());
+            node.close();
+            return ExitCode.STORAGE_FAILURE;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, logger), "shutdown"));
         return ExitCode.STOPPED;
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ControlParts.java
@@ -0,0 +1,125 @@
+package org.cardamomthread.daemon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.cardamomthread.configuration.generated.ConfigurationCommand;
+import org.cardamomthread.configuration.settings.NodeSettings;
+import org.cardamomthread.configuration.state.ConfigurationResult;
+import org.cardamomthread.configuration.state.ConfigurationResults;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.control.ConfigurationReplica;
+import org.cardamomthread.daemon.control.ControlGroups;
+import org.cardamomthread.daemon.control.GroupDefinition;
+import org.cardamomthread.daemon.control.ProposalClient;
+import org.cardamomthread.daemon.operator.ProposalFailedException;
+import org.cardamomthread.daemon.operator.VoterStatus;
+import org.cardamomthread.membership.node.NodeDirectory;
+import org.cardamomthread.membership.node.NodeState;
+import org.cardamomthread.replication.GroupUnavailableException;
+import org.cardamomthread.replication.ReplicaMember;
+import org.cardamomthread.replication.ReplicationStatus;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.transport.PeerTransport;
+
+/** Assembles a node's access to the replicated groups. Safe for use by several threads. */
+final class ControlParts implements AutoCloseable {
+
+    private static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(10);
+
+    private final ControlGroups groups;
+
+    ControlParts(
+            NodeSettings settings,
+            long incarnation,
+            ConfigurationHolder configuration,
+            PeerTransport transport,
+            TimeSource timeSource) {
+        ConfigurationReplica replica = new ConfigurationReplica(configuration);
+        List<GroupDefinition> definitions = new ArrayList<>();
+        if (!settings.bootstrapVoters().configuration().isEmpty()) {
+            definitions.add(
+                    GroupDefinition.configuration(
+                            settings.bootstrapVoters().configuration(), replica, replica::query));
+        }
+        groups =
+                new ControlGroups(
+                        settings.nodeId(),
+                        settings.dataFolder(),
+                        definitions,
+                        transport,
+                        timeSource,
+                        new SplittableRandom(incarnation));
+    }
+
+    void start() throws StorageException {
+        groups.start();
+    }
+
+    ProposalClient getClient() {
+        return groups.client();
+    }
+
+    /** Proposes a change of the configuration; fails with {@link ProposalFailedException}. */
+    CompletableFuture<ConfigurationResult> propose(ConfigurationCommand command) {
+        return groups.client()
+                .propose(GroupDefinition.CONFIGURATION, command.toByteArray(), PROPOSAL_TIMEOUT)
+                .handle(ControlParts::readAnswer);
+    }
+
+    /** Describes the voters as far as this node's own replicas know them. */
+    List<VoterStatus> describeVoters(NodeDirectory directory) {
+        List<VoterStatus> voters = new ArrayList<>();
+        for (ReplicationStatus status : groups.statuses()) {
+            for (ReplicaMember member : status.members()) {
+                voters.add(describe(status, member, directory));
+            }
+        }
+        return voters;
+    }
+
+    @Override
+    public void close() {
+        groups.close();
+    }
+
+    private static VoterStatus describe(
+            ReplicationStatus status, ReplicaMember member, NodeDirectory directory) {
+        NodeId node = member.nodeId();
+        boolean isSelf = node.equals(status.nodeId());
+        boolean isReachable =
+                isSelf
+                        || directory
+                                .find(node)
+                                .filter(view -> view.state() == NodeState.ALIVE)
+                                .isPresent();
+        return new VoterStatus(
+                status.groupId().value(),
+                node,
+                describeRole(status, member),
+                isReachable,
+                isSelf ? status.lastIndex() : -1);
+    }
+
+    private static String describeRole(ReplicationStatus status, ReplicaMember member) {
+        if (!member.isVoter()) {
+            return "learner";
+        }
+        boolean isLeader = status.leader().filter(member.nodeId()::equals).isPresent();
+        return isLeader ? "leader" : "follower";
+    }
+
+    private static ConfigurationResult readAnswer(byte[] answer, Throwable failure) {
+        if (failure == null) {
+            return ConfigurationResults.parse(answer);
+        }
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        boolean isCertain = cause instanceof GroupUnavailableException;
+        throw new CompletionException(new ProposalFailedException(cause.getMessage(), isCertain));
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -3,12 +3,10 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cardamomthread.configuration.settings.Listeners;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.RequestLimits;
-import org.cardamomthread.configuration.state.ConfigurationResult;
 import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
@@ -16,13 +14,16 @@
 import org.cardamomthread.daemon.dispatch.AsyncEndpointClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
+import org.cardamomthread.daemon.gateway.ChoiceLog;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.HttpLimits;
 import org.cardamomthread.daemon.http.HttpServer;
 import org.cardamomthread.daemon.http.ListenException;
 import org.cardamomthread.daemon.membership.AnnouncementApi;
+import org.cardamomthread.daemon.operator.OperatorApi;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
+import org.cardamomthread.replication.StorageException;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.cardamomthread.transport.TransportSettings;
 import org.cardamomthread.transport.TransportStartException;
@@ -53,6 +54,7 @@
     private final EndpointClient endpointClient;
     private final MembershipParts membership;
     private final ConfigurationHolder configuration = new ConfigurationHolder();
+    private final ControlParts controlParts;
     private final ServingParts serving;
     private final HttpServer callers;
     private final HttpServer endpoints;
@@ -82,7 +84,10 @@
         membership =
                 new MembershipParts(
                         settings, incarnation, timeSource, transport, control, configuration);
-        CallTelemetry telemetry = new CallTelemetry(metrics, tracing, timeSource);
+        controlParts =
+                new ControlParts(settings, incarnation, configuration, transport, timeSource);
+        ChoiceLog choices = new ChoiceLog(timeSource);
+        CallTelemetry telemetry = new CallTelemetry(metrics, tracing, timeSource, choices);
         serving =
                 new ServingParts(
                         new ServingParts.Environment(
@@ -92,7 +97,7 @@
                                 control,
                                 membership,
                                 configuration,
-                                command -> unavailable(),
+                                controlParts::propose,
                                 endpointClient,
                                 telemetry));
         callers = createServer("callers", serving.getGateway().getCallerApi());
@@ -103,7 +108,7 @@
                                 settings.secrets().endpointToken(),
                                 membership.getService(),
                                 settings.heartbeatMs()));
-        operators = createServer("operators", new HealthApi(metrics, ready::get, exchange -> {}));
+        operators = createServer("operators", createOperatorApi(choices));
     }
 
     /**
@@ -111,9 +116,11 @@
      *
      * @throws ListenException if an address cannot be bound
      * @throws TransportStartException if the peers' address cannot be bound
+     * @throws StorageException if the data folder cannot be used
      */
-    void start() throws ListenException, TransportStartException {
+    void start() throws ListenException, TransportStartException, StorageException {
         Listeners listeners = settings.listeners();
+        controlParts.start();
         transport.start();
         membership.getService().setCreditListener(serving.getGateway()::useCredits);
         membership.getService().start(settings.heartbeatMs());
@@ -154,6 +161,7 @@
             server.close();
         }
         endpointClient.close();
+        controlParts.close();
         transport.close();
         control.close();
         tracing.close();
@@ -171,6 +179,19 @@
         return true;
     }
 
+    private HttpHandler createOperatorApi(ChoiceLog choices) {
+        NodeControlPlane controlPlane =
+                new NodeControlPlane(configuration, membership, controlParts, choices);
+        OperatorApi api =
+                new OperatorApi(settings.secrets().operatorTokens(), controlPlane, timeSource);
+        return new HealthApi(metrics, this::isReady, new OperatorHttpApi(api));
+    }
+
+    /** Tells whether callers may be sent here: started, and in possession of a configuration. */
+    private boolean isReady() {
+        return ready.get() && configuration.getView().revision() > 0;
+    }
+
     private NettyPeerTransport createTransport() {
         return new NettyPeerTransport(
                 settings.nodeId(),
@@ -194,11 +215,6 @@
         return new HttpServer(name, eventLoops, bounds, handler);
     }
 
-    private static CompletableFuture<ConfigurationResult> unavailable() {
-        return CompletableFuture.failedFuture(
-                new IllegalStateException("the settings must name voters"));
-    }
-
     private static void sleep(long durationMs) {
         try {
             Thread.sleep(durationMs);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/NodeControlPlane.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/NodeControlPlane.java
@@ -11,7 +11,6 @@
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.RequestId;
-import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
 import org.cardamomthread.daemon.gateway.ChoiceLog;
 import org.cardamomthread.daemon.operator.ControlPlane;
@@ -27,26 +26,25 @@
 import org.cardamomthread.membership.node.NodeState;
 import org.cardamomthread.membership.node.NodeView;
 
-/** Shows operators what this node knows, and takes their changes. Safe for use by several threads. */
+/**
+ * Shows operators what this node knows, and takes their changes. Safe for use by several threads.
+ */
 final class NodeControlPlane implements ControlPlane {
 
     private final ConfigurationHolder configuration;
     private final MembershipParts membership;
     private final ControlParts control;
     private final ChoiceLog choices;
-    private final TimeSource timeSource;
 
     NodeControlPlane(
             ConfigurationHolder configuration,
             MembershipParts membership,
             ControlParts control,
-            ChoiceLog choices,
-            TimeSource timeSource) {
+            ChoiceLog choices) {
         this.configuration = configuration;
         this.membership = membership;
         this.control = control;
         this.choices = choices;
-        this.timeSource = timeSource;
     }
 
     @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
@@ -6,13 +6,12 @@
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationDistribution;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.configuration.ConfigurationProposer;
 import org.cardamomthread.daemon.configuration.DrainSync;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
-import org.cardamomthread.daemon.gateway.ChoiceLog;
 import org.cardamomthread.daemon.gateway.ClassPriceBook;
 import org.cardamomthread.daemon.gateway.Gateway;
-import org.cardamomthread.daemon.configuration.ConfigurationProposer;
 import org.cardamomthread.daemon.rollout.MoveObserver;
 import org.cardamomthread.daemon.rollout.MoveVersionRouter;
 import org.cardamomthread.daemon.rollout.RolloutService;
@@ -26,7 +25,6 @@
     private final ConfigurationDistribution distribution;
     private final RolloutService rollout;
     private final DrainSync drains;
-    private final ChoiceLog choices;
     private final Gateway gateway;
 
     /**
@@ -75,14 +73,9 @@
                         environment.membership().getDirectory(),
                         environment.proposer(),
                         environment.control());
-        choices = new ChoiceLog(environment.telemetry().timeSource());
         gateway = createGateway(environment);
     }
 
-    ChoiceLog getChoices() {
-        return choices;
-    }
-
     Gateway getGateway() {
         return gateway;
     }
@@ -104,7 +97,7 @@
                         new ClassPriceBook(),
                         environment.client(),
                         new MoveVersionRouter(environment.configuration(), rollout),
-                        choices,
+                        environment.telemetry().choices(),
                         new MoveObserver(rollout, timeSource),
                         environment.telemetry(),
                         new Random(environment.incarnation())));
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/DrainSync.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/configuration/DrainSync.java
@@ -17,8 +17,8 @@
  * Keeps the states of data centres in the replicated configuration and in the gossip the same.
  *
  * <p>Both join by epoch, so the order does not matter. A record that operators gave to a node while
- * it was cut off from the log is proposed until the log holds it or a later one. Runs on the control
- * thread.
+ * it was cut off from the log is proposed until the log holds it or a later one. Runs on the
+ * control thread.
  */
 public final class DrainSync {
 
@@ -79,8 +79,7 @@
 
     private void propose(DataCentreId dataCentre, DataCentreState state) {
         OperationId operation =
-                new OperationId(
-                        "gossip:" + dataCentre + ":" + state.epoch() + ":" + state.out());
+                new OperationId("gossip:" + dataCentre + ":" + state.epoch() + ":" + state.out());
         proposer.propose(ConfigurationCommands.setDataCentreState(operation, dataCentre, state))
                 .whenComplete(
                         (result, failure) -> {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallScope.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallScope.java
@@ -36,6 +36,7 @@
     private final NodeMetrics metrics;
     private final NodeTracing tracing;
     private final TimeSource timeSource;
+    private final ChoiceLog choices;
     private final long startedAtMs;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicBoolean firstByteSeen = new AtomicBoolean();
@@ -56,6 +57,7 @@
         this.metrics = telemetry.metrics();
         this.tracing = telemetry.tracing();
         this.timeSource = telemetry.timeSource();
+        this.choices = telemetry.choices();
         this.startedAtMs = timeSource.monotonicMs();
         metrics.beginRequest(target.service());
     }
@@ -135,6 +137,7 @@
             return;
         }
         endAction.run();
+        choices.end(requestId, outcome);
         metrics.endRequest(target.service(), outcome.getLabel(), getElapsedMs());
         if (outcome == CallOutcome.FAILED) {
             span.setStatus(StatusCode.ERROR, detail);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallTelemetry.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallTelemetry.java
@@ -10,5 +10,7 @@
  * @param metrics the node's metrics
  * @param tracing the node's traces
  * @param timeSource the node's clock
+ * @param choices remembers why requests went where they went
  */
-public record CallTelemetry(NodeMetrics metrics, NodeTracing tracing, TimeSource timeSource) {}
+public record CallTelemetry(
+        NodeMetrics metrics, NodeTracing tracing, TimeSource timeSource, ChoiceLog choices) {}
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
@@ -129,7 +129,8 @@
                         new ClientAccountId("bars"),
                         TARGET,
                         span,
-                        new CallTelemetry(new NodeMetrics(), tracing, timeSource));
+                        new CallTelemetry(
+                                new NodeMetrics(), tracing, timeSource, new ChoiceLog(timeSource)));
         CallServices services =
                 new CallServices(
                         placement,
