Make spans without an exporter too

Ruled out: the propagator, which had injected the invalid context as specified. Change: a processor that drops spans stands in.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeTracing.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeTracing.java
@@ -12,6 +12,7 @@
 import io.opentelemetry.sdk.resources.Resource;
 import io.opentelemetry.sdk.trace.SdkTracerProvider;
 import io.opentelemetry.sdk.trace.SdkTracerProviderBuilder;
+import io.opentelemetry.sdk.trace.SpanProcessor;
 import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
 import io.opentelemetry.sdk.trace.export.SpanExporter;
 import java.util.Optional;
@@ -46,8 +47,9 @@
                         .build();
         SdkTracerProviderBuilder builder =
                 SdkTracerProvider.builder().setResource(Resource.create(attributes));
-        exporter.ifPresent(
-                target -> builder.addSpanProcessor(BatchSpanProcessor.builder(target).build()));
+        builder.addSpanProcessor(
+                exporter.<SpanProcessor>map(target -> BatchSpanProcessor.builder(target).build())
+                        .orElseGet(DroppingSpanProcessor::new));
         provider = builder.build();
         tracer = provider.get("org.cardamomthread");
     }
