--- /dev/null
+++ b/cardamomthread-execution/src/main/java/org/cardamomthread/execution/claim/ClaimRecord.java
@@ -0,0 +1,65 @@
+package org.cardamomthread.execution.claim;
+
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.execution.generated.ClaimRecordMessage;
+
+/**
+ * Holds the state of one claimed key. Immutable.
+ *
+ * @param requestDigest digest of the request
+ * @param gateway the node that holds the claim
+ * @param attemptId the try that holds it
+ * @param claimedAtMs when, by the gateway's wall clock
+ * @param state how far it has come
+ * @param answer the answer, only when completed
+ */
+record ClaimRecord(
+        ByteString requestDigest,
+        NodeId gateway,
+        String attemptId,
+        long claimedAtMs,
+        ClaimState state,
+        Optional<StoredAnswer> answer) {
+
+    ClaimRecord with(ClaimState newState) {
+        return new ClaimRecord(
+                requestDigest, gateway, attemptId, claimedAtMs, newState, Optional.empty());
+    }
+
+    ClaimRecord completed(StoredAnswer newAnswer) {
+        return new ClaimRecord(
+                requestDigest,
+                gateway,
+                attemptId,
+                claimedAtMs,
+                ClaimState.COMPLETED,
+                Optional.of(newAnswer));
+    }
+
+    ClaimRecordMessage toMessage(ClaimKey key) {
+        ClaimRecordMessage.Builder message =
+                ClaimRecordMessage.newBuilder()
+                        .setKey(key.toMessage())
+                        .setRequestDigest(requestDigest)
+                        .setGateway(gateway.value())
+                        .setAttemptId(attemptId)
+                        .setClaimedAtMs(claimedAtMs)
+                        .setState(state.name());
+        answer.ifPresent(value -> message.setAnswer(value.toMessage()));
+        return message.build();
+    }
+
+    static ClaimRecord of(ClaimRecordMessage message) {
+        return new ClaimRecord(
+                message.getRequestDigest(),
+                new NodeId(message.getGateway()),
+                message.getAttemptId(),
+                message.getClaimedAtMs(),
+                ClaimState.valueOf(message.getState()),
+                message.hasAnswer()
+                        ? Optional.of(StoredAnswer.of(message.getAnswer()))
+                        : Optional.empty());
+    }
+}
--- /dev/null
+++ b/cardamomthread-execution/src/main/java/org/cardamomthread/execution/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Claims that let a non-repeatable call run at most once. */
+package org.cardamomthread.execution.claim;
--- /dev/null
+++ b/cardamomthread-execution/src/test/java/org/cardamomthread/execution/claim/OnceOnlyInvariantTests.java
@@ -0,0 +1,48 @@
+package org.cardamomthread.execution.claim;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cardamomthread.execution.ExecutionStatus;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that no interleaving runs a key twice or tells a caller something untrue. */
+public class OnceOnlyInvariantTests {
+
+    private static final int DEFAULT_SEEDS = 300;
+
+    @DataProvider
+    public Object[][] seeds() {
+        int count = Integer.getInteger("execution.seeds", DEFAULT_SEEDS);
+        Object[][] rows = new Object[count][];
+        for (int i = 0; i < count; i++) {
+            rows[i] = new Object[] {(long) i};
+        }
+        return rows;
+    }
+
+    @Test(dataProvider = "seeds")
+    public void keyRunsAtMostOnceAndRepliesAreTrue(long seed) {
+        OnceOnlySimulation simulation = new OnceOnlySimulation(seed);
+        simulation.run();
+        simulation
+                .runsByKey()
+                .forEach((key, runs) -> assertEquals((int) runs, 1, key + " of seed " + seed));
+        Map<String, String> bodies = new HashMap<>();
+        for (OnceOnlySimulation.Answered answer : simulation.answers()) {
+            String where = "seed " + seed + ": " + answer;
+            if (answer.execution() == ExecutionStatus.NOT_RUN) {
+                assertFalse(simulation.attemptsRun().contains(answer.attemptId()), where);
+            }
+            if (answer.execution() == ExecutionStatus.COMPLETED) {
+                assertTrue(simulation.runsByKey().containsKey(answer.key()), where);
+                String before = bodies.putIfAbsent(answer.key(), answer.body());
+                assertTrue(before == null || before.equals(answer.body()), where);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-execution/src/test/java/org/cardamomthread/execution/claim/OnceOnlySimulation.java
@@ -0,0 +1,225 @@
+package org.cardamomthread.execution.claim;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.execution.ExecutionStatus;
+
+/**
+ * Interleaves callers, gateways, the claims' log and an endpoint from one seed: commands are lost,
+ * repeated and late, gateways die or pause at any step, callers resend anywhere at any time.
+ */
+final class OnceOnlySimulation {
+
+    /** One reply to a caller. */
+    record Answered(String key, String attemptId, ExecutionStatus execution, String body) {}
+
+    private record Event(long dueMs, long order, Runnable action) {}
+
+    private static final int KEYS = 4;
+    private static final int SENDS = 24;
+    private static final int END_MS = 20_000;
+    private static final int PROPOSALS = 3;
+
+    private final Random random;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::dueMs).thenComparingLong(Event::order));
+    private final Map<String, Integer> runsByKey = new HashMap<>();
+    private final Set<String> attemptsRun = new HashSet<>();
+    private final List<Answered> answers = new ArrayList<>();
+    private final Set<String> dead = new HashSet<>();
+    private ClaimStateMachine claims = new ClaimStateMachine(ClaimSettings.defaults());
+    private long nowMs;
+    private long order;
+    private long index;
+
+    OnceOnlySimulation(long seed) {
+        random = new Random(seed);
+        for (int i = 0; i < SENDS; i++) {
+            String key = "key-" + random.nextInt(KEYS);
+            String body = random.nextInt(6) == 0 ? "other" : "booking";
+            String attemptId = "attempt-" + i;
+            after(random.nextInt(3_000), () -> new Attempt(key, body, attemptId).start());
+        }
+    }
+
+    void run() {
+        while (!events.isEmpty() && events.peek().dueMs() <= END_MS) {
+            Event event = events.poll();
+            nowMs = event.dueMs();
+            event.action().run();
+        }
+    }
+
+    Map<String, Integer> runsByKey() {
+        return runsByKey;
+    }
+
+    Set<String> attemptsRun() {
+        return attemptsRun;
+    }
+
+    List<Answered> answers() {
+        return answers;
+    }
+
+    private void after(long delayMs, Runnable action) {
+        events.add(new Event(nowMs + delayMs, order++, action));
+    }
+
+    private long delayMs() {
+        return random.nextInt(10) == 0 ? random.nextInt(5_000) : random.nextInt(100);
+    }
+
+    private ClaimOutcome apply(byte[] command) {
+        if (random.nextInt(10) == 0) {
+            ClaimStateMachine other = new ClaimStateMachine(ClaimSettings.defaults());
+            other.restore(claims.snapshot());
+            claims = other;
+        }
+        return ClaimOutcome.parse(claims.apply(++index, command));
+    }
+
+    /** One gateway's handling of one send. */
+    private final class Attempt {
+
+        private final String key;
+        private final String body;
+        private final String attemptId;
+        private final OnceOnlyCall call;
+
+        Attempt(String key, String body, String attemptId) {
+            this.key = key;
+            this.body = body;
+            this.attemptId = attemptId;
+            call =
+                    new OnceOnlyCall(
+                            new ClaimKey(new ClientAccountId("bar-1"), new ServiceId("drops"), key),
+                            ByteString.copyFromUtf8(body),
+                            new NodeId("gateway-" + random.nextInt(3)),
+                            attemptId);
+        }
+
+        void start() {
+            perform(call.start(nowMs));
+        }
+
+        private void perform(List<CallAction> actions) {
+            for (CallAction action : actions) {
+                if (action instanceof CallAction.Propose propose) {
+                    propose(propose.command(), PROPOSALS);
+                } else if (action instanceof CallAction.Dispatch) {
+                    step(this::dispatch);
+                } else if (action instanceof CallAction.Reply reply) {
+                    String text =
+                            reply.answer().map(value -> value.body().toStringUtf8()).orElse(null);
+                    answers.add(new Answered(key, attemptId, reply.execution(), text));
+                }
+            }
+        }
+
+        /** Runs a step later, unless the gateway dies before it. */
+        private void step(Runnable action) {
+            after(
+                    delayMs(),
+                    () -> {
+                        if (random.nextInt(15) == 0) {
+                            dead.add(attemptId);
+                        }
+                        if (!dead.contains(attemptId)) {
+                            action.run();
+                        }
+                    });
+        }
+
+        private void propose(ClaimCommand command, int left) {
+            byte[] bytes = command.toBytes();
+            boolean[] heard = {false};
+            int copies = random.nextInt(8) == 0 ? 2 : random.nextInt(6) == 0 ? 0 : 1;
+            for (int i = 0; i < copies; i++) {
+                after(
+                        delayMs(),
+                        () -> {
+                            ClaimOutcome outcome = apply(bytes);
+                            if (random.nextInt(6) != 0) {
+                                step(() -> heard(command, outcome, heard));
+                            }
+                        });
+            }
+            after(500, () -> timeOut(command, left, heard));
+        }
+
+        private void timeOut(ClaimCommand command, int left, boolean[] heard) {
+            if (heard[0] || dead.contains(attemptId)) {
+                return;
+            }
+            if (left > 1) {
+                propose(command, left - 1);
+            } else {
+                heard[0] = true;
+                unanswered(command);
+            }
+        }
+
+        private void heard(ClaimCommand command, ClaimOutcome outcome, boolean[] heard) {
+            if (heard[0]) {
+                return;
+            }
+            heard[0] = true;
+            if (command instanceof ClaimCommand.Claim) {
+                perform(call.claimAnswered(outcome));
+            } else {
+                unanswered(command);
+            }
+        }
+
+        private void unanswered(ClaimCommand command) {
+            if (command instanceof ClaimCommand.Claim) {
+                perform(call.claimUnanswered(nowMs));
+            } else if (command instanceof ClaimCommand.Release) {
+                perform(call.releaseEnded());
+            } else if (command instanceof ClaimCommand.Complete) {
+                perform(call.recordEnded());
+            }
+        }
+
+        private void dispatch() {
+            if (random.nextInt(5) == 0) {
+                perform(call.notSent(nowMs));
+                return;
+            }
+            call.sending();
+            int fate = random.nextInt(6);
+            if (fate == 0) {
+                step(() -> perform(call.failedAfterSending(nowMs)));
+                return;
+            }
+            after(delayMs(), () -> runAtEndpoint(fate));
+        }
+
+        private void runAtEndpoint(int fate) {
+            int run = runsByKey.merge(key, 1, Integer::sum);
+            attemptsRun.add(attemptId);
+            if (fate == 1) {
+                step(() -> perform(call.failedAfterSending(nowMs)));
+                return;
+            }
+            String text = key + " run " + run + " " + body;
+            StoredAnswer answer =
+                    StoredAnswer.of(200, List.of(), text.getBytes(StandardCharsets.UTF_8));
+            step(() -> perform(call.answered(answer, nowMs)));
+        }
+    }
+}
