--- /dev/null
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replay/Strategies.java
@@ -0,0 +1,141 @@
+package org.cardamomthread.experiments.replay;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.cardamomthread.core.hash.RendezvousHash;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.policy.routing.EndpointCandidate;
+import org.cardamomthread.policy.routing.ScoringEndpointSelector;
+import org.cardamomthread.policy.routing.SelectionRequest;
+
+/** Lists the strategies that are compared. */
+final class Strategies {
+
+    static final VersionId VERSION = new VersionId("v1");
+
+    private Strategies() {}
+
+    static List<Strategy> all() {
+        return List.of(
+                new Decisions(),
+                new RoundRobin(),
+                new LeastLoaded("least-loaded", true),
+                new SessionHash(),
+                new LeastLoaded("no-slow-start", false));
+    }
+
+    static SelectionRequest request(Call call) {
+        return new SelectionRequest(
+                call.profile(),
+                VERSION,
+                call.promptTokens(),
+                call.expectedOutputTokens(),
+                call.prefix(),
+                Set.of());
+    }
+
+    private static double relativeLoad(EndpointCandidate candidate) {
+        return (double) candidate.outstanding() / candidate.load().bearableRequests();
+    }
+
+    /** Uses the decisions of the policy module. */
+    private static final class Decisions implements Strategy {
+
+        @Override
+        public String name() {
+            return "cardamomthread";
+        }
+
+        @Override
+        public Optional<EndpointCandidate> choose(
+                Call call,
+                List<EndpointCandidate> usable,
+                GatewayView view,
+                long nowMs,
+                Random random) {
+            return new ScoringEndpointSelector(view.prefixes())
+                    .select(request(call), usable, nowMs, random)
+                    .chosen();
+        }
+
+        @Override
+        public boolean usesPrefixes() {
+            return true;
+        }
+
+        @Override
+        public boolean holdsPatientWork() {
+            return true;
+        }
+
+        @Override
+        public boolean movesCalls() {
+            return true;
+        }
+    }
+
+    /** Takes the endpoints in turn. */
+    private static final class RoundRobin implements Strategy {
+
+        private int next;
+
+        @Override
+        public String name() {
+            return "round-robin";
+        }
+
+        @Override
+        public Optional<EndpointCandidate> choose(
+                Call call,
+                List<EndpointCandidate> usable,
+                GatewayView view,
+                long nowMs,
+                Random random) {
+            List<EndpointCandidate> ordered =
+                    usable.stream().sorted(Comparator.comparing(EndpointCandidate::id)).toList();
+            return ordered.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(ordered.get(next++ % ordered.size()));
+        }
+    }
+
+    /** Takes the endpoint with the least requests for what it bears. Immutable. */
+    private record LeastLoaded(String name, boolean startsSlowly) implements Strategy {
+
+        @Override
+        public Optional<EndpointCandidate> choose(
+                Call call,
+                List<EndpointCandidate> usable,
+                GatewayView view,
+                long nowMs,
+                Random random) {
+            return usable.stream()
+                    .min(
+                            Comparator.comparingDouble(Strategies::relativeLoad)
+                                    .thenComparing(EndpointCandidate::id));
+        }
+    }
+
+    /** Takes the endpoint that the session's hash names. */
+    private static final class SessionHash implements Strategy {
+
+        @Override
+        public String name() {
+            return "session-hash";
+        }
+
+        @Override
+        public Optional<EndpointCandidate> choose(
+                Call call,
+                List<EndpointCandidate> usable,
+                GatewayView view,
+                long nowMs,
+                Random random) {
+            return RendezvousHash.choose(
+                    call.session(), usable, candidate -> candidate.id().value());
+        }
+    }
+}
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/profile/TrafficProfile.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/profile/TrafficProfile.java
@@ -9,7 +9,7 @@
  * @param firstTokenTargetMs target for the time to the first token, in milliseconds, above zero
  * @param tokenGapTargetMs target for the gap between tokens, in milliseconds, above zero
  * @param costWeight weight of price against lateness, at least zero
- * @param riskWeight weight of the work that a reclaim would redo, at least zero
+ * @param riskWeight weight of work done twice, after a reclaim or a lost cache, at least zero
  */
 public record TrafficProfile(
         Priority priority,
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/FirstTokenEstimator.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/FirstTokenEstimator.java
@@ -24,10 +24,10 @@
             slotWaitMs = ahead * callMs / load.bearableRequests();
         }
         double ageMs = Math.max(0, nowMs - load.atMs());
-        double backlogMs =
-                MS_PER_SECOND
-                        * candidate.promptTokensSentSinceReport()
-                        / load.prefillTokensPerSecond();
+        double backlogTokens =
+                candidate.promptTokensSentSinceReport()
+                        + (double) load.queued() * request.promptTokens();
+        double backlogMs = MS_PER_SECOND * backlogTokens / load.prefillTokensPerSecond();
         return slotWaitMs + Math.max(0, backlogMs - ageMs);
     }
 
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/PrefixIndex.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/PrefixIndex.java
@@ -12,14 +12,19 @@
  *
  * <p>Invariants: memory is fixed at creation; each block remembers at most {@value
  * PrefixTable#HOLDERS} endpoints. A gap in an endpoint's event numbers makes all that was known of
- * it before the gap uncertain until the block is reported again or the endpoint resyncs. Entries
- * lose confidence with age and count as absent after the greatest age. Events that arrive twice or
- * after newer ones are ignored. Safe for use by several threads; all methods lock the index.
+ * it before the gap uncertain until the block is reported again or the endpoint resyncs. As a hash
+ * covers all blocks before it, a known block implies earlier ones whose holders are too many to
+ * remember. Entries lose confidence with age and count as absent after the greatest age. Events
+ * that arrive twice or after newer ones are ignored. Safe for use by several threads; all methods
+ * lock the index.
  */
 public final class PrefixIndex implements PrefixKnowledge {
 
+    private static final double UNKNOWN_LIFETIME = -1;
     private static final double UNCERTAIN_CONFIDENCE = 0.5;
     private static final double LEAST_CONFIDENCE = 0.05;
+    private static final double NEWEST_LIFETIME_WEIGHT = 0.1;
+    private static final double REUSE_MS = 60_000; // usual time between calls with one prompt
 
     private final PrefixTable table;
     private final long halfLifeMs;
@@ -64,7 +69,7 @@
         cache.lastSequence = event.sequence();
         switch (event.type()) {
             case STORED -> storeAll(cache, event.blocks(), nowMs + 1);
-            case EVICTED -> removeAll(cache, event.blocks());
+            case EVICTED -> removeAll(cache, event.blocks(), nowMs);
             case CLEARED -> cache.forget();
             default -> throw new IllegalArgumentException("type " + event.type() + " is unknown");
         }
@@ -81,9 +86,16 @@
      */
     public synchronized void resync(EndpointId endpoint, long sequence, long[] blocks, long nowMs) {
         EndpointCache cache = cacheOf(endpoint);
+        long[] storedAtMs = new long[blocks.length];
+        for (int i = 0; i < blocks.length; i++) {
+            long knownMs = table.storedAtMs(blocks[i], cache.tag);
+            storedAtMs[i] = knownMs == 0 ? nowMs + 1 : knownMs;
+        }
         cache.forget();
         cache.lastSequence = sequence;
-        storeAll(cache, blocks, nowMs + 1);
+        for (int i = 0; i < blocks.length; i++) {
+            table.store(blocks[i], cache.tag, storedAtMs[i]);
+        }
     }
 
     /**
@@ -122,17 +134,32 @@
             return 0;
         }
         double blocks = 0;
+        int implied = 0;
         for (int k = 0; k < prefix.length(); k++) {
-            long storedAtMs = table.storedAtMs(prefix.block(k), cache.tag);
-            double confidence = confidence(cache, storedAtMs, nowMs);
-            if (confidence < LEAST_CONFIDENCE) {
+            long block = prefix.block(k);
+            double confidence = confidence(cache, table.storedAtMs(block, cache.tag), nowMs);
+            if (confidence >= LEAST_CONFIDENCE) {
+                blocks += (1 + implied) * confidence;
+                implied = 0;
+            } else if (table.isFull(block)) {
+                implied++;
+            } else {
                 break;
             }
-            blocks += confidence;
         }
         return blocks * prefix.tokensPerBlock();
     }
 
+    @Override
+    public synchronized double retention(EndpointId endpoint, long nowMs) {
+        EndpointCache cache = caches.get(endpoint);
+        if (cache == null || cache.lifetimeMs == UNKNOWN_LIFETIME) {
+            return 1;
+        }
+        double lifetimeMs = Math.max(cache.lifetimeMs, nowMs - cache.evictedAtMs);
+        return lifetimeMs / (lifetimeMs + REUSE_MS);
+    }
+
     @Override
     public synchronized List<EndpointId> likelyHolders(PromptPrefix prefix, int most, long nowMs) {
         List<EndpointId> holders = new ArrayList<>(most);
@@ -177,9 +204,19 @@
         }
     }
 
-    private void removeAll(EndpointCache cache, long[] blocks) {
+    private void removeAll(EndpointCache cache, long[] blocks, long nowMs) {
+        double sumMs = 0;
+        int known = 0;
         for (long block : blocks) {
-            table.remove(block, cache.tag);
+            long storedAtMs = table.storedAtMs(block, cache.tag);
+            if (storedAtMs > 0) {
+                sumMs += Math.max(0, nowMs - storedAtMs);
+                known++;
+                table.remove(block, cache.tag);
+            }
+        }
+        if (known > 0) {
+            cache.onEvicted(sumMs / known, nowMs);
         }
     }
 
@@ -217,6 +254,8 @@
         private long tag;
         private long lastSequence = -1;
         private long uncertainBeforeMs;
+        private double lifetimeMs = UNKNOWN_LIFETIME;
+        private long evictedAtMs;
 
         EndpointCache(EndpointId endpoint, int slot, long tag) {
             this.endpoint = endpoint;
@@ -224,6 +263,14 @@
             this.tag = tag;
         }
 
+        void onEvicted(double ageMs, long nowMs) {
+            evictedAtMs = nowMs;
+            lifetimeMs =
+                    lifetimeMs == UNKNOWN_LIFETIME
+                            ? ageMs
+                            : lifetimeMs + NEWEST_LIFETIME_WEIGHT * (ageMs - lifetimeMs);
+        }
+
         void forget() {
             tag += GENERATION;
             uncertainBeforeMs = 0;
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/PrefixKnowledge.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/PrefixKnowledge.java
@@ -18,6 +18,11 @@
                 public List<EndpointId> likelyHolders(PromptPrefix prefix, int most, long nowMs) {
                     return List.of();
                 }
+
+                @Override
+                public double retention(EndpointId endpoint, long nowMs) {
+                    return 1;
+                }
             };
 
     /**
@@ -39,4 +44,13 @@
      * @return endpoints, longest holders first
      */
     List<EndpointId> likelyHolders(PromptPrefix prefix, int most, long nowMs);
+
+    /**
+     * Estimates how probably an endpoint still holds a prompt when the next call with it comes.
+     *
+     * @param endpoint the endpoint
+     * @param nowMs monotonic time, in milliseconds
+     * @return 1 if its cache has room, towards 0 the sooner it evicts what it stored
+     */
+    double retention(EndpointId endpoint, long nowMs);
 }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/PrefixTable.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/PrefixTable.java
@@ -68,6 +68,20 @@
         return place >= 0 && newest(place) > 0;
     }
 
+    /** Tells whether a block has as many holders as are remembered, so that others may exist. */
+    boolean isFull(long hash) {
+        int place = find(hash);
+        if (place < 0) {
+            return false;
+        }
+        for (int way = place * HOLDERS; way < (place + 1) * HOLDERS; way++) {
+            if (storedAtMs[way] == 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns when the holder stored the block, or zero if it does not hold it. */
     long storedAtMs(long hash, long tag) {
         int way = findWay(hash, tag);
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/ScoringEndpointSelector.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/ScoringEndpointSelector.java
@@ -17,12 +17,14 @@
  */
 public final class ScoringEndpointSelector implements EndpointSelector {
 
+    private static final double LOG_2 = Math.log(2);
     private static final double MS_PER_HOUR = 3_600_000;
     private static final double COMFORTABLE_SHARE = 0.5; // share of the target without penalty
     private static final double LATE_SLOPE = 20; // penalty per target beyond the target
     private static final double NEAR_EQUAL = 0.1; // difference of totals that counts as a tie
     private static final double MINIMUM_CALL_MS = 1;
     private static final double MEAN_SHARE_REDONE = 0.5; // a reclaim strikes halfway on average
+    private static final double RECOMPUTE_WEIGHT = 4; // penalty for a whole prompt
     private static final long RETRY_AFTER_MS = 500;
 
     private final PrefixKnowledge prefixes;
@@ -79,16 +81,19 @@
         double[] cachedTokens = new double[count];
         double[] callPrices = new double[count];
         double cheapest = Double.MAX_VALUE;
+        double mostCached = 0;
         for (int i = 0; i < count; i++) {
             EndpointCandidate candidate = usable.get(i);
             cachedTokens[i] = cachedTokens(request, candidate, nowMs);
             callPrices[i] = callPrice(request, candidate, cachedTokens[i]);
             cheapest = Math.min(cheapest, callPrices[i]);
+            mostCached = Math.max(mostCached, cachedTokens[i]);
         }
+        Baseline baseline = new Baseline(cheapest, mostCached);
         List<CandidateScore> scores = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             scores.add(
-                    score(request, usable.get(i), cachedTokens[i], callPrices[i], cheapest, nowMs));
+                    score(request, usable.get(i), cachedTokens[i], callPrices[i], baseline, nowMs));
         }
         return scores;
     }
@@ -112,12 +117,12 @@
         return candidate.price().pricePerHour() * hostMs / MS_PER_HOUR;
     }
 
-    private static CandidateScore score(
+    private CandidateScore score(
             SelectionRequest request,
             EndpointCandidate candidate,
             double cachedTokens,
             double callPrice,
-            double cheapest,
+            Baseline baseline,
             long nowMs) {
         double prefillMs =
                 FirstTokenEstimator.prefillMs(candidate, request.promptTokens() - cachedTokens);
@@ -132,7 +137,7 @@
                         * candidate.price().pricePerHour()
                         * (prefillMs + decodeMs)
                         / MS_PER_HOUR;
-        double unit = cheapest > 0 ? cheapest : Double.MIN_NORMAL;
+        double unit = Math.max(baseline.cheapestPrice(), Double.MIN_NORMAL);
         return new CandidateScore(
                 candidate.id(),
                 cachedTokens,
@@ -140,8 +145,30 @@
                 prefillMs,
                 firstTokenMs,
                 lateness(firstTokenMs / request.profile().firstTokenTargetMs()),
-                request.profile().costWeight() * (callPrice - cheapest) / unit,
-                request.profile().riskWeight() * redoPrice / unit);
+                request.profile().costWeight() * doublings(callPrice, unit),
+                request.profile().riskWeight()
+                        * (redoPrice / unit
+                                + recompute(request, candidate, cachedTokens, baseline, nowMs)));
+    }
+
+    /** Returns the share of the prompt that is processed again, now or when it comes again. */
+    private double recompute(
+            SelectionRequest request,
+            EndpointCandidate candidate,
+            double cachedTokens,
+            Baseline baseline,
+            long nowMs) {
+        if (request.prefix().length() == 0) {
+            return 0;
+        }
+        double againNow = Math.max(0, baseline.mostCachedTokens() - cachedTokens);
+        double lost = 1 - prefixes.retention(candidate.id(), nowMs);
+        double againLater = lost * (request.promptTokens() - cachedTokens);
+        return RECOMPUTE_WEIGHT * (againNow + againLater) / Math.max(1, request.promptTokens());
+    }
+
+    private static double doublings(double price, double cheapest) {
+        return Math.log(Math.max(price, cheapest) / cheapest) / LOG_2;
     }
 
     private static double lateness(double shareOfTarget) {
@@ -202,4 +229,12 @@
         return new SelectionRefusal(
                 reason, candidates.size(), otherVersion, excluded, withoutCredit, RETRY_AFTER_MS);
     }
+
+    /**
+     * Holds the best values among the candidates, to which each is compared. Immutable.
+     *
+     * @param cheapestPrice lowest price of the call
+     * @param mostCachedTokens most prompt tokens expected in a cache
+     */
+    private record Baseline(double cheapestPrice, double mostCachedTokens) {}
 }
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/routing/PrefixIndexTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/routing/PrefixIndexTests.java
@@ -109,6 +109,32 @@
         assertTrue(kept > 80, "kept " + kept);
     }
 
+    @Test
+    public void impliesBlocksThatMoreEndpointsHoldThanAreRemembered() {
+        for (int i = 0; i < 10; i++) {
+            index.expect(id("e" + i), prefix(1, 2), i);
+            PromptPrefix longer =
+                    PromptPrefix.ofHashes(
+                            new long[] {prefix(1, 2).block(0), prefix(1, 2).block(1), 77 + i}, 16);
+            index.expect(id("e" + i), longer, i);
+        }
+        PromptPrefix first =
+                PromptPrefix.ofHashes(
+                        new long[] {prefix(1, 2).block(0), prefix(1, 2).block(1), 77}, 16);
+        assertEquals(index.cachedTokens(id("e0"), first, 10), 48, 0.1);
+        assertEquals(index.cachedTokens(id("other"), first, 10), 0, 0.1);
+    }
+
+    @Test
+    public void lowersRetentionWhenAnEndpointEvictsSoon() {
+        assertEquals(index.retention(A, 0), 1, 0);
+        index.apply(A, stored(1, prefix(1, 4)), 0);
+        index.resync(A, 2, event(0, CacheEvent.Type.STORED, prefix(1, 4)).blocks(), 15_000);
+        index.apply(A, event(3, CacheEvent.Type.EVICTED, prefix(1, 4)), 20_000);
+        assertEquals(index.retention(A, 20_000), 0.25, 0.01);
+        assertTrue(index.retention(A, 600_000) > 0.9);
+    }
+
     @Test
     public void neverInventsTokensUnderRandomEvents() {
         Random random = new Random(11);
