Test the control groups and leases under link failures

A scenario cuts the leader from one follower and, at a random moment, from the other, which may have restarted.

--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/control/ForwardedRequestTests.java
@@ -0,0 +1,127 @@
+package org.cardamomthread.daemon.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.control.generated.GroupRequest;
+import org.cardamomthread.daemon.control.generated.GroupResponse;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.GroupUnavailableException;
+import org.cardamomthread.replication.NotLeaderException;
+import org.cardamomthread.replication.OutcomeUnknownException;
+import org.cardamomthread.transport.PeerOutcomeUnknownException;
+import org.cardamomthread.transport.PeerUnreachableException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ForwardedRequestTests {
+
+    private static final GroupId GROUP = GroupDefinition.CLAIMS;
+    private static final List<NodeId> VOTERS =
+            List.of(new NodeId("node-1"), new NodeId("node-2"), new NodeId("node-3"));
+    private static final long ATTEMPT_MS = 10;
+
+    private final ManualTimeSource timeSource = new ManualTimeSource();
+    private final List<NodeId> asked = new ArrayList<>();
+
+    private static GroupRequest command() {
+        return GroupRequest.newBuilder()
+                .setGroupId(GROUP.value())
+                .setCommand(ByteString.copyFromUtf8("command"))
+                .build();
+    }
+
+    private static GroupRequest query() {
+        return GroupRequest.newBuilder()
+                .setGroupId(GROUP.value())
+                .setQuery(ByteString.copyFromUtf8("query"))
+                .build();
+    }
+
+    private static CompletableFuture<byte[]> response(GroupResponse response) {
+        return CompletableFuture.completedFuture(response.toByteArray());
+    }
+
+    private static CompletableFuture<byte[]> notLeader(String leader) {
+        return response(GroupResponses.failure(new NotLeaderException(GROUP, new NodeId(leader))));
+    }
+
+    private static CompletableFuture<byte[]> unreachable() {
+        return CompletableFuture.failedFuture(new PeerUnreachableException("down"));
+    }
+
+    private static CompletableFuture<byte[]> unknown() {
+        return CompletableFuture.failedFuture(new PeerOutcomeUnknownException("no response"));
+    }
+
+    /** Answers attempts in order; the time allows for no more. */
+    private byte[] run(GroupRequest request, List<CompletableFuture<byte[]>> outcomes)
+            throws Exception {
+        asked.clear();
+        Iterator<CompletableFuture<byte[]>> remaining = outcomes.iterator();
+        ForwardedRequest forwarded =
+                new ForwardedRequest(
+                        GROUP,
+                        request,
+                        VOTERS,
+                        new LeaderGuess(),
+                        (to, sent, timeout) -> {
+                            asked.add(to);
+                            timeSource.advanceMs(ATTEMPT_MS);
+                            return remaining.next();
+                        },
+                        timeSource,
+                        Duration.ofMillis(ATTEMPT_MS * outcomes.size()));
+        return forwarded.run().get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    public void followsTheHintToTheLeader() throws Exception {
+        byte[] answer =
+                run(
+                        command(),
+                        List.of(
+                                notLeader("node-3"),
+                                response(GroupResponses.answer(new byte[] {7}))));
+        assertEquals(answer, new byte[] {7});
+        assertEquals(asked, List.of(VOTERS.get(0), VOTERS.get(2)));
+    }
+
+    @Test
+    public void asksTheNextVoterWhenOneIsOutOfReach() throws Exception {
+        run(
+                command(),
+                List.of(unreachable(), unknown(), response(GroupResponses.answer(new byte[0]))));
+        assertEquals(asked, VOTERS);
+    }
+
+    @DataProvider
+    public Object[][] failures() {
+        return new Object[][] {
+            {command(), List.of(unreachable(), notLeader("node-2")), false},
+            {command(), List.of(unreachable(), unknown()), true},
+            {command(), List.of(unknown(), notLeader("node-2"), unreachable()), true},
+            {query(), List.of(unknown(), unreachable()), false}
+        };
+    }
+
+    @Test(dataProvider = "failures")
+    public void callsACommandNotAppendedOnlyIfNoAttemptMayHaveAppendedIt(
+            GroupRequest request, List<CompletableFuture<byte[]>> outcomes, boolean isUnknown) {
+        ExecutionException failure =
+                expectThrows(ExecutionException.class, () -> run(request, outcomes));
+        assertEquals(
+                failure.getCause().getClass(),
+                isUnknown ? OutcomeUnknownException.class : GroupUnavailableException.class);
+    }
+}
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationScenarioTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationScenarioTests.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.cardamomthread.core.id.NodeId;
@@ -123,6 +124,30 @@
         assertTrue(leader(cluster) != former);
     }
 
+    /**
+     * Cuts the leader from one follower, which then seeks votes, and at a random moment from the
+     * other one, which may have restarted. The invariants watch the leases.
+     */
+    @Test(dataProvider = "seeds")
+    public void leasesDoNotOverlapWhenLinksFail(int seed) {
+        SimulatedCluster cluster = settled(seed);
+        SplittableRandom random = new SplittableRandom(seed);
+        for (int round = 0; round < 40; round++) {
+            SimulatedNode leader = leader(cluster);
+            SimulatedNode other = follower(cluster, 1);
+            cluster.network().cutLink(leader.id(), follower(cluster, 0).id());
+            cluster.run(random.nextInt(150));
+            if (random.nextBoolean()) {
+                other.crash();
+                other.start();
+            }
+            cluster.network().cutLink(leader.id(), other.id());
+            cluster.run(SETTLE_STEPS);
+            cluster.network().cutOff(Set.of());
+            cluster.run(SETTLE_STEPS);
+        }
+    }
+
     @Test(dataProvider = "seeds")
     public void isolatedVoterRaisesNoTermAndDisturbsNoLeader(int seed) {
         SimulatedCluster cluster = settled(seed);
