--- /dev/null
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/announce/package-info.java
@@ -0,0 +1,2 @@
+/** Announcements to the nodes. */
+package org.cardamomthread.standin.announce;
--- /dev/null
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a model engine. */
+package org.cardamomthread.standin.engine;
--- /dev/null
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults that a test sets on a stand-in. */
+package org.cardamomthread.standin.fault;
--- /dev/null
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP server of the stand-ins. */
+package org.cardamomthread.standin.http;
--- /dev/null
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the platform's cloud API. */
+package org.cardamomthread.standin.platform;
--- /dev/null
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/runs/package-info.java
@@ -0,0 +1,2 @@
+/** Record of the requests that an endpoint ran. */
+package org.cardamomthread.standin.runs;
--- /dev/null
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a plain service. */
+package org.cardamomthread.standin.service;
