--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -1,6 +1,8 @@
 package org.cardamomthread.daemon.gateway;
 
 import java.util.random.RandomGenerator;
+import org.cardamomthread.configuration.declaration.ClientAccount;
+import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.http.HttpHandler;
@@ -34,7 +36,7 @@
                 new CallServices(
                         placement,
                         new AttemptRunner(parts.client(), parts.telemetry().tracing()),
-                        new BudgetRetryPolicy(),
+                        new BudgetRetryPolicy(parts.telemetry().timeSource()),
                         parts.telemetry().timeSource());
         callerApi =
                 new CallerApi(
@@ -53,7 +55,9 @@
      * @param selector chooses endpoints
      * @param prices knows what endpoints cost
      * @param client runs attempts
-     * @param observer hears of choices and results
+     * @param versions divides calls between versions
+     * @param choices hears of choices
+     * @param attempts hears how attempts went
      * @param telemetry what each call reports to
      * @param random source for choices among near equals
      */
@@ -64,7 +68,9 @@
             EndpointSelector selector,
             PriceBook prices,
             EndpointClient client,
-            ChoiceLog observer,
+            VersionRouter versions,
+            ChoiceLog choices,
+            AttemptObserver attempts,
             CallTelemetry telemetry,
             RandomGenerator random) {}
 
@@ -97,9 +103,16 @@
                 new CandidateReader(parts.pool(), parts.prices(), parts.dataCentre()),
                 parts.selector(),
                 new SelectionRequestFactory(),
-                new CurrentVersionRouter(parts.configuration()),
-                parts.observer(),
+                parts.versions(),
+                parts.choices(),
+                parts.attempts(),
                 parts.random(),
-                parts.telemetry().timeSource());
+                parts.telemetry().timeSource(),
+                account -> weightOf(parts.configuration(), account));
+    }
+
+    private static double weightOf(ConfigurationSource configuration, ClientAccountId account) {
+        ClientAccount declared = configuration.getDeclarations().clientAccounts().get(account);
+        return declared == null ? 1.0 : declared.weight();
     }
 }
