--- /dev/null
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
@@ -0,0 +1,235 @@
+package org.cardamomthread.processes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.stream.Collectors;
+
+/**
+ * Runs three nodes in two data centres, all with a disk, and stand-ins for their endpoints.
+ *
+ * <p>Used by one thread. {@link #close()} stops every process; logs stay in the folder of the
+ * cluster below target.
+ */
+final class Cluster implements AutoCloseable {
+
+    static final long READY_MS = 30_000;
+    static final long IN_FORCE_MS = 5_000;
+
+    private static final String DAEMON = "cardamomthread-daemon";
+    private static final String STAND_IN = "cardamomthread-standin";
+
+    private final Path folder;
+    private final Calls calls = new Calls();
+    private final Map<String, NodeAddresses> nodes = new LinkedHashMap<>();
+    private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
+
+    Cluster(String name) throws IOException {
+        folder = Path.of("target", "clusters", name + "-" + UUID.randomUUID());
+        Files.createDirectories(folder);
+        addNode("perth-a-1", "perth-a");
+        addNode("perth-a-2", "perth-a");
+        addNode("perth-b-1", "perth-b");
+    }
+
+    Calls calls() {
+        return calls;
+    }
+
+    Path folder() {
+        return folder;
+    }
+
+    NodeAddresses node(String id) {
+        return nodes.get(id);
+    }
+
+    List<NodeAddresses> nodes() {
+        return List.copyOf(nodes.values());
+    }
+
+    ManagedProcess process(String name) {
+        return processes.get(name);
+    }
+
+    /** Starts all nodes and applies the declarations. */
+    void startNodes() throws Exception {
+        for (String id : nodes.keySet()) {
+            startNode(id);
+        }
+        for (NodeAddresses node : nodes.values()) {
+            awaitAlive(node);
+        }
+        apply(declarations(100), READY_MS);
+        for (NodeAddresses node : nodes.values()) {
+            awaitReady(node);
+        }
+    }
+
+    ManagedProcess startNode(String id) throws IOException {
+        Path settings = folder.resolve(id + ".yaml");
+        Files.writeString(settings, settings(nodes.get(id)));
+        ManagedProcess process =
+                ManagedProcess.start(
+                        id, folder, DAEMON, List.of("--settings", settings.toString()));
+        processes.put(id, process);
+        return process;
+    }
+
+    void awaitAlive(NodeAddresses node) throws Exception {
+        Waits.until(
+                READY_MS,
+                node.id() + " being alive",
+                () -> calls.status(node.operators(), "/healthz") == 200);
+    }
+
+    void awaitReady(NodeAddresses node) throws Exception {
+        Waits.until(
+                READY_MS,
+                node.id() + " being ready",
+                () -> calls.status(node.operators(), "/readyz") == 200);
+    }
+
+    /** Starts a stand-in that announces itself to all nodes and returns its port. */
+    int startStandIn(String kind, String id, String dataCentre, String... more)
+            throws IOException {
+        int port = NodeAddresses.freePorts(1).get(0);
+        List<String> arguments = new ArrayList<>(List.of(kind));
+        arguments.addAll(List.of("--listen", "127.0.0.1:" + port, "--id", id));
+        arguments.addAll(List.of("--data-centre", dataCentre));
+        arguments.addAll(List.of("--token", Calls.ENDPOINT_TOKEN, "--nodes", endpointListeners()));
+        arguments.addAll(List.of(more));
+        processes.put(id, ManagedProcess.start(id, folder, STAND_IN, arguments));
+        return port;
+    }
+
+    int startEngine(String id, String dataCentre, String... more) throws IOException {
+        List<String> arguments =
+                new ArrayList<>(
+                        List.of(
+                                "--class",
+                                "gpu-small",
+                                "--services",
+                                "chat=v1",
+                                "--capabilities",
+                                "fencing,resume"));
+        arguments.addAll(List.of(more));
+        return startStandIn("engine", id, dataCentre, arguments.toArray(new String[0]));
+    }
+
+    int startBookings(String id, String dataCentre, String... more) throws IOException {
+        List<String> arguments =
+                new ArrayList<>(List.of("--class", "app-small", "--services", "bookings=v1"));
+        arguments.addAll(List.of(more));
+        return startStandIn("service", id, dataCentre, arguments.toArray(new String[0]));
+    }
+
+    /** Waits until a call through each node is answered. */
+    void awaitServed(String path, String body) throws Exception {
+        for (NodeAddresses node : nodes.values()) {
+            Waits.until(
+                    READY_MS,
+                    path + " through " + node.id(),
+                    () -> call(node.id(), path, body, UUID.randomUUID()).statusCode() == 200);
+        }
+    }
+
+    HttpResponse<String> call(String node, String path, String body, Object key)
+            throws IOException, InterruptedException {
+        return calls.call(
+                node(node).callers(), path, body, Map.of("Idempotency-Key", key.toString()));
+    }
+
+    /** Applies declarations on the newest revision and returns the accepted one. */
+    long apply(String declarations, long boundMs) throws Exception {
+        String operationId = UUID.randomUUID().toString();
+        long[] accepted = new long[1];
+        Waits.until(
+                boundMs,
+                "acceptance of declarations",
+                () -> {
+                    int port = nodes.values().iterator().next().operators();
+                    long base = revision(port);
+                    String change =
+                            String.format(
+                                    "{\"operationId\":\"%s\",\"baseRevision\":%d,"
+                                            + "\"declarations\":%s}",
+                                    operationId, base, declarations);
+                    HttpResponse<String> answer =
+                            calls.operate(port, "/v1/configuration/changes", change);
+                    if (answer.statusCode() != 200) {
+                        throw new IOException(answer.statusCode() + ": " + answer.body());
+                    }
+                    accepted[0] = Calls.json(answer.body()).path("revision").asLong();
+                    return true;
+                });
+        return accepted[0];
+    }
+
+    long revision(int operatorPort) throws IOException, InterruptedException {
+        JsonNode configuration = calls.get(operatorPort, "/v1/configuration");
+        return configuration.path("revision").asLong();
+    }
+
+    /** Returns the declarations with a bound of concurrent calls of the client account. */
+    static String declarations(int maxConcurrent) throws IOException {
+        try (var resource = Cluster.class.getResourceAsStream("declarations.json")) {
+            String template = new String(resource.readAllBytes());
+            return template.replace("\"MAX_CONCURRENT\"", Integer.toString(maxConcurrent));
+        }
+    }
+
+    String endpointListeners() {
+        return nodes.values().stream()
+                .map(node -> "127.0.0.1:" + node.endpoints())
+                .collect(Collectors.joining(","));
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        for (ManagedProcess process : processes.values()) {
+            process.close();
+        }
+    }
+
+    private void addNode(String id, String dataCentre) throws IOException {
+        nodes.put(id, NodeAddresses.allocate(id, dataCentre));
+    }
+
+    String settings(NodeAddresses node) {
+        StringBuilder yaml = new StringBuilder();
+        yaml.append("nodeId: ").append(node.id()).append('\n');
+        yaml.append("dataCentre: ").append(node.dataCentre()).append('\n');
+        yaml.append("listeners:\n");
+        yaml.append("  callers: 127.0.0.1:").append(node.callers()).append('\n');
+        yaml.append("  endpoints: 127.0.0.1:").append(node.endpoints()).append('\n');
+        yaml.append("  operators: 127.0.0.1:").append(node.operators()).append('\n');
+        yaml.append("  peers: 127.0.0.1:").append(node.peers()).append('\n');
+        yaml.append("dataFolder: data-").append(node.id()).append('\n');
+        yaml.append("peers:\n");
+        for (NodeAddresses peer : nodes.values()) {
+            yaml.append("  - {id: ").append(peer.id());
+            yaml.append(", dataCentre: ").append(peer.dataCentre());
+            yaml.append(", address: \"127.0.0.1:").append(peer.peers());
+            yaml.append("\", voter: true}\n");
+        }
+        String voters = String.join(", ", nodes.keySet());
+        yaml.append("bootstrapVoters:\n");
+        yaml.append("  configuration: [").append(voters).append("]\n");
+        yaml.append("  work: [").append(voters).append("]\n");
+        yaml.append("secrets:\n");
+        yaml.append("  peerKey: {value: peer-key-of-the-test-deployment}\n");
+        yaml.append("  endpointToken: {value: ").append(Calls.ENDPOINT_TOKEN).append("}\n");
+        yaml.append("  operatorTokens: [{value: ").append(Calls.OPERATOR_TOKEN).append("}]\n");
+        yaml.append("drainDelayMs: 300\n");
+        yaml.append("shutdownTimeoutMs: 15000\n");
+        return yaml.toString();
+    }
+}
--- /dev/null
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/NodeAddresses.java
@@ -0,0 +1,41 @@
+package org.cardamomthread.processes;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Holds the ports of one node.
+ *
+ * @param id the node
+ * @param dataCentre where it stands
+ * @param callers port for callers
+ * @param endpoints port for endpoints
+ * @param operators port for operators
+ * @param peers port for other nodes
+ */
+record NodeAddresses(
+        String id, String dataCentre, int callers, int endpoints, int operators, int peers) {
+
+    static NodeAddresses allocate(String id, String dataCentre) throws IOException {
+        List<Integer> ports = freePorts(4);
+        return new NodeAddresses(
+                id, dataCentre, ports.get(0), ports.get(1), ports.get(2), ports.get(3));
+    }
+
+    static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            sockets.add(socket);
+            ports.add(socket.getLocalPort());
+        }
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
+    }
+}
--- a/cardamomthread-standin/src/main/java/org/cardamomthread/standin/StandIn.java
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/StandIn.java
@@ -136,7 +136,7 @@
             AtomicReference<Announcer> announcer)
             throws IOException {
         HttpListener listener = new HttpListener(options.listen(), handler);
-        String address = format(listener.address());
+        String address = options.advertise(format(listener.address()));
         announcer.set(
                 new Announcer(
                         options.nodes(),
--- a/cardamomthread-standin/src/main/java/org/cardamomthread/standin/StandInOptions.java
+++ b/cardamomthread-standin/src/main/java/org/cardamomthread/standin/StandInOptions.java
@@ -24,6 +24,7 @@
 
     static {
         add("listen", "address, host:port; port 0 chooses a free one (127.0.0.1:0)");
+        add("advertise", "address that is announced, host:port (the one in use)");
         add("id", "endpoint id");
         add("incarnation", "rises with each start (the time)");
         add("data-centre", "data centre");
@@ -70,6 +71,10 @@
         return new InetSocketAddress(address.substring(0, Math.max(0, colon)), port);
     }
 
+    String advertise(String inUse) {
+        return text("advertise", inUse);
+    }
+
     List<String> nodes() {
         return list("nodes");
     }
