Run calls that may not be repeated at most once

Cause: non-repeatable routes were refused. A claim is committed by the voters before the first byte goes out, exactly one dispatch follows on a connection of its own, and the moment before the first byte decides whether a failure is not-run or unknown.

Seen by hand with three nodes and a service stand-in: one key sent to four listeners ran once by the stand-in's record, all four got the same answer, another body under the key got 409.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ControlParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ControlParts.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -17,8 +18,11 @@
 import org.cardamomthread.daemon.control.ControlGroups;
 import org.cardamomthread.daemon.control.GroupDefinition;
 import org.cardamomthread.daemon.control.ProposalClient;
+import org.cardamomthread.daemon.execution.ExecutionReplica;
 import org.cardamomthread.daemon.operator.ProposalFailedException;
 import org.cardamomthread.daemon.operator.VoterStatus;
+import org.cardamomthread.execution.claim.ClaimSettings;
+import org.cardamomthread.execution.claim.ClaimStateMachine;
 import org.cardamomthread.membership.node.NodeDirectory;
 import org.cardamomthread.membership.node.NodeState;
 import org.cardamomthread.replication.GroupUnavailableException;
@@ -32,6 +36,8 @@
 
     private static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(10);
 
+    private static final byte[] NO_ANSWER = new byte[0];
+
     private final ControlGroups groups;
 
     ControlParts(
@@ -47,6 +53,16 @@
                     GroupDefinition.configuration(
                             settings.bootstrapVoters().configuration(), replica, replica::query));
         }
+        if (!settings.bootstrapVoters().work().isEmpty()) {
+            ExecutionReplica execution =
+                    new ExecutionReplica(
+                            Map.of(
+                                    ExecutionReplica.CLAIMS,
+                                    new ClaimStateMachine(ClaimSettings.defaults())));
+            definitions.add(
+                    GroupDefinition.claims(
+                            settings.bootstrapVoters().work(), execution, query -> NO_ANSWER));
+        }
         groups =
                 new ControlGroups(
                         settings.nodeId(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -98,6 +98,7 @@
                                 membership,
                                 configuration,
                                 controlParts::propose,
+                                controlParts.getClient(),
                                 endpointClient,
                                 telemetry));
         callers = createServer("callers", serving.getGateway().getCallerApi());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
@@ -8,6 +8,7 @@
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
 import org.cardamomthread.daemon.configuration.ConfigurationProposer;
 import org.cardamomthread.daemon.configuration.DrainSync;
+import org.cardamomthread.daemon.control.ProposalClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
 import org.cardamomthread.daemon.gateway.ClassPriceBook;
@@ -37,6 +38,7 @@
      * @param membership nodes and credits
      * @param configuration the configuration in force
      * @param proposer proposes changes of the configuration
+     * @param proposals reaches the replicated logs
      * @param client runs attempts on endpoints
      * @param telemetry what each call reports to
      */
@@ -48,6 +50,7 @@
             MembershipParts membership,
             ConfigurationHolder configuration,
             ConfigurationProposer proposer,
+            ProposalClient proposals,
             EndpointClient client,
             CallTelemetry telemetry) {}
 
@@ -88,14 +91,17 @@
 
     private Gateway createGateway(Environment environment) {
         TimeSource timeSource = environment.telemetry().timeSource();
-        return Gateway.create(
+        return new Gateway(
                 new Gateway.GatewayParts(
+                        environment.settings().nodeId(),
+                        environment.incarnation(),
                         environment.settings().dataCentre(),
                         environment.configuration()::getDeclarations,
                         environment.membership().getPool(),
                         new ScoringEndpointSelector(PrefixKnowledge.NONE),
                         new ClassPriceBook(),
                         environment.client(),
+                        environment.proposals(),
                         new MoveVersionRouter(environment.configuration(), rollout),
                         environment.telemetry().choices(),
                         new MoveObserver(rollout, timeSource),
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/execution/ExecutionReplica.java
@@ -0,0 +1,84 @@
+package org.cardamomthread.daemon.execution;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cardamomthread.replication.StateMachine;
+
+/**
+ * Keeps several state machines in one replicated log. The first byte of a command names the machine
+ * that it is for.
+ *
+ * <p>Used by the thread of its group.
+ */
+public final class ExecutionReplica implements StateMachine {
+
+    /** Names the claims of calls that may not be repeated. */
+    public static final byte CLAIMS = 1;
+
+    /** Names the accepted jobs. */
+    public static final byte JOBS = 2;
+
+    private final Map<Byte, StateMachine> machines;
+
+    /**
+     * Creates the replica.
+     *
+     * @param machines the machines by name; the same on each voter
+     */
+    public ExecutionReplica(Map<Byte, StateMachine> machines) {
+        this.machines = new TreeMap<>(machines);
+    }
+
+    /**
+     * Addresses a command to a machine.
+     *
+     * @param machine the machine's name
+     * @param command the command
+     * @return the command as it stands in the log
+     */
+    public static byte[] address(byte machine, byte[] command) {
+        return ByteBuffer.allocate(1 + command.length).put(machine).put(command).array();
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        StateMachine machine = machines.get(command[0]);
+        if (machine == null) {
+            throw new IllegalStateException(
+                    "command "
+                            + index
+                            + " is for machine "
+                            + command[0]
+                            + ", which this version lacks: upgrade this node");
+        }
+        byte[] content = new byte[command.length - 1];
+        System.arraycopy(command, 1, content, 0, content.length);
+        return machine.apply(index, content);
+    }
+
+    @Override
+    public byte[] snapshot() {
+        Map<Byte, byte[]> parts = new TreeMap<>();
+        int length = 0;
+        for (Map.Entry<Byte, StateMachine> entry : machines.entrySet()) {
+            byte[] part = entry.getValue().snapshot();
+            parts.put(entry.getKey(), part);
+            length += Byte.BYTES + Integer.BYTES + part.length;
+        }
+        ByteBuffer buffer = ByteBuffer.allocate(length);
+        parts.forEach((name, part) -> buffer.put(name).putInt(part.length).put(part));
+        return buffer.array();
+    }
+
+    @Override
+    public void restore(byte[] state) {
+        ByteBuffer buffer = ByteBuffer.wrap(state);
+        while (buffer.hasRemaining()) {
+            byte name = buffer.get();
+            byte[] part = new byte[buffer.getInt()];
+            buffer.get(part);
+            machines.get(name).restore(part);
+        }
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRepeatableCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRepeatableCall.java
@@ -7,8 +7,8 @@
 import org.cardamomthread.daemon.dispatch.EndpointAttempt;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
-import org.cardamomthread.daemon.http.ExecutionState;
 import org.cardamomthread.daemon.http.Problem;
+import org.cardamomthread.execution.ExecutionStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -191,10 +191,10 @@
     }
 
     private Problem createProblem(EndpointFailureException failure) {
-        ExecutionState execution =
+        ExecutionStatus execution =
                 failure.isCertainlyNotRun() && attempts == 1
-                        ? ExecutionState.NOT_RUN
-                        : ExecutionState.UNKNOWN;
+                        ? ExecutionStatus.NOT_RUN
+                        : ExecutionStatus.UNKNOWN;
         return new Problem(
                 502,
                 "endpoints-failed",
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallScope.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallScope.java
@@ -8,13 +8,13 @@
 import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.RequestId;
 import org.cardamomthread.core.time.TimeSource;
-import org.cardamomthread.daemon.http.ExecutionState;
 import org.cardamomthread.daemon.http.HttpExchange;
 import org.cardamomthread.daemon.http.HttpReply;
 import org.cardamomthread.daemon.http.Problem;
 import org.cardamomthread.daemon.http.ResponseStream;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
+import org.cardamomthread.execution.ExecutionStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -101,7 +101,7 @@
     /** Sends a problem document and ends the call. */
     void refuse(Problem problem) {
         exchange.respond(identify(problem.toReply(requestId.value())));
-        boolean wasRun = problem.execution() != ExecutionState.NOT_RUN;
+        boolean wasRun = problem.execution() != ExecutionStatus.NOT_RUN;
         end(
                 wasRun ? CallOutcome.FAILED : CallOutcome.REFUSED,
                 problem.type() + ": " + problem.detail());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -4,6 +4,8 @@
 import org.cardamomthread.configuration.declaration.ClientAccount;
 import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.daemon.control.ProposalClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.membership.gateway.CreditPool;
@@ -20,17 +22,11 @@
     private final CallerApi callerApi;
 
     /**
-     * Assembles a gateway of a deployment without a replicated log.
+     * Assembles a gateway.
      *
      * @param parts what it works with
-     * @return the gateway
      */
-    public static Gateway create(GatewayParts parts) {
-        UnavailableExecution unavailable = new UnavailableExecution();
-        return new Gateway(parts, unavailable, unavailable);
-    }
-
-    private Gateway(GatewayParts parts, OnceOnlyStarter onceOnly, JobApi jobs) {
+    public Gateway(GatewayParts parts) {
         placement = createPlacement(parts);
         CallServices services =
                 new CallServices(
@@ -38,23 +34,32 @@
                         new AttemptRunner(parts.client(), parts.telemetry().tracing()),
                         new BudgetRetryPolicy(parts.telemetry().timeSource()),
                         parts.telemetry().timeSource());
+        OnceOnlyGateway onceOnly =
+                new OnceOnlyGateway(
+                        parts.node(),
+                        parts.incarnation(),
+                        services,
+                        new ReplicatedClaimClient(parts.proposals()));
         callerApi =
                 new CallerApi(
                         parts.configuration(),
                         new DefaultCallStarter(services, onceOnly),
-                        jobs,
+                        new UnavailableJobApi(),
                         parts.telemetry());
     }
 
     /**
      * Groups what a gateway works with. Immutable.
      *
+     * @param node this node
+     * @param incarnation the node's incarnation
      * @param dataCentre the node's data centre
      * @param configuration gives the declarations in force
      * @param pool the node's credits
      * @param selector chooses endpoints
      * @param prices knows what endpoints cost
      * @param client runs attempts
+     * @param proposals reaches the replicated log of claims
      * @param versions divides calls between versions
      * @param choices hears of choices
      * @param attempts hears how attempts went
@@ -62,12 +67,15 @@
      * @param random source for choices among near equals
      */
     public record GatewayParts(
+            NodeId node,
+            long incarnation,
             DataCentreId dataCentre,
             ConfigurationSource configuration,
             CreditPool pool,
             EndpointSelector selector,
             PriceBook prices,
             EndpointClient client,
+            ProposalClient proposals,
             VersionRouter versions,
             ChoiceLog choices,
             AttemptObserver attempts,
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ReplicatedClaimClient.java
@@ -0,0 +1,29 @@
+package org.cardamomthread.daemon.gateway;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.cardamomthread.daemon.control.GroupDefinition;
+import org.cardamomthread.daemon.control.ProposalClient;
+import org.cardamomthread.daemon.execution.ExecutionReplica;
+import org.cardamomthread.execution.claim.ClaimCommand;
+import org.cardamomthread.execution.claim.ClaimOutcome;
+
+/** Proposes claims to the replicated log. Safe for use by several threads. */
+final class ReplicatedClaimClient implements ClaimClient {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(4);
+
+    private final ProposalClient proposals;
+
+    ReplicatedClaimClient(ProposalClient proposals) {
+        this.proposals = proposals;
+    }
+
+    @Override
+    public CompletableFuture<ClaimOutcome> propose(ClaimCommand command) {
+        byte[] addressed = ExecutionReplica.address(ExecutionReplica.CLAIMS, command.toBytes());
+        return proposals
+                .propose(GroupDefinition.CLAIMS, addressed, TIMEOUT)
+                .thenApply(ClaimOutcome::parse);
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/UnavailableExecution.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/UnavailableJobApi.java
@@ -7,16 +7,11 @@
 import org.cardamomthread.daemon.http.Problem;
 
 /**
- * Refuses what needs the replicated log, for deployments whose settings name no voters.
+ * Refuses patient work.
  *
  * <p>Stateless and safe for use by several threads.
  */
-final class UnavailableExecution implements OnceOnlyStarter, JobApi {
-
-    @Override
-    public void start(CallScope scope, String endpointTarget) {
-        scope.refuse(createProblem());
-    }
+final class UnavailableJobApi implements JobApi {
 
     @Override
     public void handle(
@@ -30,9 +25,8 @@
     private static Problem createProblem() {
         return Problem.createNotRun(
                 503,
-                "no-voters",
-                "No replicated log",
-                "this deployment keeps no replicated log: name voters under bootstrapVoters in the"
-                        + " settings");
+                "jobs-unavailable",
+                "Patient work is not served",
+                "this version takes no patient work: send the call to its service");
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
@@ -16,6 +16,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import org.cardamomthread.execution.ExecutionStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -127,7 +128,7 @@
                                 "Internal error",
                                 "the node failed on this request: see its log, and resend only what"
                                         + " may be repeated",
-                                ExecutionState.UNKNOWN,
+                                ExecutionStatus.UNKNOWN,
                                 OptionalLong.empty())
                         .toReply("none"));
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/Problem.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/Problem.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
+import org.cardamomthread.execution.ExecutionStatus;
 
 /**
  * Describes a refusal or failure as a problem document.
@@ -22,7 +23,7 @@
         String type,
         String title,
         String detail,
-        ExecutionState execution,
+        ExecutionStatus execution,
         OptionalLong retryAfterS) {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -39,7 +40,7 @@
      */
     public static Problem createNotRun(int status, String type, String title, String detail) {
         return new Problem(
-                status, type, title, detail, ExecutionState.NOT_RUN, OptionalLong.empty());
+                status, type, title, detail, ExecutionStatus.NOT_RUN, OptionalLong.empty());
     }
 
     /**
@@ -82,7 +83,7 @@
         node.put("status", status);
         node.put("detail", detail);
         node.put("requestId", requestId);
-        node.put("execution", execution.getText());
+        node.put("execution", execution.text());
         return node;
     }
 }
