--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/control/ControlGroupsTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/control/ControlGroupsTests.java
@@ -30,6 +30,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+/** Runs the groups of four nodes in one process, one of them without a disk. */
 public class ControlGroupsTests {
 
     private static final List<NodeId> VOTERS =
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/control/ForwardedRequestTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/control/ForwardedRequestTests.java
@@ -24,6 +24,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** Forwards requests to voters with scripted outcomes. */
 public class ForwardedRequestTests {
 
     private static final GroupId GROUP = GroupDefinition.CLAIMS;
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/ReplicationSettingsTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/ReplicationSettingsTests.java
@@ -9,6 +9,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** Checks the bounds of the settings and the lease that follows from them. */
 public class ReplicationSettingsTests {
 
     private static final List<NodeId> NODES = List.of(new NodeId("node-1"));
--- /dev/null
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/consensus/ReplicaTests.java
@@ -0,0 +1,259 @@
+package org.cardamomthread.replication.consensus;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.MembershipChangeException;
+import org.cardamomthread.replication.ReplicaMember;
+import org.cardamomthread.replication.ReplicaRole;
+import org.cardamomthread.replication.ReplicationSettings;
+import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.generated.AppendRequest;
+import org.cardamomthread.replication.generated.AppendResponse;
+import org.cardamomthread.replication.generated.Entry;
+import org.cardamomthread.replication.generated.EntryKind;
+import org.cardamomthread.replication.generated.Envelope;
+import org.cardamomthread.replication.generated.SnapshotHeader;
+import org.cardamomthread.replication.generated.TermState;
+import org.cardamomthread.replication.generated.VoteRequest;
+import org.cardamomthread.replication.generated.VoteResponse;
+import org.cardamomthread.replication.storage.RecoveredState;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Hands single messages to one replica, voter 1 of three, whose log ends in entries of term 2. */
+public class ReplicaTests {
+
+    private static final GroupId GROUP = new GroupId("claims");
+    private static final long ELECTION_TIMEOUT_MS = 1000;
+    private static final long START_MS = 5000;
+
+    private Replica replica;
+
+    @BeforeMethod
+    public void createReplica() {
+        List<ReplicaMember> members = new ArrayList<>();
+        for (int i = 1; i <= 3; i++) {
+            members.add(new ReplicaMember(voter(i), node(i), true));
+        }
+        List<Entry> entries = new ArrayList<>();
+        ByteString membership = new Members(members).toMessage().toByteString();
+        entries.add(entry(1, 1, EntryKind.MEMBERSHIP, membership));
+        for (int index = 2; index <= 4; index++) {
+            entries.add(entry(index, 2, EntryKind.COMMAND, ByteString.copyFromUtf8("command")));
+        }
+        RecoveredState recovered =
+                new RecoveredState(
+                        voter(1),
+                        TermState.newBuilder().setTerm(2).build(),
+                        SnapshotHeader.getDefaultInstance(),
+                        entries);
+        replica =
+                new Replica(
+                        new ReplicaIdentity(GROUP, node(1), voter(1)),
+                        ReplicationSettings.withDefaults(List.of(node(1), node(2), node(3))),
+                        recovered,
+                        new Random(1),
+                        START_MS);
+    }
+
+    private static Entry entry(long index, long term, EntryKind kind, ByteString data) {
+        return Entry.newBuilder().setIndex(index).setTerm(term).setKind(kind).setData(data).build();
+    }
+
+    private static VoterId voter(int number) {
+        return new VoterId("folder-" + number);
+    }
+
+    private static NodeId node(int number) {
+        return new NodeId("node-" + number);
+    }
+
+    private static Envelope.Builder from(int number, long term) {
+        return Envelope.newBuilder()
+                .setGroupId(GROUP.value())
+                .setFromVoter(voter(number).value())
+                .setFromNode(node(number).value())
+                .setToVoter(voter(1).value())
+                .setTerm(term);
+    }
+
+    private static Envelope voteRequest(int candidate, long term, boolean preliminary) {
+        VoteRequest request =
+                VoteRequest.newBuilder()
+                        .setLastIndex(9)
+                        .setLastTerm(term - 1)
+                        .setPreliminary(preliminary)
+                        .build();
+        return from(candidate, term).setVoteRequest(request).build();
+    }
+
+    private static Envelope heartbeat(int leader, long term) {
+        AppendRequest request =
+                AppendRequest.newBuilder().setPreviousIndex(4).setPreviousTerm(2).build();
+        return from(leader, term).setAppendRequest(request).build();
+    }
+
+    private static Envelope accepted(int follower, long term, long matchIndex, long sentAtMs) {
+        AppendResponse response =
+                AppendResponse.newBuilder()
+                        .setAccepted(true)
+                        .setMatchIndex(matchIndex)
+                        .setSentAtMs(sentAtMs)
+                        .build();
+        return from(follower, term).setAppendResponse(response).build();
+    }
+
+    private long lead() {
+        long nowMs = START_MS + 2 * ELECTION_TIMEOUT_MS;
+        replica.tick(nowMs);
+        for (boolean preliminary : new boolean[] {true, false}) {
+            VoteResponse vote =
+                    VoteResponse.newBuilder().setGranted(true).setPreliminary(preliminary).build();
+            replica.receive(from(2, 3).setVoteResponse(vote).build(), nowMs);
+        }
+        finishOutput();
+        assertEquals(replica.status(0, nowMs).role(), ReplicaRole.LEADER);
+        return nowMs;
+    }
+
+    private ReplicaOutput finishOutput() {
+        ReplicaOutput output = replica.takeOutput();
+        replica.persisted();
+        return output;
+    }
+
+    @Test
+    public void commitsNoEntryOfAnOlderTermByCounting() {
+        long nowMs = lead();
+        replica.receive(accepted(2, 3, 4, nowMs), nowMs);
+        assertEquals(replica.status(0, nowMs).commitIndex(), 0);
+        replica.receive(accepted(2, 3, 5, nowMs), nowMs);
+        assertEquals(replica.status(0, nowMs).commitIndex(), 5);
+    }
+
+    @Test
+    public void holdsNoLeaseBeforeAnEntryOfItsTermIsCommitted() {
+        long nowMs = lead();
+        replica.receive(accepted(2, 3, 4, nowMs), nowMs);
+        assertFalse(replica.status(0, nowMs).isLeaseHeld());
+        replica.receive(accepted(2, 3, 5, nowMs), nowMs);
+        assertTrue(replica.status(0, nowMs).isLeaseHeld());
+    }
+
+    @Test
+    public void countsOnlyAnswersOfKnownFolders() {
+        long nowMs = lead();
+        Envelope lostFolder =
+                accepted(2, 3, 5, nowMs).toBuilder().setFromVoter("other-folder").build();
+        replica.receive(lostFolder, nowMs);
+        assertEquals(replica.status(0, nowMs).commitIndex(), 0);
+        Envelope toLostFolder =
+                accepted(2, 3, 5, nowMs).toBuilder().setToVoter("other-folder").build();
+        replica.receive(toLostFolder, nowMs);
+        assertEquals(replica.status(0, nowMs).commitIndex(), 0);
+    }
+
+    @Test
+    public void answersAVoteOnlyAfterItIsSynced() {
+        replica.receive(voteRequest(2, 3, false), START_MS + ELECTION_TIMEOUT_MS);
+        ReplicaOutput output = replica.takeOutput();
+        assertEquals(output.termState().orElseThrow().getVotedFor(), voter(2).value());
+        assertTrue(output.isSyncNeeded());
+        assertTrue(output.immediateMessages().isEmpty());
+        assertTrue(grants(output));
+    }
+
+    @Test
+    public void votesForOneCandidateATerm() {
+        long nowMs = START_MS + ELECTION_TIMEOUT_MS;
+        replica.receive(voteRequest(2, 3, false), nowMs);
+        assertTrue(grants(finishOutput()));
+        replica.receive(voteRequest(3, 3, false), nowMs);
+        assertFalse(grants(finishOutput()));
+        replica.receive(voteRequest(2, 3, false), nowMs);
+        assertTrue(grants(finishOutput()));
+    }
+
+    private static boolean grants(ReplicaOutput output) {
+        return output.messagesAfterSync().stream()
+                .anyMatch(message -> message.message().getVoteResponse().getGranted());
+    }
+
+    @DataProvider
+    public Object[][] kindsOfVote() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    @Test(dataProvider = "kindsOfVote")
+    public void supportsNobodyRightAfterARestart(boolean preliminary) {
+        Envelope request = voteRequest(2, 3, preliminary);
+        replica.receive(request, START_MS + ELECTION_TIMEOUT_MS - 1);
+        assertTrue(replica.takeOutput().isEmpty());
+        assertEquals(replica.status(0, START_MS).term(), 2);
+        replica.receive(request, START_MS + ELECTION_TIMEOUT_MS);
+        assertTrue(grants(replica.takeOutput()));
+    }
+
+    @Test(dataProvider = "kindsOfVote")
+    public void supportsNobodyWhileItHearsTheLeader(boolean preliminary) {
+        long nowMs = START_MS + ELECTION_TIMEOUT_MS;
+        replica.receive(heartbeat(3, 2), nowMs);
+        finishOutput();
+        Envelope request = voteRequest(2, 3, preliminary);
+        replica.receive(request, nowMs + ELECTION_TIMEOUT_MS - 1);
+        assertTrue(replica.takeOutput().isEmpty());
+        replica.receive(request, nowMs + ELECTION_TIMEOUT_MS);
+        assertTrue(grants(replica.takeOutput()));
+    }
+
+    @Test
+    public void changesOneMemberAtATime() throws Exception {
+        long nowMs = lead();
+        expectThrows(
+                MembershipChangeException.class,
+                () -> replica.addLearner(voter(4), node(4), nowMs));
+        replica.receive(accepted(2, 3, 5, nowMs), nowMs);
+        replica.addLearner(voter(4), node(4), nowMs);
+        finishOutput();
+        expectThrows(
+                MembershipChangeException.class,
+                () -> replica.addLearner(voter(5), node(5), nowMs));
+        replica.receive(accepted(2, 3, 6, nowMs), nowMs);
+        replica.addLearner(voter(5), node(5), nowMs);
+    }
+
+    @Test
+    public void promotesOnlyACaughtUpLearner() throws Exception {
+        long nowMs = lead();
+        replica.receive(accepted(2, 3, 5, nowMs), nowMs);
+        replica.addLearner(voter(4), node(4), nowMs);
+        finishOutput();
+        replica.receive(accepted(2, 3, 6, nowMs), nowMs);
+        MembershipChangeException refusal =
+                expectThrows(
+                        MembershipChangeException.class, () -> replica.promote(voter(4), nowMs));
+        assertTrue(refusal.getMessage().contains("lacks entries"));
+        replica.receive(accepted(4, 3, 6, nowMs), nowMs);
+        replica.promote(voter(4), nowMs);
+    }
+
+    @Test
+    public void leaderStepsDownOnItsFirstInputAfterTheTimeout() {
+        long nowMs = lead();
+        long lateMs = nowMs + ELECTION_TIMEOUT_MS;
+        replica.receive(accepted(2, 3, 5, nowMs), lateMs);
+        assertEquals(replica.status(0, lateMs).commitIndex(), 0);
+        assertEquals(replica.status(0, lateMs).role(), ReplicaRole.FOLLOWER);
+        assertTrue(replica.takeOutput().immediateMessages().isEmpty());
+    }
+}
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/runtime/DefaultReplicationGroupTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/runtime/DefaultReplicationGroupTests.java
@@ -35,6 +35,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** Runs three groups in one process with a clock that the test moves. */
 public class DefaultReplicationGroupTests {
 
     private static final GroupId GROUP = new GroupId("claims");
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationScenarioTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationScenarioTests.java
@@ -13,6 +13,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** Runs chosen faults in simulated time. */
 public class ReplicationScenarioTests {
 
     private static final int SETTLE_STEPS = 400;
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
@@ -28,6 +28,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** Damages, fills and interrupts the files of a storage. */
 public class FileLogStorageTests {
 
     private static final GroupId GROUP = new GroupId("claims");
