--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
@@ -6,12 +6,12 @@
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationDistribution;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.configuration.ConfigurationProposer;
+import org.cardamomthread.daemon.configuration.DrainSync;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
-import org.cardamomthread.daemon.gateway.ChoiceLog;
 import org.cardamomthread.daemon.gateway.ClassPriceBook;
 import org.cardamomthread.daemon.gateway.Gateway;
-import org.cardamomthread.daemon.rollout.ConfigurationProposer;
 import org.cardamomthread.daemon.rollout.MoveObserver;
 import org.cardamomthread.daemon.rollout.MoveVersionRouter;
 import org.cardamomthread.daemon.rollout.RolloutService;
@@ -24,7 +24,7 @@
 
     private final ConfigurationDistribution distribution;
     private final RolloutService rollout;
-    private final ChoiceLog choices = new ChoiceLog();
+    private final DrainSync drains;
     private final Gateway gateway;
 
     /**
@@ -67,13 +67,15 @@
                         environment.transport(),
                         environment.control(),
                         environment.telemetry().timeSource());
+        drains =
+                new DrainSync(
+                        environment.configuration(),
+                        environment.membership().getDirectory(),
+                        environment.proposer(),
+                        environment.control());
         gateway = createGateway(environment);
     }
 
-    ChoiceLog getChoices() {
-        return choices;
-    }
-
     Gateway getGateway() {
         return gateway;
     }
@@ -81,6 +83,7 @@
     void start() {
         distribution.start();
         rollout.start();
+        drains.start();
     }
 
     private Gateway createGateway(Environment environment) {
@@ -94,7 +97,7 @@
                         new ClassPriceBook(),
                         environment.client(),
                         new MoveVersionRouter(environment.configuration(), rollout),
-                        choices,
+                        environment.telemetry().choices(),
                         new MoveObserver(rollout, timeSource),
                         environment.telemetry(),
                         new Random(environment.incarnation())));
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
@@ -129,12 +129,13 @@
                         new ClientAccountId("bars"),
                         TARGET,
                         span,
-                        new CallTelemetry(new NodeMetrics(), tracing, timeSource));
+                        new CallTelemetry(
+                                new NodeMetrics(), tracing, timeSource, new ChoiceLog(timeSource)));
         CallServices services =
                 new CallServices(
                         placement,
                         new AttemptRunner(endpoints, tracing),
-                        new BudgetRetryPolicy(),
+                        new BudgetRetryPolicy(timeSource),
                         timeSource);
         ModelRequest request = ModelRequest.parse(BODY.getBytes(StandardCharsets.UTF_8));
         new ModelStreamCall(scope, services, request).start();
