--- /dev/null
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replication/ReplicationBenchmark.java
@@ -0,0 +1,214 @@
+package org.cardamomthread.experiments.replication;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.cardamomthread.replication.ReplicationGroup;
+import org.cardamomthread.replication.StorageException;
+
+/**
+ * Measures commit latency and rate, bytes, restart time and memory of a group with synced disks.
+ *
+ * <p>Prints one table a measure. Exit codes: 0 when done, 2 for a wrong command line.
+ */
+public final class ReplicationBenchmark {
+
+    private static final int USAGE_EXIT_CODE = 2;
+    private static final int VOTERS = 3;
+    private static final long ELECTION_TIMEOUT_MS = 3000;
+    private static final long HEARTBEAT_MS = 150;
+    private static final long SHORT_ELECTION_TIMEOUT_MS = 30;
+    private static final long SHORT_HEARTBEAT_MS = 10;
+    private static final int NO_SNAPSHOTS = Integer.MAX_VALUE;
+    private static final int OPEN_COMMANDS = 5000;
+    private static final long WARM_UP_SECONDS = 2;
+    private static final double MICROS_PER_MILLI = 1000;
+
+    private final int commandBytes;
+    private final long seconds;
+    private final Path folder;
+
+    private ReplicationBenchmark(int commandBytes, long seconds, Path folder) {
+        this.commandBytes = commandBytes;
+        this.seconds = seconds;
+        this.folder = folder;
+    }
+
+    /**
+     * Runs the program.
+     *
+     * @param arguments the command line; {@code --help} explains it
+     * @throws Exception if a group fails
+     */
+    public static void main(String[] arguments) throws Exception {
+        Options options = options();
+        CommandLine line = parse(options, arguments);
+        if (line == null || line.hasOption("help")) {
+            HelpFormatter.builder().get().printHelp("ReplicationBenchmark", "", options, "", true);
+            System.exit(line == null ? USAGE_EXIT_CODE : 0);
+        }
+        int commandBytes = Integer.parseInt(line.getOptionValue("command-bytes", "200"));
+        long seconds = Long.parseLong(line.getOptionValue("seconds", "5"));
+        Path parent = Path.of(line.getOptionValue("folder", System.getProperty("java.io.tmpdir")));
+        Path folder = Files.createTempDirectory(parent, "replication-benchmark");
+        try {
+            int[] concurrency = integers(line.getOptionValue("concurrency", "1,8,64,512"));
+            int[] entries = integers(line.getOptionValue("entries", "500,50000"));
+            new ReplicationBenchmark(commandBytes, seconds, folder).run(concurrency, entries);
+        } finally {
+            delete(folder);
+        }
+    }
+
+    private static Options options() {
+        return new Options()
+                .addOption(Option.builder().longOpt("help").desc("print this help").get())
+                .addOption(option("command-bytes", "size of a command, default 200"))
+                .addOption(option("seconds", "duration of each commit measure, default 5"))
+                .addOption(option("folder", "where to put the voters' folders"))
+                .addOption(option("concurrency", "open commands, default 1,8,64,512"))
+                .addOption(option("entries", "log lengths for restarts, default 500,50000"));
+    }
+
+    private static Option option(String name, String description) {
+        return Option.builder().longOpt(name).hasArg().desc(description).get();
+    }
+
+    private static CommandLine parse(Options options, String[] arguments) {
+        try {
+            return new DefaultParser().parse(options, arguments);
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            return null;
+        }
+    }
+
+    private static int[] integers(String list) {
+        return Arrays.stream(list.split(",")).mapToInt(Integer::parseInt).toArray();
+    }
+
+    private void run(int[] concurrency, int[] entries) throws Exception {
+        System.out.printf("%d voters, commands of %d bytes%n", VOTERS, commandBytes);
+        System.out.println("open  commits/s  p50 ms  p99 ms  max ms  disk B/entry  sent B/entry");
+        for (int open : concurrency) {
+            measureCommits(open);
+        }
+        System.out.println("entries  snapshots  open ms  until lease ms  heap B/entry");
+        for (int count : entries) {
+            measureRestart(count, NO_SNAPSHOTS, "none");
+            measureRestart(count, 10_000, "default");
+        }
+    }
+
+    private void measureCommits(int open)
+            throws StorageException, InterruptedException, IOException {
+        Path groupFolder = folder.resolve("commits-" + open);
+        try (LocalGroup group =
+                new LocalGroup(
+                        groupFolder, VOTERS, ELECTION_TIMEOUT_MS, HEARTBEAT_MS, NO_SNAPSHOTS)) {
+            group.start();
+            ReplicationGroup leader = group.awaitLeader();
+            ClosedLoopClients clients = new ClosedLoopClients(leader, open, commandBytes);
+            clients.start();
+            TimeUnit.SECONDS.sleep(WARM_UP_SECONDS);
+            clients.takeLatenciesUs();
+            long sentBefore = group.sentBytes();
+            long indexBefore = leader.status().lastIndex();
+            long startNs = System.nanoTime();
+            TimeUnit.SECONDS.sleep(seconds);
+            Histogram latencies = clients.takeLatenciesUs();
+            double elapsedSeconds = (System.nanoTime() - startNs) / 1e9;
+            long entries = leader.status().lastIndex() - indexBefore;
+            double sentPerEntry = (group.sentBytes() - sentBefore) / (double) entries;
+            clients.stop();
+            double diskPerEntry =
+                    sizeOf(groupFolder.resolve("node-1")) / (double) leader.status().lastIndex();
+            System.out.printf(
+                    "%4d  %9.0f  %6.2f  %6.2f  %6.2f  %12.0f  %12.0f%s%n",
+                    open,
+                    latencies.getTotalCount() / elapsedSeconds,
+                    latencies.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                    latencies.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                    latencies.getMaxValue() / MICROS_PER_MILLI,
+                    diskPerEntry,
+                    sentPerEntry,
+                    clients.failures() == 0 ? "" : "  failures " + clients.failures());
+        }
+        delete(groupFolder);
+    }
+
+    private void measureRestart(int count, int snapshotEntries, String name) throws Exception {
+        Path groupFolder = folder.resolve("restart-" + count + "-" + name);
+        try (LocalGroup group = single(groupFolder, snapshotEntries)) {
+            group.start();
+            fill(group.awaitLeader(), count);
+        }
+        long heapBefore = usedHeapBytes();
+        long startNs = System.nanoTime();
+        try (LocalGroup group = single(groupFolder, snapshotEntries)) {
+            group.start();
+            double openMs = (System.nanoTime() - startNs) / 1e6;
+            group.awaitLeader();
+            double leaseMs = (System.nanoTime() - startNs) / 1e6;
+            double heapPerEntry = (usedHeapBytes() - heapBefore) / (double) count;
+            System.out.printf(
+                    "%7d  %9s  %7.0f  %14.0f  %12.0f%n",
+                    count, name, openMs, leaseMs, heapPerEntry);
+        }
+        delete(groupFolder);
+    }
+
+    private static LocalGroup single(Path folder, int snapshotEntries) {
+        return new LocalGroup(
+                folder, 1, SHORT_ELECTION_TIMEOUT_MS, SHORT_HEARTBEAT_MS, snapshotEntries);
+    }
+
+    private void fill(ReplicationGroup leader, int count) throws Exception {
+        byte[] command = new byte[commandBytes];
+        List<CompletableFuture<byte[]>> open = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            open.add(leader.propose(command));
+            if (open.size() == OPEN_COMMANDS) {
+                CompletableFuture.allOf(open.toArray(CompletableFuture[]::new)).get();
+                open.clear();
+            }
+        }
+        CompletableFuture.allOf(open.toArray(CompletableFuture[]::new)).get();
+    }
+
+    private static long usedHeapBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    private static long sizeOf(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            return files.filter(Files::isRegularFile)
+                    .mapToLong(file -> file.toFile().length())
+                    .sum();
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replication/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the replicated log. */
+package org.cardamomthread.experiments.replication;
