--- /dev/null
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/BadInputTests.java
@@ -0,0 +1,177 @@
+package org.cardamomthread.processes;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that bad input gets a clear error and leaves the node serving. */
+@Test(groups = "processes")
+public class BadInputTests {
+
+    private static final String BOOKINGS = "/services/bookings/bookings";
+    private static final String HEAD =
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
+                    + Calls.CALLER_TOKEN
+                    + "\r\n";
+
+    private Cluster cluster;
+
+    @BeforeClass
+    public void start() throws Exception {
+        cluster = new Cluster("input");
+        cluster.startEngine("runner-1", "perth-a");
+        cluster.startBookings("app-1", "perth-a");
+        cluster.startNodes();
+        cluster.awaitServed(Answers.CHAT, Answers.chat("warm", 1, false));
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() throws Exception {
+        cluster.close();
+    }
+
+    @DataProvider
+    public Object[][] rawRequests() {
+        String body = HEAD + "Content-Length: %d\r\nConnection: close\r\n\r\n%s";
+        return new Object[][] {
+            {"no HTTP", "\u0001\u0002\u0003\r\n\r\n", 400},
+            {"long header", HEAD + "X-Long: " + "x".repeat(40_000) + "\r\n\r\n", 431},
+            {"long line", "GET /" + "x".repeat(40_000) + " HTTP/1.1\r\n\r\n", 431},
+            {"bad length", HEAD + "Content-Length: many\r\n\r\n", 400},
+            {"two lengths", HEAD + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}", 400},
+            {"invalid UTF-8", String.format(body, 3, "\"\u00ff\""), 400},
+            {"invalid JSON", String.format(body, 1, "{"), 400},
+            {"no object", String.format(body, 2, "[]"), 400},
+            {"no model", String.format(body, 2, "{}"), 400},
+            {"too large", HEAD + "Content-Length: 99999999999\r\n\r\n", 413},
+        };
+    }
+
+    @Test(dataProvider = "rawRequests")
+    public void answersABadRequestWithAClearError(String what, String request, int status)
+            throws Exception {
+        String answer = exchange(request);
+        assertEquals(statusOf(answer), status, what + ": " + answer);
+        assertServes();
+    }
+
+    @Test(groups = "known-red")
+    public void refusesAnUnknownVersionOfHttp() throws Exception {
+        String answer = exchange("GET / HTTP/9.9\r\nConnection: close\r\n\r\n");
+        assertEquals(statusOf(answer), 505, answer);
+    }
+
+    @DataProvider
+    public Object[][] halves() {
+        return new Object[][] {
+            {"", false},
+            {"POST /v1/chat", true},
+            {HEAD, true},
+            {HEAD + "Content-Length: 100\r\n\r\n{\"model\"", true},
+        };
+    }
+
+    @Test(dataProvider = "halves")
+    public void goesOnAfterManyHalfSentRequests(String half) throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            Socket socket = connect();
+            socket.getOutputStream().write(half.getBytes(ISO_8859_1));
+            sockets.add(socket);
+        }
+        assertServes();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        assertServes();
+    }
+
+    @DataProvider
+    public Object[][] refusals() {
+        return new Object[][] {
+            {Answers.CHAT, "{\"model\":\"nothing\",\"messages\":[]}", Calls.CALLER_TOKEN, 404},
+            {"/services/nothing/x", "{}", Calls.CALLER_TOKEN, 404},
+            {"/nowhere", "{}", Calls.CALLER_TOKEN, 404},
+            {Answers.CHAT, Answers.chat("x", 1, false), "wrong-token", 401},
+            {BOOKINGS, "{}", "wrong-token", 401},
+            {BOOKINGS, "{}", Calls.CALLER_TOKEN, 400},
+        };
+    }
+
+    @Test(dataProvider = "refusals")
+    public void refusesAsNotRunWithItsReason(String path, String body, String token, int status)
+            throws Exception {
+        int port = cluster.node("perth-a-1").callers();
+        HttpResponse<String> answer = cluster.calls().callAs(token, port, path, body);
+        assertEquals(answer.statusCode(), status, answer.body());
+        assertEquals(
+                answer.headers().firstValue("content-type").orElse(""), "application/problem+json");
+        assertEquals(Calls.json(answer.body()).path("execution").asText(), "not-run");
+        assertTrue(Calls.json(answer.body()).path("detail").asText().length() > 10);
+    }
+
+    @Test
+    public void refusesBadAnnouncements() throws Exception {
+        int port = cluster.node("perth-a-1").endpoints();
+        String path = "/v1/announcements";
+        assertEquals(cluster.calls().callAs("wrong", port, path, "{}").statusCode(), 401);
+        for (String body : List.of("", "[", "[]", "{}", "{\"endpointId\":7}")) {
+            HttpResponse<String> answer =
+                    cluster.calls().callAs(Calls.ENDPOINT_TOKEN, port, path, body);
+            assertEquals(answer.statusCode(), 400, answer.body());
+        }
+        assertServes();
+    }
+
+    @Test
+    public void refusesBadChangesOfOperators() throws Exception {
+        int port = cluster.node("perth-a-1").operators();
+        String path = "/v1/configuration/changes";
+        assertEquals(cluster.calls().callAs("wrong", port, path, "{}").statusCode(), 401);
+        for (String body : List.of("", "[", "[]", "{}", "{\"operationId\":\"x\"}")) {
+            HttpResponse<String> answer = cluster.calls().operate(port, path, body);
+            assertEquals(answer.statusCode(), 400, answer.body());
+        }
+        assertServes();
+    }
+
+    private void assertServes() throws Exception {
+        String body = Answers.chat("still there", 2, false);
+        HttpResponse<String> answer =
+                cluster.call("perth-a-1", Answers.CHAT, body, UUID.randomUUID());
+        assertEquals(Answers.wholeText(answer.body()), Answers.expected("still there", 2));
+    }
+
+    private String exchange(String request) throws IOException {
+        try (Socket socket = connect()) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write(request.getBytes(ISO_8859_1));
+            byte[] buffer = new byte[4_096];
+            int length = socket.getInputStream().read(buffer);
+            return length < 0 ? "" : new String(buffer, 0, length, UTF_8);
+        }
+    }
+
+    private Socket connect() throws IOException {
+        int port = cluster.node("perth-a-1").callers();
+        return new Socket(InetAddress.getLoopbackAddress(), port);
+    }
+
+    private static int statusOf(String answer) {
+        String[] parts = answer.split(" ", 3);
+        return parts.length < 2 ? 0 : Integer.parseInt(parts[1]);
+    }
+}
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Calls.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Calls.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Removes all faults from a stand-in. */
+    void clearFaults(int port) throws IOException, InterruptedException {
+        send(request(port, "/v1/faults", "").DELETE().build());
+    }
+
     static JsonNode json(String text) throws IOException {
         return MAPPER.readTree(text);
     }
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
@@ -98,8 +98,7 @@
     }
 
     /** Starts a stand-in that announces itself to all nodes and returns its port. */
-    int startStandIn(String kind, String id, String dataCentre, String... more)
-            throws IOException {
+    int startStandIn(String kind, String id, String dataCentre, String... more) throws IOException {
         int port = NodeAddresses.freePorts(1).get(0);
         List<String> arguments = new ArrayList<>(List.of(kind));
         arguments.addAll(List.of("--listen", "127.0.0.1:" + port, "--id", id));
--- /dev/null
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/ConfigurationTests.java
@@ -0,0 +1,138 @@
+package org.cardamomthread.processes;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.util.UUID;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests that accepted configuration is in force on all nodes and survives restarts. */
+@Test(groups = "processes")
+public class ConfigurationTests {
+
+    private static final long STOP_MS = 20_000;
+
+    private Cluster cluster;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        cluster = new Cluster("configuration");
+        cluster.startNodes();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        cluster.close();
+    }
+
+    @Test
+    public void isInForceOnAllNodesAndAfterAllRestart() throws Exception {
+        long accepted = 0;
+        for (int i = 1; i <= 20; i++) {
+            accepted = cluster.apply(Cluster.declarations(100 + i), Cluster.IN_FORCE_MS);
+        }
+        awaitInForce(accepted, Cluster.IN_FORCE_MS);
+        for (NodeAddresses node : cluster.nodes()) {
+            cluster.process(node.id()).kill();
+        }
+        for (NodeAddresses node : cluster.nodes()) {
+            cluster.startNode(node.id());
+        }
+        awaitInForce(accepted, Cluster.READY_MS);
+        for (NodeAddresses node : cluster.nodes()) {
+            assertEquals(maxConcurrent(node), 120, node.id());
+        }
+    }
+
+    @Test
+    public void staysInForceWhenTheLeaderIsKilled() throws Exception {
+        long accepted = cluster.apply(Cluster.declarations(200), Cluster.IN_FORCE_MS);
+        String leader = leader();
+        cluster.process(leader).kill();
+        NodeAddresses other =
+                cluster.nodes().stream()
+                        .filter(node -> !node.id().equals(leader))
+                        .findFirst()
+                        .orElseThrow();
+        Waits.until(
+                Cluster.READY_MS,
+                "a change after the leader was lost",
+                () -> change(other, cluster.revision(other.operators()), 201) == 200);
+        assertTrue(cluster.revision(other.operators()) > accepted);
+        cluster.startNode(leader);
+        awaitInForce(accepted + 1, Cluster.READY_MS);
+    }
+
+    @Test
+    public void refusesAStaleRevision() throws Exception {
+        NodeAddresses node = cluster.node("perth-b-1");
+        long base = cluster.revision(node.operators());
+        cluster.apply(Cluster.declarations(300), Cluster.IN_FORCE_MS);
+        assertEquals(change(node, base, 301), 409);
+    }
+
+    @Test
+    public void returnsTheFirstAnswerToAResentChange() throws Exception {
+        String operation = UUID.randomUUID().toString();
+        long base = cluster.revision(cluster.node("perth-a-1").operators());
+        HttpResponse<String> first = change("perth-a-1", operation, base, 400);
+        HttpResponse<String> second = change("perth-b-1", operation, base, 400);
+        assertEquals(first.statusCode(), 200, first.body());
+        assertEquals(second.statusCode(), 200, second.body());
+        assertEquals(
+                Calls.json(second.body()).path("revision"),
+                Calls.json(first.body()).path("revision"));
+    }
+
+    @Test
+    public void exitsWithCode0OnTermination() throws Exception {
+        ManagedProcess process = cluster.process("perth-a-2");
+        process.terminate();
+        assertEquals(process.awaitExit(STOP_MS), 0, process.log());
+    }
+
+    private void awaitInForce(long revision, long boundMs) throws Exception {
+        for (NodeAddresses node : cluster.nodes()) {
+            Waits.until(
+                    boundMs,
+                    "revision " + revision + " on " + node.id(),
+                    () -> cluster.revision(node.operators()) >= revision);
+        }
+    }
+
+    private int maxConcurrent(NodeAddresses node) throws Exception {
+        return cluster.calls()
+                .get(node.operators(), "/v1/configuration")
+                .at("/declarations/clientAccounts/0/maxConcurrent")
+                .asInt();
+    }
+
+    private String leader() throws Exception {
+        JsonNode status = cluster.calls().get(cluster.node("perth-a-1").operators(), "/v1/status");
+        for (JsonNode voter : status.path("voters")) {
+            if (voter.path("role").asText().equals("leader")) {
+                return voter.path("id").asText();
+            }
+        }
+        throw new AssertionError("no leader in " + status);
+    }
+
+    private int change(NodeAddresses node, long base, int maxConcurrent) throws Exception {
+        String operation = UUID.randomUUID().toString();
+        return change(node.id(), operation, base, maxConcurrent).statusCode();
+    }
+
+    private HttpResponse<String> change(String node, String operation, long base, int maxConcurrent)
+            throws Exception {
+        String body =
+                String.format(
+                        "{\"operationId\":\"%s\",\"baseRevision\":%d,\"declarations\":%s}",
+                        operation, base, Cluster.declarations(maxConcurrent));
+        int port = cluster.node(node).operators();
+        return cluster.calls().operate(port, "/v1/configuration/changes", body);
+    }
+}
--- /dev/null
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/package-info.java
@@ -0,0 +1,2 @@
+/** Tests against processes over loopback. */
+package org.cardamomthread.processes;
