--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/RolloutPlan.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/RolloutPlan.java
@@ -28,13 +28,13 @@
     private static final long SHORTEST_EPOCH_MS = 5_000;
     private static final double DEFAULT_BAKE_SHARE = 0.2;
     private static final double DEFAULT_SPARE_SHARE = 0.05; // of the time, before the deadline
-    private static final double DEFAULT_FALSE_ALARM_RATE = 0.005;
+    private static final double DEFAULT_FALSE_ALARM_RATE = 0.01;
     private static final List<RolloutStep> DEFAULT_STEPS =
             List.of(
                     new RolloutStep(0.005, 0.70, 3),
                     new RolloutStep(0.02, 0.12, 5),
                     new RolloutStep(0.10, 0.06, 10),
-                    new RolloutStep(0.30, 0.06, 20),
+                    new RolloutStep(0.25, 0.06, 20),
                     new RolloutStep(0.90, 0.06, 40));
 
     /** Checks the parts. */
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/SequentialRolloutDecider.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/SequentialRolloutDecider.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.policy.rollout;
 
 import java.util.Locale;
+import java.util.Optional;
 
 /**
  * Moves by steps, spends some calls to decide quickly when something speaks against the new
@@ -13,8 +14,8 @@
 
     private static final double SUSPICION = 1; // recent evidence that starts a probe
     private static final double DISPELLED = 0.4; // recent evidence below which a probe ends
-    private static final double PROBE_SHARE = 0.25;
-    private static final int PROBE_CALLS = 12;
+    private static final int LEAST_PROBE_CALLS = 8;
+    private static final int MOST_PROBE_CALLS = 40;
     private static final long LONGEST_PROBE_MS = 20_000;
 
     private final VersionComparison comparison = new VersionComparison();
@@ -23,11 +24,10 @@
     public RolloutVerdict decide(
             RolloutPlan plan, MoveState state, MoveEvidence evidence, long nowMs) {
         if (state.phase() == MoveState.Phase.DONE) {
-            return new RolloutVerdict(state, 1, RolloutReason.BAKE_PASSED, "the move is done");
+            return verdict(state, 1, RolloutReason.BAKE_PASSED, "the move is done");
         }
         if (state.phase() == MoveState.Phase.TAKEN_BACK) {
-            return new RolloutVerdict(
-                    state, 0, RolloutReason.DEADLINE_REACHED, "the move was taken back");
+            return verdict(state, 0, RolloutReason.DEADLINE_REACHED, "the move was taken back");
         }
         if (evidence.stop().isPresent()) {
             StopNotice stop = evidence.stop().get();
@@ -55,25 +55,37 @@
         long newCalls = evidence.total(VersionRole.NEW).calls();
         MoveState next = state;
         if (state.suspected()) {
+            long probeCalls = newCalls - state.callsBeforeSuspicion();
+            boolean open = probeCalls < LEAST_PROBE_CALLS || finding.recent() >= DISPELLED;
             boolean probing =
-                    finding.recent() >= DISPELLED
-                            && newCalls - state.callsBeforeSuspicion() < PROBE_CALLS
+                    open
+                            && probeCalls < MOST_PROBE_CALLS
                             && nowMs - state.suspectedSinceMs() < LONGEST_PROBE_MS;
             if (probing) {
-                return new RolloutVerdict(
-                        state, PROBE_SHARE, RolloutReason.SUSPICION, describe(finding));
+                return probe(plan, state, finding);
             }
             next = state.cleared();
         } else if (finding.recent() >= SUSPICION) {
-            return new RolloutVerdict(
-                    state.suspected(nowMs, newCalls),
-                    PROBE_SHARE,
-                    RolloutReason.SUSPICION,
-                    describe(finding));
+            return probe(plan, state.suspected(nowMs, newCalls), finding);
         }
         return advance(plan, next, newCalls, nowMs);
     }
 
+    private static RolloutVerdict probe(
+            RolloutPlan plan, MoveState state, VersionComparison.Finding finding) {
+        return new RolloutVerdict(
+                state,
+                plan.steps().get(state.step()).share(),
+                Optional.ofNullable(finding.recentRoute()),
+                RolloutReason.SUSPICION,
+                describe(finding));
+    }
+
+    private static RolloutVerdict verdict(
+            MoveState state, double share, RolloutReason reason, String detail) {
+        return new RolloutVerdict(state, share, Optional.empty(), reason, detail);
+    }
+
     private static RolloutVerdict advance(
             RolloutPlan plan, MoveState state, long newCalls, long nowMs) {
         RolloutStep step = plan.steps().get(state.step());
@@ -81,7 +93,7 @@
         long heldMs = nowMs - state.stepSinceMs();
         long neededMs = plan.stepMs(state.step()) + (last ? plan.bakeMs() : 0);
         if (heldMs < neededMs) {
-            return new RolloutVerdict(
+            return verdict(
                     state,
                     step.share(),
                     RolloutReason.STEP_TIME_NOT_OVER,
@@ -89,21 +101,21 @@
         }
         long stepCalls = newCalls - state.callsBeforeStep();
         if (stepCalls < step.leastCalls()) {
-            return new RolloutVerdict(
+            return verdict(
                     state,
                     step.share(),
                     RolloutReason.MORE_CALLS_NEEDED,
                     stepCalls + " of " + step.leastCalls() + " calls seen");
         }
         if (last) {
-            return new RolloutVerdict(
+            return verdict(
                     state.ended(MoveState.Phase.DONE),
                     1,
                     RolloutReason.BAKE_PASSED,
                     "no fault found in " + newCalls + " calls");
         }
         MoveState next = state.nextStep(nowMs, newCalls);
-        return new RolloutVerdict(
+        return verdict(
                 next,
                 plan.steps().get(next.step()).share(),
                 RolloutReason.STEP_PASSED,
@@ -111,7 +123,7 @@
     }
 
     private static RolloutVerdict takeBack(MoveState state, RolloutReason reason, String detail) {
-        return new RolloutVerdict(state.ended(MoveState.Phase.TAKEN_BACK), 0, reason, detail);
+        return verdict(state.ended(MoveState.Phase.TAKEN_BACK), 0, reason, detail);
     }
 
     private static String describe(VersionComparison.Finding finding) {
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/VersionComparison.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/VersionComparison.java
@@ -16,7 +16,7 @@
     private static final double FAILURE_TOLERANCE = 0.01;
     private static final double SLOW_TOLERANCE = 0.05;
     private static final double FAILURE_SIGN = 2; // evidence that calls for a closer look
-    private static final double SLOW_SIGN = 6;
+    private static final double SLOW_SIGN = 2.5;
     private static final double FIRST_EPOCH_WEIGHT = 0.5;
     private static final int RECENT_EPOCHS = 3;
 
@@ -66,6 +66,9 @@
         for (int from = newCounts.length - 1; from >= 0; from--) {
             oldSum = oldSum.plus(oldCounts[from]);
             newSum = newSum.plus(newCounts[from]);
+            if (newCounts[from].calls() == 0 && from > 0) {
+                continue; // a fault that began here shows as one that began with the next calls
+            }
             double evidence = measure.proof(oldSum, newSum);
             double weight =
                     from == 0
@@ -76,7 +79,7 @@
                 recent = Math.max(recent, measure.suspicion(oldSum, newSum));
             }
         }
-        return new Finding(route, measure.reason(), proof, recent);
+        return new Finding(route, measure.reason(), proof, route, recent);
     }
 
     /**
@@ -135,11 +138,13 @@
      * @param route the route, or null without any evidence
      * @param reason the measure
      * @param proof evidence divided by the number of tests; above 1/a it proves a fault
+     * @param recentRoute the route with the greatest evidence of the last epochs, or null
      * @param recent greatest evidence of the last epochs; from 1 on it calls for a closer look
      */
-    record Finding(RouteId route, RolloutReason reason, double proof, double recent) {
+    record Finding(
+            RouteId route, RolloutReason reason, double proof, RouteId recentRoute, double recent) {
 
-        static final Finding NOTHING = new Finding(null, RolloutReason.STEP_PASSED, 0, 0);
+        static final Finding NOTHING = new Finding(null, RolloutReason.STEP_PASSED, 0, null, 0);
 
         /** Joins findings of several tests, whose number divides the proof. */
         Finding stronger(Finding other, int tests) {
@@ -150,6 +155,7 @@
                     isStronger ? other.route : route,
                     isStronger ? other.reason : reason,
                     Math.max(proof, otherProof),
+                    other.recent > recent ? other.recentRoute : recentRoute,
                     Math.max(recent, other.recent));
         }
     }
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/SequentialRolloutDeciderTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/SequentialRolloutDeciderTests.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.Random;
+import java.util.function.ToDoubleFunction;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.id.RouteId;
 import org.testng.annotations.DataProvider;
@@ -36,13 +37,14 @@
         Random random = new Random(seed);
         EvidenceRecorder recorder = new EvidenceRecorder(NODE, plan);
         MoveState state = MoveState.start(plan);
-        double share = plan.steps().get(0).share();
+        ToDoubleFunction<RouteId> shares = route -> plan.steps().get(0).share();
         long newCalls = 0;
         long calls = 0;
         long firstSignMs = -1;
         for (long nowMs = 0; nowMs <= DEADLINE_MS; nowMs += TICK_MS) {
             for (int i = 0; i < CALLS_PER_TICK; i++) {
                 RouteId route = random.nextInt(3) == 0 ? TAG : CHAT;
+                double share = shares.applyAsDouble(route);
                 boolean isNew = random.nextDouble() < share;
                 double bad = isNew ? fault.rate(route, nowMs, share) : 0;
                 boolean failed = random.nextDouble() < Math.max(bad, BASE_FAILURES);
@@ -55,7 +57,7 @@
             }
             RolloutVerdict verdict = decider.decide(plan, state, recorder.snapshot(), nowMs);
             state = verdict.state();
-            share = verdict.share();
+            shares = verdict::shareOf;
             if (state.phase() != MoveState.Phase.MOVING) {
                 return new Outcome(verdict, nowMs, newCalls, calls, firstSignMs);
             }
