--- /dev/null
+++ b/cardamomthread-execution/src/main/java/org/cardamomthread/execution/job/JobStateMachine.java
@@ -0,0 +1,237 @@
+package org.cardamomthread.execution.job;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+import org.cardamomthread.core.id.JobId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.execution.generated.JobSnapshotMessage;
+import org.cardamomthread.execution.job.JobOutcome.Kind;
+import org.cardamomthread.execution.stream.Delivered;
+import org.cardamomthread.replication.StateMachine;
+
+/**
+ * Holds accepted patient work until it has its answer.
+ *
+ * <p>Invariants: an accepted job is queued, assigned or final, and final once only; only the
+ * current attempt changes a job, so a late answer of an older one is ignored; a job whose node is
+ * silent for its lease is queued again. A deadline never ends a job: it only orders the queue. A
+ * command applied twice has one effect. Not safe for use by several threads: the log applies
+ * commands one at a time.
+ */
+public final class JobStateMachine implements StateMachine {
+
+    private final long retentionMs;
+    private final Map<JobId, Job> jobs = new LinkedHashMap<>();
+    private long timeMs;
+
+    /**
+     * Creates a machine without jobs.
+     *
+     * @param retentionMs how long a finished job is kept, in milliseconds; the same on every
+     *     replica
+     */
+    public JobStateMachine(long retentionMs) {
+        if (retentionMs <= 0) {
+            throw new IllegalArgumentException("retentionMs " + retentionMs + " must be positive");
+        }
+        this.retentionMs = retentionMs;
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        return apply(JobCommand.parse(command)).toBytes();
+    }
+
+    private JobOutcome apply(JobCommand command) {
+        if (command instanceof JobCommand.Accept accept) {
+            jobs.putIfAbsent(accept.id(), Job.accepted(accept));
+            return new JobOutcome(Kind.APPLIED, jobs.get(accept.id()).attempt());
+        }
+        if (command instanceof JobCommand.Assign assign) {
+            return assign(assign);
+        }
+        if (command instanceof JobCommand.Renew renew) {
+            return change(
+                    renew.id(),
+                    renew.attempt(),
+                    job ->
+                            job.assigned(
+                                    job.node().orElseThrow(),
+                                    job.attempt(),
+                                    leaseEndMs(renew.atMs(), renew.leaseMs())));
+        }
+        if (command instanceof JobCommand.Requeue requeue) {
+            return change(
+                    requeue.id(),
+                    requeue.attempt(),
+                    job -> job.queued(longer(job.delivered(), requeue.delivered())));
+        }
+        if (command instanceof JobCommand.Complete complete) {
+            return finish(
+                    complete.id(),
+                    complete.attempt(),
+                    JobState.COMPLETED,
+                    job ->
+                            job.finished(
+                                    JobState.COMPLETED,
+                                    complete.status(),
+                                    complete.result(),
+                                    "",
+                                    complete.atMs()));
+        }
+        if (command instanceof JobCommand.Fail fail) {
+            return finish(
+                    fail.id(),
+                    fail.attempt(),
+                    JobState.FAILED,
+                    job ->
+                            job.finished(
+                                    JobState.FAILED,
+                                    0,
+                                    ByteString.EMPTY,
+                                    fail.reason(),
+                                    fail.atMs()));
+        }
+        return expire((JobCommand.Expire) command);
+    }
+
+    private JobOutcome assign(JobCommand.Assign assign) {
+        Job job = jobs.get(assign.id());
+        if (job == null) {
+            return new JobOutcome(Kind.NO_SUCH_JOB, 0);
+        }
+        boolean repeated =
+                job.state() == JobState.ASSIGNED
+                        && job.attempt() == assign.attempt()
+                        && job.node().equals(Optional.of(assign.node()));
+        if (repeated) {
+            return new JobOutcome(Kind.APPLIED, job.attempt());
+        }
+        if (job.state() != JobState.QUEUED || assign.attempt() != job.attempt() + 1) {
+            return new JobOutcome(Kind.STALE, job.attempt());
+        }
+        long leaseEndMs = leaseEndMs(assign.atMs(), assign.leaseMs());
+        jobs.put(job.id(), job.assigned(assign.node(), assign.attempt(), leaseEndMs));
+        return new JobOutcome(Kind.APPLIED, assign.attempt());
+    }
+
+    private JobOutcome change(JobId id, int attempt, UnaryOperator<Job> change) {
+        Job job = jobs.get(id);
+        if (job == null) {
+            return new JobOutcome(Kind.NO_SUCH_JOB, 0);
+        }
+        if (job.state() != JobState.ASSIGNED || job.attempt() != attempt) {
+            return new JobOutcome(Kind.STALE, job.attempt());
+        }
+        jobs.put(id, change.apply(job));
+        return new JobOutcome(Kind.APPLIED, attempt);
+    }
+
+    private JobOutcome finish(
+            JobId id, int attempt, JobState finalState, UnaryOperator<Job> change) {
+        Job job = jobs.get(id);
+        if (job != null && job.state() == finalState && job.attempt() == attempt) {
+            return new JobOutcome(Kind.APPLIED, attempt);
+        }
+        return change(id, attempt, change);
+    }
+
+    private JobOutcome expire(JobCommand.Expire expire) {
+        timeMs = Math.max(timeMs, expire.atMs());
+        jobs.values()
+                .removeIf(
+                        job -> job.state().isFinal() && timeMs - job.finishedAtMs() > retentionMs);
+        jobs.replaceAll((id, job) -> isOverdue(job) ? job.queued(job.delivered()) : job);
+        return new JobOutcome(Kind.APPLIED, 0);
+    }
+
+    private boolean isOverdue(Job job) {
+        return job.state() == JobState.ASSIGNED && timeMs >= job.leaseEndMs();
+    }
+
+    private long leaseEndMs(long atMs, long leaseMs) {
+        return Math.max(timeMs, atMs) + leaseMs;
+    }
+
+    private static Delivered longer(Delivered one, Delivered other) {
+        return other.tokens() > one.tokens() ? other : one;
+    }
+
+    /**
+     * Finds a job.
+     *
+     * @param id the job
+     * @return the job, or empty if it was never accepted or is no longer kept
+     */
+    public Optional<Job> find(JobId id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    /**
+     * Returns the queued jobs, the earliest deadline first.
+     *
+     * @return a snapshot
+     */
+    public List<Job> queued() {
+        List<Job> queued = new ArrayList<>(inState(JobState.QUEUED));
+        queued.sort(Comparator.comparingLong(Job::deadlineMs));
+        return queued;
+    }
+
+    /**
+     * Returns the jobs assigned to a node.
+     *
+     * @param node the node
+     * @return a snapshot
+     */
+    public List<Job> assignedTo(NodeId node) {
+        return inState(JobState.ASSIGNED).stream()
+                .filter(job -> job.node().equals(Optional.of(node)))
+                .toList();
+    }
+
+    /**
+     * Returns the number of jobs that are not final.
+     *
+     * @return queued and assigned ones
+     */
+    public int openCount() {
+        return inState(JobState.QUEUED).size() + inState(JobState.ASSIGNED).size();
+    }
+
+    private List<Job> inState(JobState state) {
+        return jobs.values().stream().filter(job -> job.state() == state).toList();
+    }
+
+    @Override
+    public byte[] snapshot() {
+        JobSnapshotMessage.Builder snapshot =
+                JobSnapshotMessage.newBuilder().setHighestAtMs(timeMs);
+        jobs.values().forEach(job -> snapshot.addJobs(job.toMessage()));
+        return snapshot.build().toByteArray();
+    }
+
+    @Override
+    public void restore(byte[] state) {
+        JobSnapshotMessage snapshot;
+        try {
+            snapshot = JobSnapshotMessage.parseFrom(state);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalArgumentException("the state must be a snapshot of jobs", e);
+        }
+        jobs.clear();
+        timeMs = snapshot.getHighestAtMs();
+        snapshot.getJobsList().forEach(message -> put(Job.of(message)));
+    }
+
+    private void put(Job job) {
+        jobs.put(job.id(), job);
+    }
+}
--- /dev/null
+++ b/cardamomthread-execution/src/main/java/org/cardamomthread/execution/job/package-info.java
@@ -0,0 +1,2 @@
+/** Accepted patient work in the replicated log. */
+package org.cardamomthread.execution.job;
--- a/cardamomthread-execution/src/test/java/org/cardamomthread/execution/claim/OnceOnlyInvariantTests.java
+++ b/cardamomthread-execution/src/test/java/org/cardamomthread/execution/claim/OnceOnlyInvariantTests.java
@@ -40,6 +40,7 @@
             }
             if (answer.execution() == ExecutionStatus.COMPLETED) {
                 assertTrue(simulation.runsByKey().containsKey(answer.key()), where);
+                assertTrue(answer.body().endsWith(answer.sent()), where);
                 String before = bodies.putIfAbsent(answer.key(), answer.body());
                 assertTrue(before == null || before.equals(answer.body()), where);
             }
--- a/cardamomthread-execution/src/test/java/org/cardamomthread/execution/claim/OnceOnlySimulation.java
+++ b/cardamomthread-execution/src/test/java/org/cardamomthread/execution/claim/OnceOnlySimulation.java
@@ -23,7 +23,8 @@
 final class OnceOnlySimulation {
 
     /** One reply to a caller. */
-    record Answered(String key, String attemptId, ExecutionStatus execution, String body) {}
+    record Answered(
+            String key, String attemptId, String sent, ExecutionStatus execution, String body) {}
 
     private record Event(long dueMs, long order, Runnable action) {}
 
@@ -125,7 +126,7 @@
                 } else if (action instanceof CallAction.Reply reply) {
                     String text =
                             reply.answer().map(value -> value.body().toStringUtf8()).orElse(null);
-                    answers.add(new Answered(key, attemptId, reply.execution(), text));
+                    answers.add(new Answered(key, attemptId, body, reply.execution(), text));
                 }
             }
         }
