Accept patient work into the replicated log and run it on the nodes

Cause: patient work was refused. A job is acknowledged once a majority has synced it; the leader of the group assigns queued jobs under leases, nodes run them as callers' calls with patient priority, and an attempt without a whole answer, or whose node falls silent, is queued again. A resend with the same Idempotency-Key names the same job. An unconfirmed accept says unknown, not not-run.

The lease of the settings now reaches homes and gateways; it was read and ignored before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ControlParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ControlParts.java
@@ -19,10 +19,12 @@
 import org.cardamomthread.daemon.control.GroupDefinition;
 import org.cardamomthread.daemon.control.ProposalClient;
 import org.cardamomthread.daemon.execution.ExecutionReplica;
+import org.cardamomthread.daemon.execution.JobQueries;
 import org.cardamomthread.daemon.operator.ProposalFailedException;
 import org.cardamomthread.daemon.operator.VoterStatus;
 import org.cardamomthread.execution.claim.ClaimSettings;
 import org.cardamomthread.execution.claim.ClaimStateMachine;
+import org.cardamomthread.execution.job.JobStateMachine;
 import org.cardamomthread.membership.node.NodeDirectory;
 import org.cardamomthread.membership.node.NodeState;
 import org.cardamomthread.replication.GroupUnavailableException;
@@ -36,7 +38,7 @@
 
     private static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(10);
 
-    private static final byte[] NO_ANSWER = new byte[0];
+    private static final long JOB_RETENTION_MS = 24 * 3_600_000L;
 
     private final ControlGroups groups;
 
@@ -54,14 +56,7 @@
                             settings.bootstrapVoters().configuration(), replica, replica::query));
         }
         if (!settings.bootstrapVoters().work().isEmpty()) {
-            ExecutionReplica execution =
-                    new ExecutionReplica(
-                            Map.of(
-                                    ExecutionReplica.CLAIMS,
-                                    new ClaimStateMachine(ClaimSettings.defaults())));
-            definitions.add(
-                    GroupDefinition.claims(
-                            settings.bootstrapVoters().work(), execution, query -> NO_ANSWER));
+            definitions.add(createExecutionGroup(settings));
         }
         groups =
                 new ControlGroups(
@@ -73,6 +68,26 @@
                         new SplittableRandom(incarnation));
     }
 
+    private static GroupDefinition createExecutionGroup(NodeSettings settings) {
+        JobStateMachine jobs = new JobStateMachine(JOB_RETENTION_MS);
+        ExecutionReplica replica =
+                new ExecutionReplica(
+                        Map.of(
+                                ExecutionReplica.CLAIMS,
+                                new ClaimStateMachine(ClaimSettings.defaults()),
+                                ExecutionReplica.JOBS,
+                                jobs));
+        return GroupDefinition.claims(
+                settings.bootstrapVoters().work(), replica, new JobQueries(replica, jobs));
+    }
+
+    /** Tells whether this node leads the group of claims and jobs, under a running lease. */
+    boolean leadsExecution() {
+        return groups.replica(GroupDefinition.CLAIMS)
+                .filter(replica -> replica.status().isLeaseHeld())
+                .isPresent();
+    }
+
     void start() throws StorageException {
         groups.start();
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.cardamomthread.configuration.settings.Listeners;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.PeerSettings;
+import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
@@ -23,6 +25,7 @@
 import org.cardamomthread.membership.node.NodeDirectory;
 import org.cardamomthread.membership.node.NodeDirectorySettings;
 import org.cardamomthread.membership.node.NodeEntry;
+import org.cardamomthread.membership.node.NodeState;
 import org.cardamomthread.transport.PeerTransport;
 
 /** Assembles the membership slice of a node. Immutable after construction. */
@@ -53,11 +56,11 @@
                 new DefaultEndpointHome(
                         self,
                         new HomeAssignment(directory),
-                        HomeSettings.defaults(),
+                        createHomeSettings(settings),
                         new ClassBearableRequests(configuration, directory::isDrained, timeSource),
                         announcement -> {},
                         timeSource);
-        pool = new DefaultCreditPool(directory, CreditPoolSettings.defaults(), timeSource);
+        pool = new DefaultCreditPool(directory, createPoolSettings(settings), timeSource);
         service = new MembershipService(directory, home, pool, transport, control);
     }
 
@@ -73,6 +76,38 @@
         return service;
     }
 
+    /** Lists the nodes that are alive and not leaving, this one included, in ascending order. */
+    List<NodeId> listLiveNodes() {
+        Stream<NodeId> others =
+                directory.others().stream()
+                        .filter(node -> node.state() == NodeState.ALIVE && !node.entry().leaving())
+                        .map(node -> node.entry().id());
+        return Stream.concat(Stream.of(directory.self().id()), others).sorted().toList();
+    }
+
+    private static HomeSettings createHomeSettings(NodeSettings settings) {
+        HomeSettings defaults = HomeSettings.defaults();
+        return new HomeSettings(
+                settings.leaseMs(),
+                defaults.clockRatePerMille(),
+                defaults.announcementValidityMs(),
+                defaults.announcementDelayMs(),
+                defaults.fastestDelayMs(),
+                defaults.settleMs(),
+                defaults.gatewaySilenceMs(),
+                defaults.maxRequestMs());
+    }
+
+    private static CreditPoolSettings createPoolSettings(NodeSettings settings) {
+        CreditPoolSettings defaults = CreditPoolSettings.defaults();
+        return new CreditPoolSettings(
+                Math.min(defaults.demandIntervalMs(), settings.leaseMs() / 4),
+                defaults.urgentIntervalMs(),
+                defaults.localHomes(),
+                defaults.remoteHomes(),
+                settings.leaseMs());
+    }
+
     private static NodeEntry createSelf(NodeSettings settings, long incarnation) {
         Listeners listeners = settings.listeners();
         NodeAddresses addresses =
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -99,6 +99,7 @@
                                 configuration,
                                 controlParts::propose,
                                 controlParts.getClient(),
+                                controlParts::leadsExecution,
                                 endpointClient,
                                 telemetry));
         callers = createServer("callers", serving.getGateway().getCallerApi());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon;
 
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
@@ -10,6 +11,9 @@
 import org.cardamomthread.daemon.configuration.DrainSync;
 import org.cardamomthread.daemon.control.ProposalClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
+import org.cardamomthread.daemon.execution.JobClient;
+import org.cardamomthread.daemon.execution.JobDispatcher;
+import org.cardamomthread.daemon.execution.JobRunner;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
 import org.cardamomthread.daemon.gateway.ClassPriceBook;
 import org.cardamomthread.daemon.gateway.Gateway;
@@ -27,6 +31,8 @@
     private final RolloutService rollout;
     private final DrainSync drains;
     private final Gateway gateway;
+    private final JobRunner jobRunner;
+    private final JobDispatcher jobDispatcher;
 
     /**
      * Groups what the parts work with. Immutable.
@@ -39,6 +45,7 @@
      * @param configuration the configuration in force
      * @param proposer proposes changes of the configuration
      * @param proposals reaches the replicated logs
+     * @param leadsExecution tells whether this node leads the group of claims and jobs
      * @param client runs attempts on endpoints
      * @param telemetry what each call reports to
      */
@@ -51,6 +58,7 @@
             ConfigurationHolder configuration,
             ConfigurationProposer proposer,
             ProposalClient proposals,
+            BooleanSupplier leadsExecution,
             EndpointClient client,
             CallTelemetry telemetry) {}
 
@@ -77,6 +85,22 @@
                         environment.proposer(),
                         environment.control());
         gateway = createGateway(environment);
+        JobClient jobs = new JobClient(environment.proposals());
+        jobRunner =
+                new JobRunner(
+                        jobs,
+                        gateway.getJobExecutor(),
+                        environment.transport(),
+                        environment.control(),
+                        environment.telemetry().timeSource());
+        jobDispatcher =
+                new JobDispatcher(
+                        jobs,
+                        environment.leadsExecution(),
+                        () -> environment.membership().listLiveNodes(),
+                        environment.transport(),
+                        environment.control(),
+                        environment.telemetry().timeSource());
     }
 
     Gateway getGateway() {
@@ -87,6 +111,8 @@
         distribution.start();
         rollout.start();
         drains.start();
+        jobRunner.start();
+        jobDispatcher.start();
     }
 
     private Gateway createGateway(Environment environment) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/execution/ExecutionReplica.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/execution/ExecutionReplica.java
@@ -3,13 +3,15 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 import org.cardamomthread.replication.StateMachine;
 
 /**
  * Keeps several state machines in one replicated log. The first byte of a command names the machine
  * that it is for.
  *
- * <p>Used by the thread of its group.
+ * <p>Commands come from the thread of its group, reads from any thread; both hold this object's
+ * lock.
  */
 public final class ExecutionReplica implements StateMachine {
 
@@ -42,7 +44,7 @@
     }
 
     @Override
-    public byte[] apply(long index, byte[] command) {
+    public synchronized byte[] apply(long index, byte[] command) {
         StateMachine machine = machines.get(command[0]);
         if (machine == null) {
             throw new IllegalStateException(
@@ -57,8 +59,19 @@
         return machine.apply(index, content);
     }
 
+    /**
+     * Reads from the state between two commands.
+     *
+     * @param read the read, must not block
+     * @param <T> the type of result
+     * @return its result
+     */
+    public synchronized <T> T read(Supplier<T> read) {
+        return read.get();
+    }
+
     @Override
-    public byte[] snapshot() {
+    public synchronized byte[] snapshot() {
         Map<Byte, byte[]> parts = new TreeMap<>();
         int length = 0;
         for (Map.Entry<Byte, StateMachine> entry : machines.entrySet()) {
@@ -72,7 +85,7 @@
     }
 
     @Override
-    public void restore(byte[] state) {
+    public synchronized void restore(byte[] state) {
         ByteBuffer buffer = ByteBuffer.wrap(state);
         while (buffer.hasRemaining()) {
             byte name = buffer.get();
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/execution/JobDispatcher.java
@@ -0,0 +1,124 @@
+package org.cardamomthread.daemon.execution;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.cardamomthread.core.id.JobId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.generated.JobMessage;
+import org.cardamomthread.daemon.generated.JobQueryResult;
+import org.cardamomthread.execution.job.JobCommand;
+import org.cardamomthread.execution.job.JobOutcome;
+import org.cardamomthread.transport.PeerTopic;
+import org.cardamomthread.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Hands queued jobs to nodes while this node leads the group that holds them.
+ *
+ * <p>An assignment is committed before the node hears of it. A lost message only costs the lease,
+ * after which the job is queued again. Runs on the control thread.
+ */
+public final class JobDispatcher {
+
+    /** Carries assigned jobs to the nodes that run them. */
+    public static final PeerTopic TOPIC = new PeerTopic(5, "jobs");
+
+    /** The time that a node may be silent about a job, in milliseconds. */
+    static final long LEASE_MS = 10_000;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(JobDispatcher.class);
+    private static final long INTERVAL_MS = 500;
+    private static final int MAX_ASSIGNMENTS = 32;
+
+    private final JobClient jobs;
+    private final BooleanSupplier isLeader;
+    private final Workers workers;
+    private final PeerTransport transport;
+    private final ControlThread control;
+    private final TimeSource timeSource;
+    private long round;
+    private boolean isBusy;
+
+    /** Lists the nodes that can run jobs. Implementations must not block. */
+    @FunctionalInterface
+    public interface Workers {
+
+        /**
+         * Returns the live nodes, this one included.
+         *
+         * @return the nodes in ascending order
+         */
+        List<NodeId> list();
+    }
+
+    /**
+     * Creates a dispatcher that does not run yet.
+     *
+     * @param jobs changes and reads jobs
+     * @param isLeader tells whether this node leads the group
+     * @param workers lists the nodes that can run jobs
+     * @param transport the links to other nodes
+     * @param control runs the decisions
+     * @param timeSource the node's clock
+     */
+    public JobDispatcher(
+            JobClient jobs,
+            BooleanSupplier isLeader,
+            Workers workers,
+            PeerTransport transport,
+            ControlThread control,
+            TimeSource timeSource) {
+        this.jobs = jobs;
+        this.isLeader = isLeader;
+        this.workers = workers;
+        this.transport = transport;
+        this.control = control;
+        this.timeSource = timeSource;
+    }
+
+    /** Begins to hand out jobs whenever this node leads. */
+    public void start() {
+        control.repeat(INTERVAL_MS, this::dispatch);
+    }
+
+    private void dispatch() {
+        if (isBusy || !isLeader.getAsBoolean()) {
+            return;
+        }
+        isBusy = true;
+        jobs.listQueued(MAX_ASSIGNMENTS)
+                .whenComplete((queued, failure) -> control.execute(() -> take(queued, failure)));
+    }
+
+    private void take(JobQueryResult queued, Throwable failure) {
+        isBusy = false;
+        if (failure != null) {
+            LOGGER.debug("the queued jobs could not be read", failure);
+            return;
+        }
+        if (queued.getOpenCount() > 0) {
+            jobs.propose(new JobCommand.Expire(timeSource.millis()));
+        }
+        List<NodeId> nodes = workers.list();
+        for (JobMessage job : queued.getJobsList()) {
+            NodeId node = nodes.get((int) Math.floorMod(round++, (long) nodes.size()));
+            assign(job, node);
+        }
+    }
+
+    private void assign(JobMessage job, NodeId node) {
+        int attempt = job.getAttempt() + 1;
+        JobId id = new JobId(job.getJobId());
+        jobs.propose(new JobCommand.Assign(id, node, attempt, LEASE_MS, timeSource.millis()))
+                .whenComplete(
+                        (outcome, failure) -> {
+                            if (failure == null && outcome.kind() == JobOutcome.Kind.APPLIED) {
+                                JobMessage assigned = job.toBuilder().setAttempt(attempt).build();
+                                transport.send(node, TOPIC, assigned.toByteArray());
+                            }
+                        });
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/execution/JobQueries.java
@@ -0,0 +1,67 @@
+package org.cardamomthread.daemon.execution;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cardamomthread.core.id.JobId;
+import org.cardamomthread.daemon.control.QueryHandler;
+import org.cardamomthread.daemon.generated.JobMessage;
+import org.cardamomthread.daemon.generated.JobQuery;
+import org.cardamomthread.daemon.generated.JobQueryResult;
+import org.cardamomthread.execution.job.Job;
+import org.cardamomthread.execution.job.JobStateMachine;
+
+/** Answers reads of jobs on a voter. Safe for use by several threads. */
+public final class JobQueries implements QueryHandler {
+
+    private final ExecutionReplica replica;
+    private final JobStateMachine jobs;
+
+    /**
+     * Creates the handler.
+     *
+     * @param replica guards the state
+     * @param jobs the state, part of the replica
+     */
+    public JobQueries(ExecutionReplica replica, JobStateMachine jobs) {
+        this.replica = replica;
+        this.jobs = jobs;
+    }
+
+    @Override
+    public byte[] query(byte[] query) {
+        JobQuery parsed;
+        try {
+            parsed = JobQuery.parseFrom(query);
+        } catch (InvalidProtocolBufferException failure) {
+            throw new IllegalArgumentException("the query must be a JobQuery", failure);
+        }
+        return replica.read(() -> select(parsed)).toByteArray();
+    }
+
+    private JobQueryResult select(JobQuery query) {
+        JobQueryResult.Builder result = JobQueryResult.newBuilder().setOpenCount(jobs.openCount());
+        if (query.hasJobId()) {
+            jobs.find(new JobId(query.getJobId())).ifPresent(job -> result.addJobs(toMessage(job)));
+        } else {
+            jobs.queued().stream()
+                    .limit(query.getQueued())
+                    .forEach(job -> result.addJobs(toMessage(job)));
+        }
+        return result.build();
+    }
+
+    private static JobMessage toMessage(Job job) {
+        return JobMessage.newBuilder()
+                .setJobId(job.id().value())
+                .setAccount(job.account().value())
+                .setService(job.service().value())
+                .setRequest(job.request())
+                .setAcceptedAtMs(job.acceptedAtMs())
+                .setDeadlineMs(job.deadlineMs())
+                .setState(job.state().name())
+                .setAttempt(job.attempt())
+                .setStatus(job.status())
+                .setResult(job.result())
+                .setReason(job.reason())
+                .build();
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/execution/JobRunner.java
@@ -0,0 +1,144 @@
+package org.cardamomthread.daemon.execution;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cardamomthread.core.id.JobId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.generated.JobMessage;
+import org.cardamomthread.daemon.http.HttpReply;
+import org.cardamomthread.execution.job.JobCommand;
+import org.cardamomthread.execution.job.JobOutcome;
+import org.cardamomthread.execution.stream.Delivered;
+import org.cardamomthread.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the jobs assigned to this node.
+ *
+ * <p>Invariants: an attempt runs here at most once; its lease is renewed until its result is in the
+ * log; an attempt that gets no whole answer is queued again. Safe for use by several threads.
+ */
+public final class JobRunner {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(JobRunner.class);
+    private static final long RENEW_INTERVAL_MS = JobDispatcher.LEASE_MS / 4;
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final int TOO_MANY_REQUESTS = 429;
+
+    private final JobClient jobs;
+    private final JobExecutor executor;
+    private final PeerTransport transport;
+    private final ControlThread control;
+    private final TimeSource timeSource;
+    private final Map<JobId, Integer> running = new ConcurrentHashMap<>();
+
+    /** Runs the call of a job. Implementations must not block. */
+    @FunctionalInterface
+    public interface JobExecutor {
+
+        /**
+         * Runs a call.
+         *
+         * @param job the job
+         * @return completes with the answer that a caller would get
+         */
+        CompletableFuture<HttpReply> execute(JobMessage job);
+    }
+
+    /**
+     * Creates a runner that does not run yet.
+     *
+     * @param jobs changes jobs
+     * @param executor runs their calls
+     * @param transport the links to other nodes
+     * @param control renews the leases
+     * @param timeSource the node's clock
+     */
+    public JobRunner(
+            JobClient jobs,
+            JobExecutor executor,
+            PeerTransport transport,
+            ControlThread control,
+            TimeSource timeSource) {
+        this.jobs = jobs;
+        this.executor = executor;
+        this.transport = transport;
+        this.control = control;
+        this.timeSource = timeSource;
+    }
+
+    /** Begins to take assigned jobs. */
+    public void start() {
+        transport.register(JobDispatcher.TOPIC, this::take);
+        control.repeat(RENEW_INTERVAL_MS, this::renewLeases);
+    }
+
+    private CompletionStage<byte[]> take(NodeId from, byte[] payload) {
+        try {
+            run(JobMessage.parseFrom(payload));
+        } catch (InvalidProtocolBufferException failure) {
+            LOGGER.warn("dropped a malformed job of node {}", from, failure);
+        }
+        return CompletableFuture.completedFuture(new byte[0]);
+    }
+
+    private void run(JobMessage job) {
+        JobId id = new JobId(job.getJobId());
+        Integer earlier = running.put(id, job.getAttempt());
+        if (earlier != null && earlier == job.getAttempt()) {
+            return;
+        }
+        executor.execute(job)
+                .whenComplete((reply, failure) -> finish(id, job.getAttempt(), reply, failure));
+    }
+
+    private void finish(JobId id, int attempt, HttpReply reply, Throwable failure) {
+        JobCommand command = createResult(id, attempt, reply, failure);
+        jobs.propose(command)
+                .whenComplete((outcome, unanswered) -> conclude(id, attempt, outcome, unanswered));
+    }
+
+    private JobCommand createResult(JobId id, int attempt, HttpReply reply, Throwable failure) {
+        long nowMs = timeSource.millis();
+        boolean isAnswer =
+                failure == null
+                        && reply.status() < FIRST_SERVER_ERROR
+                        && reply.status() != TOO_MANY_REQUESTS;
+        if (!isAnswer) {
+            return new JobCommand.Requeue(id, attempt, Delivered.NOTHING, nowMs);
+        }
+        ByteString result = ByteString.copyFrom(reply.body());
+        return new JobCommand.Complete(id, attempt, reply.status(), result, nowMs);
+    }
+
+    /** Forgets the attempt; without an answer of the log its lease ends and it is queued again. */
+    private void conclude(JobId id, int attempt, JobOutcome outcome, Throwable unanswered) {
+        running.remove(id, attempt);
+        if (unanswered != null) {
+            LOGGER.atInfo()
+                    .addKeyValue("jobId", id)
+                    .addKeyValue("attempt", attempt)
+                    .log("the result was not recorded and the job will run again");
+        } else if (outcome.kind() != JobOutcome.Kind.APPLIED) {
+            LOGGER.atInfo()
+                    .addKeyValue("jobId", id)
+                    .addKeyValue("attempt", attempt)
+                    .log("the result came too late: {}", outcome.kind());
+        }
+    }
+
+    private void renewLeases() {
+        long nowMs = timeSource.millis();
+        running.forEach(
+                (id, attempt) ->
+                        jobs.propose(
+                                new JobCommand.Renew(id, attempt, JobDispatcher.LEASE_MS, nowMs)));
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallTarget.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallTarget.java
@@ -28,4 +28,9 @@
         Objects.requireNonNull(route, "route must be given");
         Objects.requireNonNull(traffic, "traffic must be given");
     }
+
+    /** Returns the same target for work that waits behind callers. */
+    CallTarget asPatient() {
+        return new CallTarget(service, route, isModel, isRepeatable, traffic.asPatient());
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -7,6 +7,8 @@
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.daemon.control.ProposalClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
+import org.cardamomthread.daemon.execution.JobClient;
+import org.cardamomthread.daemon.execution.JobRunner;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.membership.gateway.CreditPool;
 import org.cardamomthread.policy.routing.EndpointSelector;
@@ -20,6 +22,7 @@
 
     private final CreditPlacement placement;
     private final CallerApi callerApi;
+    private final JobRunner.JobExecutor jobExecutor;
 
     /**
      * Assembles a gateway.
@@ -40,12 +43,15 @@
                         parts.incarnation(),
                         services,
                         new ReplicatedClaimClient(parts.proposals()));
+        CallStarter starter = new DefaultCallStarter(services, onceOnly);
         callerApi =
                 new CallerApi(
                         parts.configuration(),
-                        new DefaultCallStarter(services, onceOnly),
-                        new UnavailableJobApi(),
+                        starter,
+                        new ReplicatedJobApi(
+                                new JobClient(parts.proposals()), parts.telemetry().timeSource()),
                         parts.telemetry());
+        jobExecutor = new GatewayJobExecutor(parts.configuration(), starter, parts.telemetry());
     }
 
     /**
@@ -91,6 +97,15 @@
         return callerApi;
     }
 
+    /**
+     * Returns what runs the calls of jobs on this node.
+     *
+     * @return the executor
+     */
+    public JobRunner.JobExecutor getJobExecutor() {
+        return jobExecutor;
+    }
+
     /** Gives credits that have come to the calls that wait for them. */
     public void useCredits() {
         placement.pump();
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ReplicatedJobApi.java
@@ -0,0 +1,241 @@
+package org.cardamomthread.daemon.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.Locale;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.concurrent.CompletionException;
+import org.cardamomthread.configuration.declaration.ClientAccount;
+import org.cardamomthread.configuration.declaration.Declarations;
+import org.cardamomthread.core.id.Identifiers;
+import org.cardamomthread.core.id.JobId;
+import org.cardamomthread.core.id.RequestId;
+import org.cardamomthread.core.id.RouteId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.execution.JobClient;
+import org.cardamomthread.daemon.gateway.CallClassifier.UnknownTargetException;
+import org.cardamomthread.daemon.generated.JobMessage;
+import org.cardamomthread.daemon.generated.JobQueryResult;
+import org.cardamomthread.daemon.http.HttpExchange;
+import org.cardamomthread.daemon.http.HttpReply;
+import org.cardamomthread.daemon.http.Problem;
+import org.cardamomthread.execution.ExecutionStatus;
+import org.cardamomthread.execution.job.JobCommand;
+import org.cardamomthread.replication.ReplicationException;
+
+/**
+ * Accepts patient work into the replicated log and shows how far it has come.
+ *
+ * <p>A job is acknowledged only once a majority of voters has synced it. Safe for use by several
+ * threads.
+ */
+final class ReplicatedJobApi implements JobApi {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final RouteId ROUTE = new RouteId("jobs");
+    private static final int ACCEPTED = 202;
+    private static final int OK = 200;
+
+    private final JobClient jobs;
+    private final TimeSource timeSource;
+
+    ReplicatedJobApi(JobClient jobs, TimeSource timeSource) {
+        this.jobs = jobs;
+        this.timeSource = timeSource;
+    }
+
+    @Override
+    public void handle(
+            HttpExchange exchange,
+            RequestId requestId,
+            Declarations declarations,
+            ClientAccount account) {
+        HttpMethod method = exchange.getCall().method();
+        String path = exchange.getCall().path();
+        try {
+            if (method.equals(HttpMethod.POST) && path.equals(PATH)) {
+                accept(exchange, requestId, declarations, account);
+            } else if (method.equals(HttpMethod.GET) && path.length() > PATH.length() + 1) {
+                show(exchange, requestId, account, path.substring(PATH.length() + 1));
+            } else {
+                throw new InvalidRequestException(
+                        "send POST /v1/jobs or GET /v1/jobs/{id} instead of " + method);
+            }
+        } catch (InvalidRequestException invalid) {
+            Problem problem =
+                    Problem.createNotRun(
+                            400, "invalid-request", "Invalid request", invalid.getMessage());
+            exchange.respond(problem.toReply(requestId.value()));
+        } catch (UnknownTargetException unknown) {
+            exchange.respond(unknown.getProblem().toReply(requestId.value()));
+        }
+    }
+
+    private void accept(
+            HttpExchange exchange,
+            RequestId requestId,
+            Declarations declarations,
+            ClientAccount account)
+            throws InvalidRequestException, UnknownTargetException {
+        JsonNode document = parse(exchange.getCall().body());
+        CallTarget target =
+                CallClassifier.classifyModel(
+                        declarations, document.path("service").asText(), ROUTE);
+        byte[] request = createRequest(document, target);
+        JobId id = createJobId(exchange, account);
+        JobCommand command =
+                new JobCommand.Accept(
+                        id,
+                        account.id(),
+                        target.service(),
+                        ByteString.copyFrom(request),
+                        readDeadlineMs(document),
+                        timeSource.millis());
+        jobs.propose(command)
+                .whenComplete(
+                        (outcome, failure) ->
+                                exchange.respond(
+                                        failure == null
+                                                ? createAcceptedReply(id, requestId)
+                                                : createNotAcceptedReply(id, requestId, failure)));
+    }
+
+    /** Derives the id from the idempotency key, so that a resend names the same job. */
+    private static JobId createJobId(HttpExchange exchange, ClientAccount account) {
+        String id =
+                exchange.getCall()
+                        .getHeader("idempotency-key")
+                        .map(key -> account.id() + "\n" + key)
+                        .map(name -> UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)))
+                        .orElseGet(UUID::randomUUID)
+                        .toString();
+        return new JobId(id);
+    }
+
+    private void show(HttpExchange exchange, RequestId requestId, ClientAccount account, String id)
+            throws InvalidRequestException {
+        if (!Identifiers.isValid(id)) {
+            throw new InvalidRequestException("the path must end in the id of a job");
+        }
+        jobs.find(new JobId(id))
+                .whenComplete(
+                        (found, failure) ->
+                                exchange.respond(
+                                        failure == null
+                                                ? createStateReply(found, account, requestId)
+                                                : createUnreachableReply(requestId)));
+    }
+
+    private static byte[] createRequest(JsonNode document, CallTarget target)
+            throws InvalidRequestException {
+        if (!(document.path("request") instanceof ObjectNode request)) {
+            throw new InvalidRequestException(
+                    "member \"request\" must be the body of a chat completion");
+        }
+        ObjectNode whole = request.deepCopy();
+        whole.put("model", target.service().value());
+        whole.put("stream", false);
+        byte[] body = whole.toString().getBytes(StandardCharsets.UTF_8);
+        if (body.length > JobCommand.MAX_REQUEST_BYTES) {
+            throw new InvalidRequestException(
+                    "member \"request\" must have at most "
+                            + JobCommand.MAX_REQUEST_BYTES
+                            + " bytes");
+        }
+        return body;
+    }
+
+    private static long readDeadlineMs(JsonNode document) throws InvalidRequestException {
+        try {
+            return Instant.parse(document.path("deadline").asText()).toEpochMilli();
+        } catch (DateTimeParseException failure) {
+            throw new InvalidRequestException(
+                    "member \"deadline\" must be an RFC 3339 time such as 2030-01-31T18:00:00Z");
+        }
+    }
+
+    private static JsonNode parse(byte[] body) throws InvalidRequestException {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException failure) {
+            throw new InvalidRequestException("the body must be one JSON object");
+        }
+    }
+
+    private static HttpReply createAcceptedReply(JobId id, RequestId requestId) {
+        ObjectNode resource = MAPPER.createObjectNode();
+        resource.put("id", id.value());
+        resource.put("state", "queued");
+        return createReply(ACCEPTED, resource, requestId).with("location", PATH + "/" + id);
+    }
+
+    private static HttpReply createStateReply(
+            JobQueryResult found, ClientAccount account, RequestId requestId) {
+        if (found.getJobsCount() == 0
+                || !found.getJobs(0).getAccount().equals(account.id().value())) {
+            return Problem.createNotRun(
+                            404,
+                            "unknown-job",
+                            "Unknown job",
+                            "the client account has no such job, or it ended too long ago")
+                    .toReply(requestId.value());
+        }
+        JobMessage job = found.getJobs(0);
+        ObjectNode resource = MAPPER.createObjectNode();
+        resource.put("id", job.getJobId());
+        resource.put("state", job.getState().toLowerCase(Locale.ROOT));
+        resource.put("attempts", job.getAttempt());
+        resource.put("deadline", Instant.ofEpochMilli(job.getDeadlineMs()).toString());
+        if (job.getStatus() != 0) {
+            resource.put("status", job.getStatus());
+            resource.put("result", job.getResult().toStringUtf8());
+        }
+        if (!job.getReason().isEmpty()) {
+            resource.put("reason", job.getReason());
+        }
+        return createReply(OK, resource, requestId);
+    }
+
+    private static HttpReply createNotAcceptedReply(
+            JobId id, RequestId requestId, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        boolean isNotAppended =
+                cause instanceof ReplicationException replication && replication.isNotAppended();
+        Problem problem =
+                new Problem(
+                        503,
+                        isNotAppended ? "job-not-accepted" : "job-unconfirmed",
+                        "Job not confirmed",
+                        "no majority of voters confirmed the job in time: send it again with the"
+                                + " same Idempotency-Key, or ask for "
+                                + PATH
+                                + "/"
+                                + id,
+                        isNotAppended ? ExecutionStatus.NOT_RUN : ExecutionStatus.UNKNOWN,
+                        OptionalLong.of(1));
+        return problem.toReply(requestId.value()).with("location", PATH + "/" + id);
+    }
+
+    private static HttpReply createUnreachableReply(RequestId requestId) {
+        return Problem.createNotRun(
+                        503,
+                        "jobs-unreachable",
+                        "Jobs unreachable",
+                        "no majority of voters answered: ask again, the job is kept")
+                .withRetryAfterS(1)
+                .toReply(requestId.value());
+    }
+
+    private static HttpReply createReply(int status, ObjectNode resource, RequestId requestId) {
+        return HttpReply.createJson(status, resource.toString().getBytes(StandardCharsets.UTF_8))
+                .with("x-request-id", requestId.value());
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/TrafficClass.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/TrafficClass.java
@@ -57,6 +57,12 @@
         return isUrgent ? "urgent" : "patient";
     }
 
+    /** Returns the same class for work that waits behind urgent calls. */
+    TrafficClass asPatient() {
+        return new TrafficClass(
+                false, firstTokenTargetMs, tokenGapTargetMs, priceWeight, riskWeight, maxWaitMs);
+    }
+
     private static long clamp(long value, long low, long high) {
         return Math.max(low, Math.min(high, value));
     }
