Refuse commands that no message could carry

A command above the transport's frame would have been appended and then never reached a follower: the group would have stood still. The promotion of a learner compares with the commit index, since under load the end of the log is always further ahead than a learner can be.

--- a/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replication/ReplicationBenchmark.java
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replication/ReplicationBenchmark.java
@@ -37,6 +37,7 @@
     private static final int NO_SNAPSHOTS = Integer.MAX_VALUE;
     private static final int OPEN_COMMANDS = 5000;
     private static final long WARM_UP_SECONDS = 2;
+    private static final int WARM_UP_ENTRIES = 20_000;
     private static final double MICROS_PER_MILLI = 1000;
 
     private final int commandBytes;
@@ -109,6 +110,8 @@
             measureCommits(open);
         }
         System.out.println("entries  snapshots  open ms  until lease ms  heap B/entry");
+        prepare(folder.resolve("warm-up"), WARM_UP_ENTRIES, NO_SNAPSHOTS);
+        prepare(folder.resolve("warm-up"), 1, NO_SNAPSHOTS);
         for (int count : entries) {
             measureRestart(count, NO_SNAPSHOTS, "none");
             measureRestart(count, 10_000, "default");
@@ -154,10 +157,7 @@
 
     private void measureRestart(int count, int snapshotEntries, String name) throws Exception {
         Path groupFolder = folder.resolve("restart-" + count + "-" + name);
-        try (LocalGroup group = single(groupFolder, snapshotEntries)) {
-            group.start();
-            fill(group.awaitLeader(), count);
-        }
+        prepare(groupFolder, count, snapshotEntries);
         long heapBefore = usedHeapBytes();
         long startNs = System.nanoTime();
         try (LocalGroup group = single(groupFolder, snapshotEntries)) {
@@ -173,6 +173,14 @@
         delete(groupFolder);
     }
 
+    /** Writes a log; in its own method, so that nothing of the group remains on the stack. */
+    private void prepare(Path groupFolder, int count, int snapshotEntries) throws Exception {
+        try (LocalGroup group = single(groupFolder, snapshotEntries)) {
+            group.start();
+            fill(group.awaitLeader(), count);
+        }
+    }
+
     private static LocalGroup single(Path folder, int snapshotEntries) {
         return new LocalGroup(
                 folder, 1, SHORT_ELECTION_TIMEOUT_MS, SHORT_HEARTBEAT_MS, snapshotEntries);
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MemberChanges.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MemberChanges.java
@@ -90,7 +90,7 @@
         return progress != null
                 && progress.mode() == Progress.Mode.REPLICATE
                 && leadership.isActive(voterId)
-                && progress.matchIndex() + MAX_PROMOTION_LAG_ENTRIES >= context.log().lastIndex()
+                && progress.matchIndex() + MAX_PROMOTION_LAG_ENTRIES >= context.commitIndex()
                 && progress.matchIndex() > 0;
     }
 
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/DefaultReplicationGroup.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/DefaultReplicationGroup.java
@@ -38,6 +38,7 @@
     private static final int MAX_BATCH_INPUTS = 4096;
     private static final int MAX_WAITING_MESSAGES = 16_384;
     private static final int TICKS_PER_HEARTBEAT = 3;
+    private static final int MAX_COMMAND_BYTES = 2 * 1024 * 1024;
     private static final long CLOSE_TIMEOUT_MS = 5000;
 
     private final GroupId groupId;
@@ -202,6 +203,16 @@
     @Override
     public CompletableFuture<byte[]> propose(byte[] command) {
         CompletableFuture<byte[]> future = new CompletableFuture<>();
+        if (command.length > MAX_COMMAND_BYTES) {
+            future.completeExceptionally(
+                    new GroupUnavailableException(
+                            groupId,
+                            "the command has "
+                                    + command.length
+                                    + " bytes; keep it within "
+                                    + MAX_COMMAND_BYTES));
+            return future;
+        }
         if (openProposals.incrementAndGet() > settings.maxPendingProposals()) {
             openProposals.decrementAndGet();
             future.completeExceptionally(
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/runtime/DefaultReplicationGroupTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/runtime/DefaultReplicationGroupTests.java
@@ -172,4 +172,14 @@
                 expectThrows(ExecutionException.class, () -> get(leader.propose(bytes("command"))));
         assertTrue(((GroupUnavailableException) failure.getCause()).isNotAppended());
     }
+
+    @Test
+    public void refusesACommandThatNoMessageCouldCarry() throws Exception {
+        ReplicationGroup leader = awaitLeader();
+        ExecutionException failure =
+                expectThrows(
+                        ExecutionException.class, () -> get(leader.propose(new byte[5_000_000])));
+        assertTrue(((GroupUnavailableException) failure.getCause()).isNotAppended());
+        assertEquals(get(leader.propose(bytes("command"))).length, Long.BYTES);
+    }
 }
