Bound the old version's rate by all its calls since the start of a move

Cause: over the few calls of a short period the bound is wide, which delays proof. It now takes all calls since the start, or those of the same period if they show events and give a higher rate, so that what befalls both versions at once is excused (test added).

--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/MixtureSequentialTest.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/MixtureSequentialTest.java
@@ -4,10 +4,11 @@
  * Weighs evidence by a mixture of likelihood ratios against the greatest event rate that still
  * counts as good.
  *
- * <p>That rate is an upper bound for the old version's rate over the same period plus a tolerance.
- * The mixture of likelihood ratios is a supermartingale for every smaller rate, so by Ville's
- * inequality it exceeds 1/a at any time with a probability of at most a. Immutable and safe for use
- * by several threads.
+ * <p>That rate is an upper bound for the old version's rate since the start of the move, or over
+ * the same period if that is higher and shows events, plus a tolerance: what befalls both versions
+ * at once does not count against the new one. The mixture of likelihood ratios is a supermartingale
+ * for every smaller rate, so by Ville's inequality it exceeds 1/a at any time with a probability of
+ * at most a. Immutable and safe for use by several threads.
  */
 final class MixtureSequentialTest implements SequentialTest {
 
@@ -50,25 +51,31 @@
     }
 
     @Override
-    public double evidence(long newCalls, long newEvents, long oldCalls, long oldEvents) {
+    public double evidence(
+            EventCounts newCounts, EventCounts oldCounts, EventCounts oldSinceStart) {
+        long newEvents = newCounts.events();
+        long goodCalls = newCounts.calls() - newEvents;
         if (newEvents == 0) {
             return 0;
         }
-        double goodRate = goodRate(oldCalls, oldEvents);
+        double goodRate = bound(oldSinceStart);
+        if (oldCounts.events() > 0) {
+            goodRate = Math.max(goodRate, bound(oldCounts));
+        }
         double sum = 0;
         for (double alternative : ALTERNATIVES) {
             double rate = goodRate + (1 - goodRate) * alternative;
             double logRatio =
                     newEvents * Math.log(rate / goodRate)
-                            + (newCalls - newEvents) * Math.log((1 - rate) / (1 - goodRate));
+                            + goodCalls * Math.log((1 - rate) / (1 - goodRate));
             sum += Math.exp(logRatio);
         }
         return sum / ALTERNATIVES.length;
     }
 
-    private double goodRate(long oldCalls, long oldEvents) {
-        double rate = (oldEvents + PRIOR_EVENTS) / (oldCalls + priorCalls);
-        double deviation = Math.sqrt(rate * (1 - rate) / (oldCalls + priorCalls));
+    private double bound(EventCounts old) {
+        double rate = (old.events() + PRIOR_EVENTS) / (old.calls() + priorCalls);
+        double deviation = Math.sqrt(rate * (1 - rate) / (old.calls() + priorCalls));
         return Math.min(GREATEST_RATE, rate + BOUND_DEVIATIONS * deviation + tolerance);
     }
 }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/VersionComparison.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/VersionComparison.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.function.ToLongFunction;
 import org.cardamomthread.core.id.RouteId;
+import org.cardamomthread.policy.rollout.SequentialTest.EventCounts;
 
 /**
  * Compares the new version with the old on each route and each measure, from each epoch until now.
@@ -61,6 +62,10 @@
             RouteId route, Measure measure, CallCounts[] oldCounts, CallCounts[] newCounts) {
         double proof = 0;
         double recent = 0;
+        CallCounts oldSinceStart = CallCounts.NONE;
+        for (CallCounts counts : oldCounts) {
+            oldSinceStart = oldSinceStart.plus(counts);
+        }
         CallCounts oldSum = CallCounts.NONE;
         CallCounts newSum = CallCounts.NONE;
         for (int from = newCounts.length - 1; from >= 0; from--) {
@@ -69,14 +74,14 @@
             if (newCounts[from].calls() == 0 && from > 0) {
                 continue; // a fault that began here shows as one that began with the next calls
             }
-            double evidence = measure.proof(oldSum, newSum);
+            double evidence = measure.proof(newSum, oldSum, oldSinceStart);
             double weight =
                     from == 0
                             ? FIRST_EPOCH_WEIGHT
                             : (1 - FIRST_EPOCH_WEIGHT) / (RolloutPlan.EPOCHS - 1);
             proof += weight * evidence;
             if (newCounts.length - from <= RECENT_EPOCHS) {
-                recent = Math.max(recent, measure.suspicion(oldSum, newSum));
+                recent = Math.max(recent, measure.suspicion(newSum, oldSum, oldSinceStart));
             }
         }
         return new Finding(route, measure.reason(), proof, route, recent);
@@ -115,20 +120,16 @@
                     sign);
         }
 
-        double proof(CallCounts oldSum, CallCounts newSum) {
-            return weigh(proof, oldSum, newSum);
+        double proof(CallCounts newSum, CallCounts oldSum, CallCounts oldSinceStart) {
+            return proof.evidence(count(newSum), count(oldSum), count(oldSinceStart));
         }
 
-        double suspicion(CallCounts oldSum, CallCounts newSum) {
-            return weigh(suspicion, oldSum, newSum) / sign;
+        double suspicion(CallCounts newSum, CallCounts oldSum, CallCounts oldSinceStart) {
+            return suspicion.evidence(count(newSum), count(oldSum), count(oldSinceStart)) / sign;
         }
 
-        private double weigh(SequentialTest test, CallCounts oldSum, CallCounts newSum) {
-            return test.evidence(
-                    calls.applyAsLong(newSum),
-                    events.applyAsLong(newSum),
-                    calls.applyAsLong(oldSum),
-                    events.applyAsLong(oldSum));
+        private EventCounts count(CallCounts counts) {
+            return new EventCounts(calls.applyAsLong(counts), events.applyAsLong(counts));
         }
     }
 
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/MixtureSequentialTestTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/MixtureSequentialTestTests.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.Random;
+import org.cardamomthread.policy.rollout.SequentialTest.EventCounts;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -27,6 +28,20 @@
         assertTrue(alarms <= 0.05 * runs, alarms + " alarms in " + runs + " runs");
     }
 
+    private double evidence(long newCalls, long newEvents, long oldCalls, long oldEvents) {
+        EventCounts oldCounts = new EventCounts(oldCalls, oldEvents);
+        return test.evidence(new EventCounts(newCalls, newEvents), oldCounts, oldCounts);
+    }
+
+    @Test
+    public void excusesWhatBefallsBothVersionsInTheSamePeriod() {
+        EventCounts recent = new EventCounts(40, 16);
+        EventCounts sinceStart = new EventCounts(4_000, 20);
+        EventCounts newCounts = new EventCounts(10, 4);
+        assertTrue(test.evidence(newCounts, recent, sinceStart) < 2);
+        assertTrue(test.evidence(newCounts, new EventCounts(40, 0), sinceStart) > 100);
+    }
+
     private boolean hasAlarm(double rate, Random random) {
         long oldEvents = 0;
         long newEvents = 0;
@@ -35,7 +50,7 @@
             for (int i = 0; i < 5; i++) {
                 oldEvents += random.nextDouble() < rate ? 1 : 0;
             }
-            if (test.evidence(calls, newEvents, calls * 5L, oldEvents) >= 20) {
+            if (evidence(calls, newEvents, calls * 5L, oldEvents) >= 20) {
                 return true;
             }
         }
@@ -44,6 +59,6 @@
 
     @Test
     public void findsAVersionThatAlwaysFailsWithinAFewCalls() {
-        assertTrue(test.evidence(4, 4, 200, 1) > 10_000);
+        assertTrue(evidence(4, 4, 200, 1) > 10_000);
     }
 }
