--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
@@ -15,6 +15,8 @@
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.NodeSettingsLoader;
 import org.cardamomthread.daemon.http.ListenException;
+import org.cardamomthread.replication.StorageException;
+import org.cardamomthread.transport.TransportStartException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -89,10 +91,14 @@
         Node node = new Node(settings, readVersion());
         try {
             node.start();
-        } catch (ListenException failure) {
+        } catch (ListenException | TransportStartException failure) {
             logger.error(failure.getMessage());
             node.close();
             return ExitCode.LISTEN_FAILURE;
+        } catch (StorageException failure) {
+            logger.error(failure.getMessage());
+            node.close();
+            return ExitCode.STORAGE_FAILURE;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, logger), "shutdown"));
         return ExitCode.STOPPED;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -4,25 +4,26 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.cardamomthread.configuration.declaration.Declarations;
 import org.cardamomthread.configuration.settings.Listeners;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.RequestLimits;
 import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.configuration.ConfigurationHolder;
 import org.cardamomthread.daemon.dispatch.AsyncEndpointClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
 import org.cardamomthread.daemon.gateway.ChoiceLog;
-import org.cardamomthread.daemon.gateway.Gateway;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.HttpLimits;
 import org.cardamomthread.daemon.http.HttpServer;
 import org.cardamomthread.daemon.http.ListenException;
 import org.cardamomthread.daemon.membership.AnnouncementApi;
-import org.cardamomthread.daemon.membership.ControlThread;
+import org.cardamomthread.daemon.operator.OperatorApi;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
+import org.cardamomthread.replication.StorageException;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.cardamomthread.transport.TransportSettings;
 import org.cardamomthread.transport.TransportStartException;
@@ -52,12 +53,13 @@
     private final NettyPeerTransport transport;
     private final EndpointClient endpointClient;
     private final MembershipParts membership;
-    private final Gateway gateway;
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+    private final ControlParts controlParts;
+    private final ServingParts serving;
     private final HttpServer callers;
     private final HttpServer endpoints;
     private final HttpServer operators;
     private final AtomicBoolean ready = new AtomicBoolean();
-    private volatile Declarations declarations = Declarations.empty();
 
     /**
      * Assembles a node that does not listen yet.
@@ -81,12 +83,25 @@
         endpointClient = new AsyncEndpointClient(eventLoops, timeSource);
         membership =
                 new MembershipParts(
-                        settings, incarnation, timeSource, transport, control, () -> declarations);
-        CallTelemetry telemetry = new CallTelemetry(metrics, tracing, timeSource);
-        ChoiceLog choices = new ChoiceLog();
-        gateway = new GatewayFactory(settings, membership, endpointClient, telemetry, choices)
-                .create(() -> declarations);
-        callers = createServer("callers", gateway.getCallerApi());
+                        settings, incarnation, timeSource, transport, control, configuration);
+        controlParts =
+                new ControlParts(settings, incarnation, configuration, transport, timeSource);
+        ChoiceLog choices = new ChoiceLog(timeSource);
+        CallTelemetry telemetry = new CallTelemetry(metrics, tracing, timeSource, choices);
+        serving =
+                new ServingParts(
+                        new ServingParts.Environment(
+                                settings,
+                                incarnation,
+                                transport,
+                                control,
+                                membership,
+                                configuration,
+                                controlParts::propose,
+                                controlParts.getClient(),
+                                endpointClient,
+                                telemetry));
+        callers = createServer("callers", serving.getGateway().getCallerApi());
         endpoints =
                 createServer(
                         "endpoints",
@@ -94,7 +109,7 @@
                                 settings.secrets().endpointToken(),
                                 membership.getService(),
                                 settings.heartbeatMs()));
-        operators = createServer("operators", new HealthApi(metrics, ready::get, exchange -> {}));
+        operators = createServer("operators", createOperatorApi(choices));
     }
 
     /**
@@ -102,12 +117,15 @@
      *
      * @throws ListenException if an address cannot be bound
      * @throws TransportStartException if the peers' address cannot be bound
+     * @throws StorageException if the data folder cannot be used
      */
-    void start() throws ListenException, TransportStartException {
+    void start() throws ListenException, TransportStartException, StorageException {
         Listeners listeners = settings.listeners();
+        controlParts.start();
         transport.start();
-        membership.getService().setCreditListener(gateway::useCredits);
+        membership.getService().setCreditListener(serving.getGateway()::useCredits);
         membership.getService().start(settings.heartbeatMs());
+        serving.start();
         operators.listen(listeners.operators().toSocketAddress());
         endpoints.listen(listeners.endpoints().toSocketAddress());
         callers.listen(listeners.callers().toSocketAddress());
@@ -144,6 +162,7 @@
             server.close();
         }
         endpointClient.close();
+        controlParts.close();
         transport.close();
         control.close();
         tracing.close();
@@ -161,6 +180,19 @@
         return true;
     }
 
+    private HttpHandler createOperatorApi(ChoiceLog choices) {
+        NodeControlPlane controlPlane =
+                new NodeControlPlane(configuration, membership, controlParts, choices);
+        OperatorApi api =
+                new OperatorApi(settings.secrets().operatorTokens(), controlPlane, timeSource);
+        return new HealthApi(metrics, this::isReady, new OperatorHttpApi(api));
+    }
+
+    /** Tells whether callers may be sent here: started, and in possession of a configuration. */
+    private boolean isReady() {
+        return ready.get() && configuration.getView().revision() > 0;
+    }
+
     private NettyPeerTransport createTransport() {
         return new NettyPeerTransport(
                 settings.nodeId(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -1,7 +1,11 @@
 package org.cardamomthread.daemon.gateway;
 
 import java.util.random.RandomGenerator;
+import org.cardamomthread.configuration.declaration.ClientAccount;
+import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.daemon.control.ProposalClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.membership.gateway.CreditPool;
@@ -21,46 +25,60 @@
      * Assembles a gateway.
      *
      * @param parts what it works with
-     * @param onceOnly starts calls that may run at most once
-     * @param jobs answers calls about patient work
      */
-    Gateway(GatewayParts parts, OnceOnlyStarter onceOnly, JobApi jobs) {
+    public Gateway(GatewayParts parts) {
         placement = createPlacement(parts);
         CallServices services =
                 new CallServices(
                         placement,
                         new AttemptRunner(parts.client(), parts.telemetry().tracing()),
-                        new BudgetRetryPolicy(),
+                        new BudgetRetryPolicy(parts.telemetry().timeSource()),
                         parts.telemetry().timeSource());
+        OnceOnlyGateway onceOnly =
+                new OnceOnlyGateway(
+                        parts.node(),
+                        parts.incarnation(),
+                        services,
+                        new ReplicatedClaimClient(parts.proposals()));
         callerApi =
                 new CallerApi(
                         parts.configuration(),
                         new DefaultCallStarter(services, onceOnly),
-                        jobs,
+                        new UnavailableJobApi(),
                         parts.telemetry());
     }
 
     /**
      * Groups what a gateway works with. Immutable.
      *
+     * @param node this node
+     * @param incarnation the node's incarnation
      * @param dataCentre the node's data centre
      * @param configuration gives the declarations in force
      * @param pool the node's credits
      * @param selector chooses endpoints
      * @param prices knows what endpoints cost
      * @param client runs attempts
-     * @param observer hears of choices and results
+     * @param proposals reaches the replicated log of claims
+     * @param versions divides calls between versions
+     * @param choices hears of choices
+     * @param attempts hears how attempts went
      * @param telemetry what each call reports to
      * @param random source for choices among near equals
      */
     public record GatewayParts(
+            NodeId node,
+            long incarnation,
             DataCentreId dataCentre,
             ConfigurationSource configuration,
             CreditPool pool,
             EndpointSelector selector,
             PriceBook prices,
             EndpointClient client,
-            PlacementObserver observer,
+            ProposalClient proposals,
+            VersionRouter versions,
+            ChoiceLog choices,
+            AttemptObserver attempts,
             CallTelemetry telemetry,
             RandomGenerator random) {}
 
@@ -93,9 +111,16 @@
                 new CandidateReader(parts.pool(), parts.prices(), parts.dataCentre()),
                 parts.selector(),
                 new SelectionRequestFactory(),
-                new CurrentVersionRouter(parts.configuration()),
-                parts.observer(),
+                parts.versions(),
+                parts.choices(),
+                parts.attempts(),
                 parts.random(),
-                parts.telemetry().timeSource());
+                parts.telemetry().timeSource(),
+                account -> weightOf(parts.configuration(), account));
+    }
+
+    private static double weightOf(ConfigurationSource configuration, ClientAccountId account) {
+        ClientAccount declared = configuration.getDeclarations().clientAccounts().get(account);
+        return declared == null ? 1.0 : declared.weight();
     }
 }
