--- a/cardamomthread-membership/src/main/java/org/cardamomthread/membership/home/FairShare.java
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/home/FairShare.java
@@ -23,7 +23,6 @@
 
         private Claimant(GatewayAccount account) {
             this.account = account;
-            this.share = account.inFlight();
         }
 
         private int needed(boolean withHeadroom) {
@@ -49,11 +48,9 @@
     static int shareOf(GatewayAccount asking, Collection<GatewayAccount> accounts, int capacity) {
         List<Claimant> claimants = new ArrayList<>();
         Claimant own = null;
-        int left = capacity;
         for (GatewayAccount account : accounts) {
             Claimant claimant = new Claimant(account);
             claimants.add(claimant);
-            left -= claimant.share;
             if (account == asking) {
                 own = claimant;
             }
@@ -61,7 +58,7 @@
         if (own == null) {
             throw new IllegalArgumentException("accounts must include the asking one");
         }
-        left = fill(claimants, left, false);
+        int left = fill(claimants, capacity, false);
         fill(claimants, left, true);
         return own.share;
     }
--- a/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/SimulatedNode.java
+++ b/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/SimulatedNode.java
@@ -33,6 +33,7 @@
     private final EndpointHome home;
     private final CreditPool pool;
     private long frozenUntilMs;
+    private int starts;
 
     SimulatedNode(
             NodeEntry seedEntry,
@@ -118,4 +119,12 @@
     void freezeUntil(long untilMs) {
         frozenUntilMs = untilMs;
     }
+
+    void countStart() {
+        starts++;
+    }
+
+    int starts() {
+        return starts;
+    }
 }
