Let endpoints warm up by what gateways see, and route by what they cache

Cause: a home judged an endpoint warm by its age alone, and gateways chose without knowledge of prefix caches. Gateways now report first bytes and overloads to the home in batches, the home feeds its slow start with them; homes spread cache events to the gateways near them and gateways note what they sent themselves. A first byte counts as slow only beyond a third of the profile's target, since the estimate of an idle endpoint is a few milliseconds and three times that is noise.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
@@ -11,8 +11,11 @@
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
-import org.cardamomthread.daemon.membership.ClassBearableRequests;
+import org.cardamomthread.daemon.membership.CacheEventFeed;
 import org.cardamomthread.daemon.membership.MembershipService;
+import org.cardamomthread.daemon.membership.ObservationFeed;
+import org.cardamomthread.daemon.membership.SlowStartBearableRequests;
+import org.cardamomthread.membership.endpoint.EndpointAnnouncement;
 import org.cardamomthread.membership.gateway.CreditPool;
 import org.cardamomthread.membership.gateway.CreditPoolSettings;
 import org.cardamomthread.membership.gateway.DefaultCreditPool;
@@ -26,14 +29,23 @@
 import org.cardamomthread.membership.node.NodeDirectorySettings;
 import org.cardamomthread.membership.node.NodeEntry;
 import org.cardamomthread.membership.node.NodeState;
+import org.cardamomthread.policy.routing.PrefixIndex;
 import org.cardamomthread.transport.PeerTransport;
 
 /** Assembles the membership slice of a node. Immutable after construction. */
 final class MembershipParts {
 
     private static final String UNKNOWN_ADDRESS = "";
+    private static final int MAX_PREFIX_BLOCKS = 262_144;
+    private static final long PREFIX_HALF_LIFE_MS = 300_000;
+    private static final long MAX_PREFIX_AGE_MS = 1_800_000;
 
     private final NodeDirectory directory;
+    private final PrefixIndex prefixes =
+            new PrefixIndex(MAX_PREFIX_BLOCKS, PREFIX_HALF_LIFE_MS, MAX_PREFIX_AGE_MS);
+    private final SlowStartBearableRequests slowStart;
+    private final ObservationFeed observations;
+    private final CacheEventFeed cacheEvents;
     private final CreditPool pool;
     private final MembershipService service;
 
@@ -52,18 +64,36 @@
                         NodeDirectorySettings.defaults(),
                         timeSource,
                         new Random(incarnation));
+        slowStart = new SlowStartBearableRequests(configuration, directory::isDrained, timeSource);
+        observations = new ObservationFeed(slowStart, transport, control, timeSource);
+        cacheEvents = new CacheEventFeed(prefixes, directory, transport, control, timeSource);
         EndpointHome home =
                 new DefaultEndpointHome(
                         self,
                         new HomeAssignment(directory),
                         createHomeSettings(settings),
-                        new ClassBearableRequests(configuration, directory::isDrained, timeSource),
-                        announcement -> {},
+                        slowStart,
+                        this::hear,
                         timeSource);
         pool = new DefaultCreditPool(directory, createPoolSettings(settings), timeSource);
         service = new MembershipService(directory, home, pool, transport, control);
     }
 
+    /** Begins to exchange messages with other nodes. */
+    void start(long heartbeatIntervalMs) {
+        service.start(heartbeatIntervalMs);
+        observations.start();
+        cacheEvents.start();
+    }
+
+    PrefixIndex getPrefixes() {
+        return prefixes;
+    }
+
+    ObservationFeed getObservations() {
+        return observations;
+    }
+
     NodeDirectory getDirectory() {
         return directory;
     }
@@ -85,6 +115,11 @@
         return Stream.concat(Stream.of(directory.self().id()), others).sorted().toList();
     }
 
+    private void hear(EndpointAnnouncement announcement) {
+        slowStart.accepted(announcement);
+        cacheEvents.accepted(announcement);
+    }
+
     private static HomeSettings createHomeSettings(NodeSettings settings) {
         HomeSettings defaults = HomeSettings.defaults();
         return new HomeSettings(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -125,7 +125,7 @@
         controlParts.start();
         transport.start();
         membership.getService().setCreditListener(serving.getGateway()::useCredits);
-        membership.getService().start(settings.heartbeatMs());
+        membership.start(settings.heartbeatMs());
         serving.start();
         operators.listen(listeners.operators().toSocketAddress());
         endpoints.listen(listeners.endpoints().toSocketAddress());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon;
 
+import java.util.List;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
 import org.cardamomthread.configuration.settings.NodeSettings;
@@ -14,13 +15,13 @@
 import org.cardamomthread.daemon.execution.JobClient;
 import org.cardamomthread.daemon.execution.JobDispatcher;
 import org.cardamomthread.daemon.execution.JobRunner;
+import org.cardamomthread.daemon.gateway.AttemptObservers;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
 import org.cardamomthread.daemon.gateway.ClassPriceBook;
 import org.cardamomthread.daemon.gateway.Gateway;
 import org.cardamomthread.daemon.rollout.MoveObserver;
 import org.cardamomthread.daemon.rollout.MoveVersionRouter;
 import org.cardamomthread.daemon.rollout.RolloutService;
-import org.cardamomthread.policy.routing.PrefixKnowledge;
 import org.cardamomthread.policy.routing.ScoringEndpointSelector;
 import org.cardamomthread.transport.PeerTransport;
 
@@ -124,13 +125,17 @@
                         environment.settings().dataCentre(),
                         environment.configuration()::getDeclarations,
                         environment.membership().getPool(),
-                        new ScoringEndpointSelector(PrefixKnowledge.NONE),
+                        new ScoringEndpointSelector(environment.membership().getPrefixes()),
                         new ClassPriceBook(),
                         environment.client(),
                         environment.proposals(),
                         new MoveVersionRouter(environment.configuration(), rollout),
+                        environment.membership().getPrefixes(),
                         environment.telemetry().choices(),
-                        new MoveObserver(rollout, timeSource),
+                        new AttemptObservers(
+                                List.of(
+                                        new MoveObserver(rollout, timeSource),
+                                        environment.membership().getObservations())),
                         environment.telemetry(),
                         new Random(environment.incarnation())));
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointFailureException.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointFailureException.java
@@ -21,6 +21,10 @@
         MISMATCHED_ANSWER,
         /** The answer ended without proof that it is whole. */
         TRUNCATED_ANSWER,
+        /** The endpoint answered that it takes no more work now. */
+        OVERLOADED,
+        /** The endpoint answered with another error of its own. */
+        SERVER_ERROR,
         /** The caller or this node cancelled the attempt. */
         CANCELLED
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptReport.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptReport.java
@@ -6,14 +6,25 @@
  * <p>Immutable and safe for use by several threads.
  *
  * @param isFailed whether the endpoint failed the attempt
+ * @param isOverloaded whether the endpoint refused the attempt for its load
  * @param firstByteMs time to the first byte of the body in milliseconds, negative if none came
+ * @param expectedFirstByteMs what that time was estimated to be, in milliseconds; zero if unknown
  * @param meanGapMs mean time between tokens in milliseconds, negative if fewer than two came
+ * @param durationMs time from the start of the attempt to its end, in milliseconds
  * @param result a fixed name for metrics
  */
-public record AttemptReport(boolean isFailed, long firstByteMs, double meanGapMs, String result) {
+public record AttemptReport(
+        boolean isFailed,
+        boolean isOverloaded,
+        long firstByteMs,
+        long expectedFirstByteMs,
+        double meanGapMs,
+        long durationMs,
+        String result) {
 
     /** Shows an attempt that was given up for reasons outside the endpoint. */
-    static final AttemptReport ABANDONED = new AttemptReport(false, -1, -1, "abandoned");
+    static final AttemptReport ABANDONED =
+            new AttemptReport(false, false, -1, 0, -1, 0, "abandoned");
 
     /**
      * Tells whether the attempt says nothing about the endpoint.
@@ -21,6 +32,12 @@
      * @return true if it was given up for reasons outside the endpoint
      */
     public boolean isAbandoned() {
-        return this == ABANDONED;
+        return result.equals(ABANDONED.result);
+    }
+
+    /** Returns the same report with the estimate made when the endpoint was chosen. */
+    AttemptReport withExpectedFirstByteMs(long estimateMs) {
+        return new AttemptReport(
+                isFailed, isOverloaded, firstByteMs, estimateMs, meanGapMs, durationMs, result);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptTiming.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptTiming.java
@@ -1,6 +1,8 @@
 package org.cardamomthread.daemon.gateway;
 
+import java.util.Locale;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException;
 
 /** Measures one attempt: first byte and mean gap between tokens. Used by one thread at a time. */
 final class AttemptTiming {
@@ -24,9 +26,22 @@
         count++;
     }
 
-    AttemptReport createReport(boolean isFailed, String result) {
+    /** Reports an attempt that the endpoint answered whole. */
+    AttemptReport createReport() {
+        return createReport(false, false, "complete");
+    }
+
+    /** Reports an attempt that failed. */
+    AttemptReport createReport(EndpointFailureException.Kind kind) {
+        boolean isOverloaded = kind == EndpointFailureException.Kind.OVERLOADED;
+        return createReport(true, isOverloaded, kind.name().toLowerCase(Locale.ROOT));
+    }
+
+    private AttemptReport createReport(boolean isFailed, boolean isOverloaded, String result) {
         long firstByteMs = firstAtMs < 0 ? -1 : firstAtMs - startedAtMs;
         double meanGapMs = count < 2 ? -1 : (double) (lastAtMs - firstAtMs) / (count - 1);
-        return new AttemptReport(isFailed, firstByteMs, meanGapMs, result);
+        long durationMs = timeSource.monotonicMs() - startedAtMs;
+        return new AttemptReport(
+                isFailed, isOverloaded, firstByteMs, 0, meanGapMs, durationMs, result);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacedCall.java
@@ -14,6 +14,7 @@
     private final AvailableEndpoint endpoint;
     private final VersionId version;
     private final CreditHold hold;
+    private final long expectedFirstByteMs;
     private final AttemptObserver observer;
     private final Runnable afterRelease;
     private final AtomicBoolean released = new AtomicBoolean();
@@ -23,12 +24,14 @@
             AvailableEndpoint endpoint,
             VersionId version,
             CreditHold hold,
+            long expectedFirstByteMs,
             AttemptObserver observer,
             Runnable afterRelease) {
         this.target = target;
         this.endpoint = endpoint;
         this.version = version;
         this.hold = hold;
+        this.expectedFirstByteMs = expectedFirstByteMs;
         this.observer = observer;
         this.afterRelease = afterRelease;
     }
@@ -62,7 +65,8 @@
     public void release(AttemptReport report) {
         if (released.compareAndSet(false, true)) {
             hold.release();
-            observer.report(target, endpoint, version, report);
+            AttemptReport whole = report.withExpectedFirstByteMs(expectedFirstByteMs);
+            observer.report(target, endpoint, version, whole);
             afterRelease.run();
         }
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
@@ -23,6 +23,7 @@
 import org.cardamomthread.policy.profile.Priority;
 import org.cardamomthread.policy.routing.EndpointCandidate;
 import org.cardamomthread.policy.routing.EndpointSelector;
+import org.cardamomthread.policy.routing.PrefixIndex;
 import org.cardamomthread.policy.routing.Selection;
 import org.cardamomthread.policy.routing.SelectionRequest;
 
@@ -43,6 +44,7 @@
     private final EndpointSelector selector;
     private final SelectionRequestFactory requests;
     private final VersionRouter versions;
+    private final PrefixIndex prefixes;
     private final PlacementObserver observer;
     private final AttemptObserver attempts;
     private final RandomGenerator random;
@@ -57,6 +59,7 @@
             EndpointSelector selector,
             SelectionRequestFactory requests,
             VersionRouter versions,
+            PrefixIndex prefixes,
             PlacementObserver observer,
             AttemptObserver attempts,
             RandomGenerator random,
@@ -67,6 +70,7 @@
         this.selector = selector;
         this.requests = requests;
         this.versions = versions;
+        this.prefixes = prefixes;
         this.observer = observer;
         this.attempts = attempts;
         this.random = random;
@@ -178,16 +182,20 @@
         EndpointCandidate candidate = chosen.chosen().get();
         AvailableEndpoint endpoint = read.endpoints().get(candidate.id());
         return pool.tryAcquire(candidate.id())
-                .map(hold -> createPlacedCall(request, endpoint, version, hold));
+                .map(hold -> createPlacedCall(request, endpoint, version, hold, chosen, selection));
     }
 
     private PlacedCall createPlacedCall(
             PlacementRequest request,
             AvailableEndpoint endpoint,
             VersionId version,
-            CreditHold hold) {
+            CreditHold hold,
+            Selection chosen,
+            SelectionRequest selection) {
+        prefixes.expect(endpoint.endpoint(), selection.prefix(), timeSource.monotonicMs());
+        long expectedMs = (long) chosen.score().orElseThrow().firstTokenMs();
         return new CreditPlacedCall(
-                request.target(), endpoint, version, hold, attempts, this::pump);
+                request.target(), endpoint, version, hold, expectedMs, attempts, this::pump);
     }
 
     private static void refuseForQueue(WaitingCall call) {
@@ -199,7 +207,7 @@
                                         "Too many requests wait",
                                         String.format(
                                                 "the queue for service \"%s\" is full and client"
-                                                        + " account \"%s\" has its share of it: send"
+                                                        + " account \"%s\" has its share: send"
                                                         + " the request again later",
                                                 call.request().target().service(),
                                                 call.request().account()))
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.membership.gateway.CreditPool;
 import org.cardamomthread.policy.routing.EndpointSelector;
+import org.cardamomthread.policy.routing.PrefixIndex;
 
 /**
  * Assembles a node's duty towards callers.
@@ -67,6 +68,7 @@
      * @param client runs attempts
      * @param proposals reaches the replicated log of claims
      * @param versions divides calls between versions
+     * @param prefixes what is known of prefix caches
      * @param choices hears of choices
      * @param attempts hears how attempts went
      * @param telemetry what each call reports to
@@ -83,6 +85,7 @@
             EndpointClient client,
             ProposalClient proposals,
             VersionRouter versions,
+            PrefixIndex prefixes,
             ChoiceLog choices,
             AttemptObserver attempts,
             CallTelemetry telemetry,
@@ -127,6 +130,7 @@
                 parts.selector(),
                 new SelectionRequestFactory(),
                 parts.versions(),
+                parts.prefixes(),
                 parts.choices(),
                 parts.attempts(),
                 parts.random(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ModelRequest.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ModelRequest.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import org.cardamomthread.policy.routing.PromptPrefix;
 
 /**
  * Holds the body of a model call.
@@ -21,6 +22,8 @@
     private static final ObjectMapper MAPPER =
             new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final int CHARACTERS_PER_BLOCK = 64;
+    private static final int TOKENS_PER_BLOCK = CHARACTERS_PER_BLOCK / CHARACTERS_PER_TOKEN;
     private static final int DEFAULT_OUTPUT_TOKENS = 128;
 
     private final byte[] body;
@@ -77,12 +80,12 @@
     }
 
     /**
-     * Returns the prompt as one text, as endpoints cache it by blocks.
+     * Names the blocks of the prompt as endpoints cache them.
      *
-     * @return the contents of the messages, or the prompt of a completion
+     * @return the whole blocks
      */
-    String getPrompt() {
-        return prompt;
+    PromptPrefix createPrefix() {
+        return PromptPrefix.ofText(prompt, CHARACTERS_PER_BLOCK, TOKENS_PER_BLOCK);
     }
 
     /**
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ModelStreamCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ModelStreamCall.java
@@ -8,6 +8,7 @@
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.http.Problem;
 import org.cardamomthread.daemon.http.ResponseStream;
+import org.cardamomthread.policy.routing.PromptPrefix;
 
 /**
  * Relays a model's answer token by token and goes on from the last delivered token on another
@@ -22,12 +23,14 @@
     private static final long MAX_PENDING_BYTES = 1024 * 1024;
 
     private final ModelRequest request;
+    private final PromptPrefix prefix;
     private final StreamProgress progress = new StreamProgress();
     private ResponseStream stream;
 
     ModelStreamCall(CallScope scope, CallServices services, ModelRequest request) {
         super(scope, services);
         this.request = request;
+        this.prefix = request.createPrefix();
     }
 
     @Override
@@ -36,7 +39,7 @@
                 getScope().getRequestId(),
                 getScope().getAccount(),
                 getScope().getTarget(),
-                request.getPrompt(),
+                prefix,
                 request.estimatePromptTokens() + progress.getTokens(),
                 request.estimateOutputTokens(),
                 excluded,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ModelStreamListener.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ModelStreamListener.java
@@ -78,7 +78,7 @@
             return;
         }
         ended = true;
-        call.complete(timing.createReport(false, "complete"));
+        call.complete(timing.createReport());
     }
 
     @Override
@@ -88,25 +88,25 @@
         }
         ended = true;
         if (progress.hasEnded()) {
-            call.complete(timing.createReport(false, "complete"));
+            call.complete(timing.createReport());
             return;
         }
-        call.fail(failure, timing.createReport(true, failure.getKind().name()));
+        call.fail(failure, timing.createReport(failure.getKind()));
     }
 
     private void endWithRefusal() {
         if (head.isRetryable()) {
-            fail(Kind.CONNECTION_LOST, "the endpoint answered with status " + head.status());
+            fail(head.getFailureKind(), "the endpoint answered with status " + head.status());
             return;
         }
         ended = true;
-        call.passOn(head, refusal.toByteArray(), timing.createReport(false, "refused"));
+        call.passOn(head, refusal.toByteArray(), timing.createReport());
     }
 
     private void fail(Kind kind, String detail) {
         ended = true;
         call.cancelAttemptAfter(
                 new EndpointFailureException(kind, "stream", detail, null),
-                timing.createReport(true, kind.name()));
+                timing.createReport(kind));
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/OnceOnlyRunner.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/OnceOnlyRunner.java
@@ -82,7 +82,7 @@
 
     @Override
     public synchronized void onComplete() {
-        release(timing.createReport(false, "complete"));
+        release(timing.createReport());
         StoredAnswer answer =
                 StoredAnswer.of(head.status(), readHeaders(head.headers()), body.toByteArray());
         perform(steps.answered(answer, timeSource.millis()));
@@ -90,7 +90,7 @@
 
     @Override
     public synchronized void onFailure(EndpointFailureException failure) {
-        release(timing.createReport(true, failure.getKind().name()));
+        release(timing.createReport(failure.getKind()));
         refusal = OnceOnlyProblems.createFailed(failure, sent);
         if (sent) {
             perform(steps.failedAfterSending(timeSource.millis()));
@@ -149,7 +149,7 @@
                 scope.getRequestId(),
                 scope.getAccount(),
                 scope.getTarget(),
-                CallDemand.PLAIN.prompt(),
+                CallDemand.PLAIN.prefix(),
                 CallDemand.PLAIN.promptTokens(),
                 CallDemand.PLAIN.outputTokens(),
                 Set.of(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/PlacementRequest.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/PlacementRequest.java
@@ -4,6 +4,7 @@
 import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.RequestId;
+import org.cardamomthread.policy.routing.PromptPrefix;
 
 /**
  * Says what an attempt needs of an endpoint.
@@ -13,7 +14,7 @@
  * @param requestId the request
  * @param account the client account, for fair shares
  * @param target what the call is for
- * @param prompt the prompt of a model call, empty for others
+ * @param prefix the blocks of a model call's prompt, empty for others
  * @param promptTokens tokens that the endpoint has to read if it has none of them cached
  * @param outputTokens tokens that the answer may have
  * @param excluded endpoints on which this call has failed
@@ -24,7 +25,7 @@
         RequestId requestId,
         ClientAccountId account,
         CallTarget target,
-        String prompt,
+        PromptPrefix prefix,
         int promptTokens,
         int outputTokens,
         Set<EndpointId> excluded,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/TrafficClass.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/TrafficClass.java
@@ -23,6 +23,8 @@
     private static final long FIRST_BYTE_TARGETS = 4;
     private static final long MIN_FIRST_BYTE_TIMEOUT_MS = 2_000;
     private static final long MAX_FIRST_BYTE_TIMEOUT_MS = 30_000;
+    private static final long MIN_SLOW_FIRST_BYTE_MS = 50;
+    private static final long SLOW_TARGET_DIVISOR = 3;
     private static final long GAP_TARGETS = 50;
     private static final long MIN_GAP_TIMEOUT_MS = 2_000;
     private static final long MAX_GAP_TIMEOUT_MS = 10_000;
@@ -48,6 +50,15 @@
         return clamp(tokenGapTargetMs * GAP_TARGETS, MIN_GAP_TIMEOUT_MS, MAX_GAP_TIMEOUT_MS);
     }
 
+    /**
+     * Returns the time below which no first byte counts as slow for its endpoint.
+     *
+     * @return milliseconds
+     */
+    public long getSlowFirstByteMs() {
+        return Math.max(MIN_SLOW_FIRST_BYTE_MS, firstTokenTargetMs / SLOW_TARGET_DIVISOR);
+    }
+
     /**
      * Returns the name of the priority sent to endpoints.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/WholeAnswerCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/WholeAnswerCall.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException;
-import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.http.Problem;
 import org.cardamomthread.daemon.http.ResponseStream;
@@ -43,7 +42,7 @@
                 getScope().getRequestId(),
                 getScope().getAccount(),
                 getScope().getTarget(),
-                demand.prompt(),
+                demand.prefix(),
                 demand.promptTokens(),
                 demand.outputTokens(),
                 excluded,
@@ -105,7 +104,7 @@
         @Override
         public void onComplete() {
             if (stream != null) {
-                succeed(timing.createReport(false, "complete"));
+                succeed(timing.createReport());
                 stream.finish();
                 getScope().end(CallOutcome.ANSWERED, "streamed");
                 return;
@@ -113,19 +112,19 @@
             if (head.isRetryable()) {
                 onFailure(
                         new EndpointFailureException(
-                                Kind.CONNECTION_LOST,
+                                head.getFailureKind(),
                                 getScope().getTarget().service().value(),
                                 "the endpoint answered with status " + head.status(),
                                 null));
                 return;
             }
-            succeed(timing.createReport(false, "complete"));
+            succeed(timing.createReport());
             getScope().answer(head.createReply(held.toByteArray()));
         }
 
         @Override
         public void onFailure(EndpointFailureException failure) {
-            AttemptReport report = timing.createReport(true, failure.getKind().name());
+            AttemptReport report = timing.createReport(failure.getKind());
             if (stream != null) {
                 succeed(report);
                 stream.abort();
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/CacheEventFeed.java
@@ -0,0 +1,167 @@
+package org.cardamomthread.daemon.membership;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.generated.CacheEventBatch;
+import org.cardamomthread.daemon.generated.CacheEventEntry;
+import org.cardamomthread.daemon.generated.EndpointCacheEvents;
+import org.cardamomthread.membership.endpoint.CacheEvent;
+import org.cardamomthread.membership.endpoint.EndpointAnnouncement;
+import org.cardamomthread.membership.home.AnnouncementListener;
+import org.cardamomthread.membership.node.NodeDirectory;
+import org.cardamomthread.policy.routing.PrefixIndex;
+import org.cardamomthread.transport.PeerTopic;
+import org.cardamomthread.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Spreads the cache events of a home's endpoints to the gateways near it.
+ *
+ * <p>Best effort: the prefix index takes a gap for uncertainty, and gateways know besides what they
+ * sent themselves. Invariant: at most {@value #MAX_BLOCKS} block hashes go out a round. Safe for
+ * use by several threads.
+ */
+public final class CacheEventFeed implements AnnouncementListener {
+
+    /** Carries cache events. */
+    public static final PeerTopic TOPIC = new PeerTopic(6, "cache-events");
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(CacheEventFeed.class);
+    private static final long INTERVAL_MS = 500;
+    private static final int MAX_BLOCKS = 500;
+    private static final int MAX_RECEIVERS = 16;
+
+    private final PrefixIndex index;
+    private final NodeDirectory directory;
+    private final PeerTransport transport;
+    private final ControlThread control;
+    private final TimeSource timeSource;
+    private final Map<EndpointId, EndpointCacheEvents.Builder> waiting = new HashMap<>();
+    private final Map<EndpointId, Long> incarnations = new HashMap<>();
+    private int waitingBlocks;
+
+    /**
+     * Creates a feed that does not run yet.
+     *
+     * @param index what this node knows of prefix caches
+     * @param directory the nodes
+     * @param transport the links to other nodes
+     * @param control sends the batches
+     * @param timeSource the node's clock
+     */
+    public CacheEventFeed(
+            PrefixIndex index,
+            NodeDirectory directory,
+            PeerTransport transport,
+            ControlThread control,
+            TimeSource timeSource) {
+        this.index = index;
+        this.directory = directory;
+        this.transport = transport;
+        this.control = control;
+        this.timeSource = timeSource;
+    }
+
+    /** Begins to send and to take events. */
+    public void start() {
+        transport.register(TOPIC, this::take);
+        control.repeat(INTERVAL_MS, this::flush);
+    }
+
+    @Override
+    public synchronized void accepted(EndpointAnnouncement announcement) {
+        for (CacheEvent event : announcement.cacheEvents()) {
+            if (waitingBlocks + event.blocks().size() > MAX_BLOCKS) {
+                return;
+            }
+            waitingBlocks += event.blocks().size();
+            waiting.computeIfAbsent(announcement.endpoint(), id -> begin(announcement))
+                    .addEvents(
+                            CacheEventEntry.newBuilder()
+                                    .setSequence(event.sequence())
+                                    .setType(event.type())
+                                    .addAllBlocks(event.blocks()));
+        }
+    }
+
+    private static EndpointCacheEvents.Builder begin(EndpointAnnouncement announcement) {
+        return EndpointCacheEvents.newBuilder()
+                .setEndpointId(announcement.endpoint().value())
+                .setIncarnation(announcement.incarnation());
+    }
+
+    private void flush() {
+        CacheEventBatch.Builder batch = CacheEventBatch.newBuilder();
+        synchronized (this) {
+            waiting.values().forEach(batch::addEndpoints);
+            waiting.clear();
+            waitingBlocks = 0;
+        }
+        if (batch.getEndpointsCount() > 0) {
+            byte[] payload = batch.build().toByteArray();
+            listReceivers().forEach(node -> transport.send(node, TOPIC, payload));
+        }
+    }
+
+    /** Lists the nodes that work with this home: its predecessors in the ring of its own. */
+    private List<NodeId> listReceivers() {
+        NodeId self = directory.self().id();
+        List<NodeId> ring = directory.usableNodes(directory.self().dataCentre());
+        List<NodeId> receivers = new ArrayList<>();
+        int position = Math.max(0, ring.indexOf(self));
+        for (int step = 0; step < Math.min(ring.size(), MAX_RECEIVERS / 2); step++) {
+            receivers.add(ring.get(Math.floorMod(position - step, ring.size())));
+        }
+        directory.others().stream()
+                .map(node -> node.entry())
+                .filter(entry -> !entry.dataCentre().equals(directory.self().dataCentre()))
+                .map(entry -> entry.id())
+                .sorted()
+                .limit(MAX_RECEIVERS - receivers.size())
+                .forEach(receivers::add);
+        return receivers;
+    }
+
+    private CompletionStage<byte[]> take(NodeId from, byte[] payload) {
+        try {
+            CacheEventBatch.parseFrom(payload).getEndpointsList().forEach(this::apply);
+        } catch (InvalidProtocolBufferException | IllegalArgumentException failure) {
+            LOGGER.warn("dropped malformed cache events of node {}", from, failure);
+        }
+        return CompletableFuture.completedFuture(new byte[0]);
+    }
+
+    private synchronized void apply(EndpointCacheEvents events) {
+        EndpointId endpoint = new EndpointId(events.getEndpointId());
+        Long known = incarnations.put(endpoint, events.getIncarnation());
+        if (known != null && known != events.getIncarnation()) {
+            index.remove(endpoint);
+        }
+        long nowMs = timeSource.monotonicMs();
+        for (CacheEventEntry entry : events.getEventsList()) {
+            long[] blocks = new long[entry.getBlocksCount()];
+            for (int i = 0; i < blocks.length; i++) {
+                blocks[i] = entry.getBlocks(i);
+            }
+            var type =
+                    org.cardamomthread.policy.routing.CacheEvent.Type.valueOf(
+                            entry.getType().toUpperCase(Locale.ROOT));
+            index.apply(
+                    endpoint,
+                    new org.cardamomthread.policy.routing.CacheEvent(
+                            entry.getSequence(), type, blocks),
+                    nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/ObservationFeed.java
@@ -0,0 +1,131 @@
+package org.cardamomthread.daemon.membership;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.gateway.AttemptObserver;
+import org.cardamomthread.daemon.gateway.AttemptReport;
+import org.cardamomthread.daemon.gateway.CallTarget;
+import org.cardamomthread.daemon.generated.ObservationBatch;
+import org.cardamomthread.daemon.generated.ObservationMessage;
+import org.cardamomthread.membership.gateway.AvailableEndpoint;
+import org.cardamomthread.transport.PeerTopic;
+import org.cardamomthread.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Tells homes how the attempts of this gateway on their endpoints went.
+ *
+ * <p>Invariant: at most {@value #MAX_PER_HOME} observations a home wait for the next batch; others
+ * are dropped, which only slows the rise of a cold endpoint. Safe for use by several threads.
+ */
+public final class ObservationFeed implements AttemptObserver {
+
+    /** Carries observations. */
+    public static final PeerTopic TOPIC = new PeerTopic(4, "observations");
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ObservationFeed.class);
+    private static final long INTERVAL_MS = 500;
+    private static final int MAX_PER_HOME = 200;
+
+    private final SlowStartBearableRequests slowStart;
+    private final PeerTransport transport;
+    private final ControlThread control;
+    private final TimeSource timeSource;
+    private final Map<NodeId, List<Observation>> waiting = new HashMap<>();
+
+    /** Holds an observation until the next batch. */
+    private record Observation(ObservationMessage.Builder message, long sentAtMs) {}
+
+    /**
+     * Creates a feed that does not run yet.
+     *
+     * @param slowStart takes the observations for which this node is home
+     * @param transport the links to other nodes
+     * @param control sends the batches
+     * @param timeSource the node's clock
+     */
+    public ObservationFeed(
+            SlowStartBearableRequests slowStart,
+            PeerTransport transport,
+            ControlThread control,
+            TimeSource timeSource) {
+        this.slowStart = slowStart;
+        this.transport = transport;
+        this.control = control;
+        this.timeSource = timeSource;
+    }
+
+    /** Begins to send and to take observations. */
+    public void start() {
+        transport.register(TOPIC, this::take);
+        control.repeat(INTERVAL_MS, this::flush);
+    }
+
+    @Override
+    public void report(
+            CallTarget target,
+            AvailableEndpoint endpoint,
+            VersionId version,
+            AttemptReport report) {
+        if (report.isAbandoned()) {
+            return;
+        }
+        long expectedMs =
+                Math.max(report.expectedFirstByteMs(), target.traffic().getSlowFirstByteMs());
+        ObservationMessage.Builder message =
+                ObservationMessage.newBuilder()
+                        .setEndpointId(endpoint.endpoint().value())
+                        .setIncarnation(endpoint.incarnation())
+                        .setFirstByteMs((int) Math.max(0, report.firstByteMs()))
+                        .setExpectedMs((int) expectedMs)
+                        .setInFlight(endpoint.load().inFlight() + endpoint.startedSinceLoad() + 1)
+                        .setOverloaded(report.isOverloaded());
+        Observation observation =
+                new Observation(message, timeSource.monotonicMs() - report.durationMs());
+        synchronized (waiting) {
+            List<Observation> batch =
+                    waiting.computeIfAbsent(endpoint.home(), home -> new ArrayList<>());
+            if (batch.size() < MAX_PER_HOME) {
+                batch.add(observation);
+            }
+        }
+    }
+
+    private void flush() {
+        slowStart.forgetSilent();
+        Map<NodeId, List<Observation>> batches;
+        synchronized (waiting) {
+            batches = new HashMap<>(waiting);
+            waiting.clear();
+        }
+        long nowMs = timeSource.monotonicMs();
+        batches.forEach(
+                (home, observations) -> {
+                    ObservationBatch.Builder batch = ObservationBatch.newBuilder();
+                    for (Observation observation : observations) {
+                        int agoMs = (int) (nowMs - observation.sentAtMs());
+                        batch.addObservations(observation.message().setSentAgoMs(agoMs));
+                    }
+                    transport.send(home, TOPIC, batch.build().toByteArray());
+                });
+    }
+
+    private CompletionStage<byte[]> take(NodeId from, byte[] payload) {
+        try {
+            ObservationBatch.parseFrom(payload).getObservationsList().forEach(slowStart::observe);
+        } catch (InvalidProtocolBufferException failure) {
+            LOGGER.warn("dropped malformed observations of node {}", from, failure);
+        }
+        return CompletableFuture.completedFuture(new byte[0]);
+    }
+}
