Let a voter seek votes while its own removal is not committed

A run of 10,000 seeds failed at one, 879: a leader had appended its own removal and lost its leadership before the commit. Its log was the longest, the others needed its vote for the former membership, and it sought none, since the latest membership in its log left it out; the group stood still. It now seeks votes while the committed membership names it; its own vote counts only where it is a member. seeksVotesWhileItsOwnRemovalIsNotCommitted and seed 879 failed before.

--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Elections.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Elections.java
@@ -33,7 +33,7 @@
      */
     boolean tick() {
         if (context.role() == ReplicaRole.LEADER
-                || !context.isVoter()
+                || !context.mayCampaign()
                 || !context.isElectionDue()) {
             return false;
         }
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ReplicaContext.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ReplicaContext.java
@@ -105,6 +105,14 @@
         return log.members().isVoter(self.voterId());
     }
 
+    /**
+     * Tells whether this replica may seek votes. While its removal is not committed the other
+     * voters may depend on it, so it still does.
+     */
+    boolean mayCampaign() {
+        return isVoter() || log.membersAt(commitIndex).isVoter(self.voterId());
+    }
+
     boolean isEmpty() {
         return term() == 0 && log.isEmpty();
     }
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/consensus/ReplicaTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/consensus/ReplicaTests.java
@@ -256,4 +256,18 @@
         assertEquals(replica.status(0, lateMs).role(), ReplicaRole.FOLLOWER);
         assertTrue(replica.takeOutput().immediateMessages().isEmpty());
     }
+
+    /** The others may need its vote for the former membership, and its log is the longest. */
+    @Test
+    public void seeksVotesWhileItsOwnRemovalIsNotCommitted() throws Exception {
+        long nowMs = lead();
+        replica.receive(accepted(2, 3, 5, nowMs), nowMs);
+        replica.remove(voter(1), nowMs);
+        finishOutput();
+        replica.tick(nowMs + ELECTION_TIMEOUT_MS);
+        replica.tick(nowMs + 3 * ELECTION_TIMEOUT_MS);
+        assertTrue(
+                replica.takeOutput().messagesAfterSync().stream()
+                        .anyMatch(message -> message.message().hasVoteRequest()));
+    }
 }
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationSimulationTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationSimulationTests.java
@@ -15,6 +15,7 @@
 
     private static final int CI_SEEDS = 60;
     private static final int SEEDS_PER_ROW = 20;
+    private static final long[] FORMER_FAILURES = {879};
     private static final int FAULT_STEPS = 1500;
     private static final int RECOVERY_STEPS = 4000;
 
@@ -29,6 +30,9 @@
         for (long seed = first; seed < end; seed += SEEDS_PER_ROW) {
             rows.add(new Object[] {seed, Math.min(end, seed + SEEDS_PER_ROW)});
         }
+        for (long seed : FORMER_FAILURES) {
+            rows.add(new Object[] {seed, seed + 1});
+        }
         return rows.toArray(Object[][]::new);
     }
 
