--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/BadInputTests.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/BadInputTests.java
@@ -77,10 +77,7 @@
     @DataProvider
     public Object[][] halves() {
         return new Object[][] {
-            {"", false},
-            {"POST /v1/chat", true},
-            {HEAD, true},
-            {HEAD + "Content-Length: 100\r\n\r\n{\"model\"", true},
+            {""}, {"POST /v1/chat"}, {HEAD}, {HEAD + "Content-Length: 100\r\n\r\n{\"model\""},
         };
     }
 
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
@@ -97,29 +97,24 @@
                 () -> calls.status(node.operators(), "/readyz") == 200);
     }
 
-    /** Starts a stand-in that announces itself to all nodes and returns its port. */
+    /**
+     * Starts a stand-in and returns its port; an option of the caller goes before the usual one.
+     */
     int startStandIn(String kind, String id, String dataCentre, String... more) throws IOException {
         int port = NodeAddresses.freePorts(1).get(0);
         List<String> arguments = new ArrayList<>(List.of(kind));
+        arguments.addAll(List.of(more));
         arguments.addAll(List.of("--listen", "127.0.0.1:" + port, "--id", id));
         arguments.addAll(List.of("--data-centre", dataCentre));
         arguments.addAll(List.of("--token", Calls.ENDPOINT_TOKEN, "--nodes", endpointListeners()));
-        arguments.addAll(List.of(more));
         processes.put(id, ManagedProcess.start(id, folder, STAND_IN, arguments));
         return port;
     }
 
     int startEngine(String id, String dataCentre, String... more) throws IOException {
-        List<String> arguments =
-                new ArrayList<>(
-                        List.of(
-                                "--class",
-                                "gpu-small",
-                                "--services",
-                                "chat=v1",
-                                "--capabilities",
-                                "fencing,resume"));
-        arguments.addAll(List.of(more));
+        List<String> arguments = new ArrayList<>(List.of(more));
+        arguments.addAll(List.of("--class", "gpu-small", "--services", "chat=v1"));
+        arguments.addAll(List.of("--capabilities", "fencing,resume"));
         return startStandIn("engine", id, dataCentre, arguments.toArray(new String[0]));
     }
 
--- /dev/null
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/FailureTests.java
@@ -0,0 +1,253 @@
+package org.cardamomthread.processes;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.cardamomthread.transport.FaultyRelay;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that calls go on while nodes, links and endpoints fail or leave. */
+@Test(groups = "processes")
+public class FailureTests {
+
+    private static final long RECOVERY_MS = 10_000;
+    private static final long SHUTDOWN_MS = 17_000;
+    private static final long NO_NEW_WORK_MS = 5_000;
+    private static final long OBSERVED_MS = 8_000;
+    private static final int TOKENS = 40;
+
+    private Cluster cluster;
+    private FaultyRelay relay;
+
+    @BeforeMethod
+    public void create() throws Exception {
+        cluster = new Cluster("failure");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        cluster.close();
+        if (relay != null) {
+            relay.close();
+            relay = null;
+        }
+    }
+
+    @Test
+    public void servesOnAfterTheHomeOfAnEndpointIsKilled() throws Exception {
+        startWithTwoEngines();
+        String home = homeOf("runner-1");
+        try (ChatLoad load = new ChatLoad(cluster, 2, TOKENS)) {
+            awaitWhole(load, System.nanoTime());
+            long killedNs = System.nanoTime();
+            cluster.process(home).kill();
+            for (NodeAddresses node : cluster.nodes()) {
+                if (!node.id().equals(home)) {
+                    Waits.until(
+                            RECOVERY_MS,
+                            "answers through " + node.id(),
+                            () -> load.wholeSince(node.id(), killedNs) > 5);
+                }
+            }
+            assertEquals(load.wrong(), List.of());
+            for (ChatLoad.Ended failed : load.failures()) {
+                assertEquals(failed.node(), home, failed.detail());
+            }
+        }
+    }
+
+    @Test
+    public void cutsNoRequestOnAGracefulShutdown() throws Exception {
+        startWithTwoEngines();
+        ManagedProcess leaving = cluster.process("perth-a-2");
+        try (ChatLoad load = new ChatLoad(cluster, 4, 100)) {
+            awaitWhole(load, System.nanoTime());
+            leaving.terminate();
+            assertEquals(leaving.awaitExit(SHUTDOWN_MS), 0, leaving.log());
+            load.close();
+            assertEquals(load.failures(), List.of());
+        }
+    }
+
+    @Test
+    public void sendsNoNewWorkToADrainedDataCentre() throws Exception {
+        int engine = startWithTwoEngines();
+        try (ChatLoad load = new ChatLoad(cluster, 2, 10)) {
+            awaitWhole(load, System.nanoTime());
+            operate("perth-b-1", "/v1/data-centres/perth-a/drain");
+            long acceptedMs = System.currentTimeMillis();
+            awaitNoNewWork(engine, acceptedMs);
+            assertEquals(load.wrong(), List.of());
+            assertEquals(load.failures(), List.of());
+            int before = runs(engine).size();
+            operate("perth-a-1", "/v1/data-centres/perth-a/return");
+            Waits.until(
+                    RECOVERY_MS, "new work after the return", () -> runs(engine).size() > before);
+        }
+    }
+
+    @Test
+    public void sendsNoNewWorkToALeavingEndpoint() throws Exception {
+        int engine = startWithTwoEngines();
+        try (ChatLoad load = new ChatLoad(cluster, 2, 10)) {
+            awaitWhole(load, System.nanoTime());
+            cluster.calls().fault(engine, "{\"kind\":\"leaving\"}");
+            awaitNoNewWork(engine, System.currentTimeMillis());
+            assertEquals(load.failures(), List.of());
+        }
+    }
+
+    @Test
+    public void answersOverANewConnectionWhenTheOldOnesAreSilent() throws Exception {
+        int port = NodeAddresses.freePorts(1).get(0);
+        relay = new FaultyRelay(port);
+        cluster.startEngine(
+                "runner-1",
+                "perth-a",
+                "--listen",
+                "127.0.0.1:" + port,
+                "--advertise",
+                "127.0.0.1:" + relay.address().getPort());
+        startNodes();
+        relay.silence();
+        for (NodeAddresses node : cluster.nodes()) {
+            String question = "silence before " + node.id();
+            HttpResponse<String> answer =
+                    cluster.call(node.id(), Answers.CHAT, chat(question), UUID.randomUUID());
+            assertEquals(answer.statusCode(), 200, answer.body());
+            assertEquals(Answers.wholeText(answer.body()), Answers.expected(question, TOKENS));
+        }
+    }
+
+    @DataProvider
+    public Object[][] nodes() {
+        return new Object[][] {{"perth-a-1"}, {"perth-b-1"}};
+    }
+
+    @Test(dataProvider = "nodes")
+    public void servesOnWhileANodeIsFrozenAndAfterItWakes(String frozen) throws Exception {
+        startWithTwoEngines();
+        cluster.process(frozen).freeze();
+        for (NodeAddresses node : cluster.nodes()) {
+            if (!node.id().equals(frozen)) {
+                Waits.until(RECOVERY_MS, "answers of " + node.id(), () -> isAnswered(node));
+            }
+        }
+        cluster.process(frozen).thaw();
+        Waits.until(RECOVERY_MS, "answers of " + frozen, () -> isAnswered(cluster.node(frozen)));
+    }
+
+    @Test
+    public void neverSendsAColdEndpointMoreThanItBears() throws Exception {
+        int engine =
+                cluster.startEngine(
+                        "runner-1",
+                        "perth-a",
+                        "--cold-ms",
+                        "15000",
+                        "--cold-bearable",
+                        "4",
+                        "--decode",
+                        "100");
+        cluster.startNodes();
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            for (NodeAddresses node : cluster.nodes()) {
+                String body = Answers.chat("cold " + i, 10, false);
+                answers.add(
+                        cluster.calls().callLater(node.callers(), Answers.CHAT, body, Map.of()));
+            }
+        }
+        int answered = 0;
+        for (CompletableFuture<HttpResponse<String>> answer : answers) {
+            answered += answer.get(60, TimeUnit.SECONDS).statusCode() == 200 ? 1 : 0;
+        }
+        JsonNode record = cluster.calls().get(engine, "/v1/record");
+        assertEquals(record.path("coldOverloads").asInt(), 0, record.toString());
+        assertTrue(record.path("peakRunning").asInt() <= 4, record.toString());
+        assertTrue(answered > 0, "some calls must be answered");
+    }
+
+    private int startWithTwoEngines() throws Exception {
+        int first = cluster.startEngine("runner-1", "perth-a");
+        cluster.startEngine("runner-2", "perth-b");
+        startNodes();
+        for (String endpoint : List.of("runner-1", "runner-2")) {
+            Waits.until(Cluster.READY_MS, endpoint, () -> !homeOf(endpoint).isEmpty());
+        }
+        return first;
+    }
+
+    private void startNodes() throws Exception {
+        cluster.startNodes();
+        cluster.awaitServed(Answers.CHAT, Answers.chat("warm", 1, false));
+    }
+
+    private String homeOf(String endpoint) throws Exception {
+        int port = cluster.node("perth-a-1").operators();
+        for (JsonNode known : cluster.calls().get(port, "/v1/status").path("endpoints")) {
+            if (known.path("id").asText().equals(endpoint)) {
+                return known.path("home").asText();
+            }
+        }
+        return "";
+    }
+
+    private void awaitWhole(ChatLoad load, long sinceNs) throws Exception {
+        for (NodeAddresses node : cluster.nodes()) {
+            Waits.until(
+                    RECOVERY_MS,
+                    "answers through " + node.id(),
+                    () -> load.wholeSince(node.id(), sinceNs) > 3);
+        }
+    }
+
+    /** Watches an engine until well after the promised time and checks its last new request. */
+    private void awaitNoNewWork(int engine, long sinceMs) throws Exception {
+        Waits.until(
+                OBSERVED_MS + 1_000,
+                "the end of the observation",
+                () -> System.currentTimeMillis() >= sinceMs + OBSERVED_MS);
+        long lastMs = 0;
+        for (JsonNode run : runs(engine)) {
+            lastMs = Math.max(lastMs, run.path("atMs").asLong());
+        }
+        assertTrue(lastMs > 0, "the endpoint must have had work before");
+        assertTrue(
+                lastMs <= sinceMs + NO_NEW_WORK_MS,
+                "new work " + (lastMs - sinceMs) + " ms after it should have ended");
+    }
+
+    private JsonNode runs(int engine) throws Exception {
+        return cluster.calls().get(engine, "/v1/record").path("runs");
+    }
+
+    private void operate(String node, String path) throws Exception {
+        String body = "{\"operationId\":\"" + UUID.randomUUID() + "\"}";
+        HttpResponse<String> answer =
+                cluster.calls().operate(cluster.node(node).operators(), path, body);
+        assertEquals(answer.statusCode(), 200, answer.body());
+    }
+
+    private boolean isAnswered(NodeAddresses node) throws Exception {
+        HttpResponse<String> answer =
+                cluster.calls().call(node.callers(), Answers.CHAT, chat("frozen"), Map.of());
+        return answer.statusCode() == 200
+                && Answers.wholeText(answer.body()).equals(Answers.expected("frozen", TOKENS));
+    }
+
+    private static String chat(String question) {
+        return Answers.chat(question, TOKENS, false);
+    }
+}
