--- /dev/null
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/decision/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the time, allocation and memory of decisions against the size of the fleet. */
+package org.cardamomthread.experiments.decision;
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/PrefixIndex.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/routing/PrefixIndex.java
@@ -135,9 +135,15 @@
         }
         double blocks = 0;
         int implied = 0;
+        long lastStoredAtMs = 0;
+        double confidence = 0;
         for (int k = 0; k < prefix.length(); k++) {
             long block = prefix.block(k);
-            double confidence = confidence(cache, table.storedAtMs(block, cache.tag), nowMs);
+            long storedAtMs = table.storedAtMs(block, cache.tag);
+            if (storedAtMs != lastStoredAtMs) {
+                confidence = confidence(cache, storedAtMs, nowMs);
+                lastStoredAtMs = storedAtMs;
+            }
             if (confidence >= LEAST_CONFIDENCE) {
                 blocks += (1 + implied) * confidence;
                 implied = 0;
