Add the operators' command with stated exit codes and safe resends

Operators had no command. It validates, plans, applies, reads, moves versions, drains and returns data centres, shows status and explains requests. A change is sent to one node after another with one operation id until an answer comes; if none comes, the exit code says whether nothing was changed or the outcome is unknown, and names the id to repeat.

A first run by hand hung: a token file of several lines made the client throw, and its threads kept the process alive.

--- a/cardamomthread-command/src/main/java/org/cardamomthread/command/Cardamomthread.java
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/Cardamomthread.java
@@ -1,16 +1,63 @@
 package org.cardamomthread.command;
 
-/** Entry point of the module. */
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Pattern;
+import org.cardamomthread.command.client.AsyncHttpTransport;
+import org.cardamomthread.command.client.OperatorClient;
+import org.cardamomthread.command.client.OperatorTransport;
+import org.cardamomthread.command.outcome.CommandException;
+
+/** Entry point of the operators' command. */
 public final class Cardamomthread {
 
+    private static final long WATCH_PAUSE_MS = 1_000;
+    private static final Pattern TOKEN = Pattern.compile("[!-~]+");
+
     private Cardamomthread() {}
 
     /**
-     * Runs the program.
+     * Runs the command and exits with its exit code.
      *
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        System.out.println("Cardamomthread");
+        CommandRunner runner =
+                new CommandRunner(
+                        System.out,
+                        System.err,
+                        Cardamomthread::createClient,
+                        () -> pause(WATCH_PAUSE_MS));
+        System.exit(runner.run(arguments).number());
+    }
+
+    private static OperatorClient createClient(CommandArguments arguments) throws CommandException {
+        String token = readToken(arguments.require(CommandArguments.TOKEN_FILE));
+        OperatorTransport transport = new AsyncHttpTransport(token);
+        Runtime.getRuntime().addShutdownHook(new Thread(transport::close));
+        return new OperatorClient(arguments.servers(), transport, Cardamomthread::pause);
+    }
+
+    static String readToken(String file) throws CommandException {
+        try {
+            String token = Files.readString(Path.of(file)).strip();
+            if (TOKEN.matcher(token).matches()) {
+                return token;
+            }
+            throw CommandArguments.usage(
+                    "the token file \"" + file + "\" must hold one line without spaces");
+        } catch (IOException e) {
+            throw CommandArguments.usage(
+                    "the token file \"" + file + "\" is missing or unreadable");
+        }
+    }
+
+    private static void pause(long durationMs) {
+        try {
+            Thread.sleep(durationMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- /dev/null
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/CommandRunner.java
@@ -0,0 +1,123 @@
+package org.cardamomthread.command;
+
+import java.io.PrintStream;
+import java.util.List;
+import org.apache.commons.cli.Option;
+import org.cardamomthread.command.outcome.CommandException;
+import org.cardamomthread.command.outcome.ExitCode;
+
+/** Finds and runs the command of a command line. Confined to one thread. */
+final class CommandRunner {
+
+    private static final List<Command> COMMANDS =
+            List.of(
+                    new ValidateCommand(),
+                    new PlanCommand(),
+                    new ApplyCommand(),
+                    new GetCommand(),
+                    new VersionMoveCommand(),
+                    new DataCentreCommand("drain"),
+                    new DataCentreCommand("return"),
+                    new StatusCommand(),
+                    new ExplainCommand());
+    private static final List<String> COMMON_OPTIONS =
+            List.of(
+                    CommandArguments.HELP,
+                    CommandArguments.VERSION,
+                    CommandArguments.OUTPUT,
+                    CommandArguments.SERVER,
+                    CommandArguments.TOKEN_FILE);
+
+    private final PrintStream out;
+    private final PrintStream err;
+    private final CommandContext.ClientFactory clients;
+    private final Runnable watchPause;
+
+    CommandRunner(
+            PrintStream out,
+            PrintStream err,
+            CommandContext.ClientFactory clients,
+            Runnable watchPause) {
+        this.out = out;
+        this.err = err;
+        this.clients = clients;
+        this.watchPause = watchPause;
+    }
+
+    ExitCode run(String[] words) {
+        try {
+            CommandArguments arguments = CommandArguments.parse(words);
+            if (arguments.has(CommandArguments.HELP)) {
+                out.print(help());
+                return ExitCode.OK;
+            }
+            if (arguments.has(CommandArguments.VERSION)) {
+                out.println("cardamomthread " + version());
+                return ExitCode.OK;
+            }
+            return runCommand(arguments);
+        } catch (CommandException e) {
+            err.println("cardamomthread: " + e.getMessage());
+            return e.exitCode();
+        } catch (RuntimeException e) {
+            e.printStackTrace(err);
+            err.println("cardamomthread: internal fault; report it with the lines above");
+            return ExitCode.INTERNAL;
+        }
+    }
+
+    private ExitCode runCommand(CommandArguments arguments) throws CommandException {
+        List<String> words = arguments.words();
+        for (Command command : COMMANDS) {
+            int length = command.name().size();
+            if (words.size() >= length && words.subList(0, length).equals(command.name())) {
+                requireKnownOptions(command, arguments);
+                arguments.isJson();
+                CommandContext context = new CommandContext(arguments, out, clients, watchPause);
+                return command.run(words.subList(length, words.size()), context);
+            }
+        }
+        String given = words.isEmpty() ? "no command is given" : "there is no command " + words;
+        throw CommandArguments.usage(given);
+    }
+
+    private static void requireKnownOptions(Command command, CommandArguments arguments)
+            throws CommandException {
+        for (String option : arguments.given()) {
+            if (!COMMON_OPTIONS.contains(option) && !command.options().contains(option)) {
+                throw CommandArguments.usage(
+                        "--"
+                                + option
+                                + " does not belong to cardamomthread "
+                                + String.join(" ", command.name()));
+            }
+        }
+    }
+
+    static String version() {
+        String version = CommandRunner.class.getPackage().getImplementationVersion();
+        return version == null ? "(not packaged)" : version;
+    }
+
+    static String help() {
+        StringBuilder text = new StringBuilder("cardamomthread <command> [options]\n\ncommands:\n");
+        for (Command command : COMMANDS) {
+            text.append("  ").append(String.join(" ", command.name()));
+            text.append(command.usage().isEmpty() ? "" : " " + command.usage());
+            text.append("\n      ").append(command.description()).append('\n');
+        }
+        text.append("\noptions:\n");
+        for (Option option : CommandArguments.options().getOptions()) {
+            String letter = option.getOpt() == null ? "" : "-" + option.getOpt() + ", ";
+            String argument = option.hasArg() ? " <" + option.getArgName() + ">" : "";
+            text.append("  ").append(letter).append("--").append(option.getLongOpt());
+            text.append(argument).append("\n      ").append(option.getDescription()).append('\n');
+        }
+        text.append("\nexit codes:\n");
+        for (ExitCode code : ExitCode.values()) {
+            text.append("  ").append(code.number()).append("  ").append(code.meaning());
+            text.append('\n');
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/client/package-info.java
@@ -0,0 +1,2 @@
+/** The client of the operators' HTTP API. */
+package org.cardamomthread.command.client;
--- /dev/null
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/outcome/package-info.java
@@ -0,0 +1,2 @@
+/** How a command ends. */
+package org.cardamomthread.command.outcome;
--- /dev/null
+++ b/cardamomthread-command/src/test/java/org/cardamomthread/command/client/AsyncHttpTransportTests.java
@@ -0,0 +1,111 @@
+package org.cardamomthread.command.client;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import org.cardamomthread.configuration.document.NetworkAddress;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+/** Tests {@link AsyncHttpTransport} over loopback. */
+public class AsyncHttpTransportTests {
+
+    private static final String ANSWER = "{\"revision\": 3}";
+
+    private final AsyncHttpTransport transport = new AsyncHttpTransport("operator-token");
+
+    @AfterClass
+    public void closeTransport() {
+        transport.close();
+    }
+
+    @Test
+    public void sendsTokenAndBodyAndReadsTheAnswer() throws Exception {
+        try (ServerSocket server = listen()) {
+            CompletableFuture<String> received = serveOnce(server, true);
+            OperatorAnswer answer = transport.send(address(server), "POST", "/v1/x", "{\"a\": 1}");
+            assertEquals(answer.status(), 200);
+            assertEquals(answer.body().path("revision").asInt(), 3);
+            String request = received.join();
+            assertTrue(request.startsWith("POST /v1/x HTTP/1.1"), request);
+            assertTrue(request.contains("Bearer operator-token"), request);
+            assertTrue(request.endsWith("{\"a\": 1}"), request);
+        }
+    }
+
+    @Test
+    public void reportsALostAnswerWithoutSendingAgain() throws Exception {
+        try (ServerSocket server = listen()) {
+            CompletableFuture<String> received = serveOnce(server, false);
+            TransportException failure =
+                    expectThrows(
+                            TransportException.class,
+                            () -> transport.send(address(server), "POST", "/v1/x", "{\"a\": 1}"));
+            assertTrue(failure.mayHaveArrived());
+            assertTrue(received.join().startsWith("POST /v1/x"));
+            server.setSoTimeout(300);
+            expectThrows(SocketTimeoutException.class, server::accept);
+        }
+    }
+
+    @Test
+    public void knowsThatARefusedConnectionDidNotArrive() throws IOException {
+        NetworkAddress closed;
+        try (ServerSocket server = listen()) {
+            closed = address(server);
+        }
+        TransportException failure =
+                expectThrows(
+                        TransportException.class, () -> transport.send(closed, "GET", "/v1/x", ""));
+        assertFalse(failure.mayHaveArrived());
+    }
+
+    private static ServerSocket listen() throws IOException {
+        return new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+    }
+
+    private static NetworkAddress address(ServerSocket server) {
+        return new NetworkAddress("127.0.0.1", server.getLocalPort());
+    }
+
+    private static CompletableFuture<String> serveOnce(ServerSocket server, boolean answers) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try (Socket socket = server.accept()) {
+                        String request = readUntilBody(socket.getInputStream());
+                        if (answers) {
+                            String head = "HTTP/1.1 200 OK\r\nContent-Length: " + ANSWER.length();
+                            byte[] bytes =
+                                    (head + "\r\n\r\n" + ANSWER).getBytes(StandardCharsets.UTF_8);
+                            socket.getOutputStream().write(bytes);
+                        }
+                        return request;
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                });
+    }
+
+    private static String readUntilBody(InputStream stream) throws IOException {
+        StringBuilder request = new StringBuilder();
+        while (request.indexOf("}") < 0) {
+            int next = stream.read();
+            if (next < 0) {
+                break;
+            }
+            request.append((char) next);
+        }
+        return request.toString();
+    }
+}
