--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
@@ -1,17 +1,22 @@
 package org.cardamomthread.daemon;
 
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationDistribution;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.configuration.ConfigurationProposer;
+import org.cardamomthread.daemon.configuration.DrainSync;
+import org.cardamomthread.daemon.control.ProposalClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
+import org.cardamomthread.daemon.execution.JobClient;
+import org.cardamomthread.daemon.execution.JobDispatcher;
+import org.cardamomthread.daemon.execution.JobRunner;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
-import org.cardamomthread.daemon.gateway.ChoiceLog;
 import org.cardamomthread.daemon.gateway.ClassPriceBook;
 import org.cardamomthread.daemon.gateway.Gateway;
-import org.cardamomthread.daemon.rollout.ConfigurationProposer;
 import org.cardamomthread.daemon.rollout.MoveObserver;
 import org.cardamomthread.daemon.rollout.MoveVersionRouter;
 import org.cardamomthread.daemon.rollout.RolloutService;
@@ -24,8 +29,10 @@
 
     private final ConfigurationDistribution distribution;
     private final RolloutService rollout;
-    private final ChoiceLog choices = new ChoiceLog();
+    private final DrainSync drains;
     private final Gateway gateway;
+    private final JobRunner jobRunner;
+    private final JobDispatcher jobDispatcher;
 
     /**
      * Groups what the parts work with. Immutable.
@@ -37,6 +44,8 @@
      * @param membership nodes and credits
      * @param configuration the configuration in force
      * @param proposer proposes changes of the configuration
+     * @param proposals reaches the replicated logs
+     * @param leadsExecution tells whether this node leads the group of claims and jobs
      * @param client runs attempts on endpoints
      * @param telemetry what each call reports to
      */
@@ -48,6 +57,8 @@
             MembershipParts membership,
             ConfigurationHolder configuration,
             ConfigurationProposer proposer,
+            ProposalClient proposals,
+            BooleanSupplier leadsExecution,
             EndpointClient client,
             CallTelemetry telemetry) {}
 
@@ -67,11 +78,29 @@
                         environment.transport(),
                         environment.control(),
                         environment.telemetry().timeSource());
+        drains =
+                new DrainSync(
+                        environment.configuration(),
+                        environment.membership().getDirectory(),
+                        environment.proposer(),
+                        environment.control());
         gateway = createGateway(environment);
-    }
-
-    ChoiceLog getChoices() {
-        return choices;
+        JobClient jobs = new JobClient(environment.proposals());
+        jobRunner =
+                new JobRunner(
+                        jobs,
+                        gateway.getJobExecutor(),
+                        environment.transport(),
+                        environment.control(),
+                        environment.telemetry().timeSource());
+        jobDispatcher =
+                new JobDispatcher(
+                        jobs,
+                        environment.leadsExecution(),
+                        () -> environment.membership().listLiveNodes(),
+                        environment.transport(),
+                        environment.control(),
+                        environment.telemetry().timeSource());
     }
 
     Gateway getGateway() {
@@ -81,20 +110,26 @@
     void start() {
         distribution.start();
         rollout.start();
+        drains.start();
+        jobRunner.start();
+        jobDispatcher.start();
     }
 
     private Gateway createGateway(Environment environment) {
         TimeSource timeSource = environment.telemetry().timeSource();
-        return Gateway.create(
+        return new Gateway(
                 new Gateway.GatewayParts(
+                        environment.settings().nodeId(),
+                        environment.incarnation(),
                         environment.settings().dataCentre(),
                         environment.configuration()::getDeclarations,
                         environment.membership().getPool(),
                         new ScoringEndpointSelector(PrefixKnowledge.NONE),
                         new ClassPriceBook(),
                         environment.client(),
+                        environment.proposals(),
                         new MoveVersionRouter(environment.configuration(), rollout),
-                        choices,
+                        environment.telemetry().choices(),
                         new MoveObserver(rollout, timeSource),
                         environment.telemetry(),
                         new Random(environment.incarnation())));
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallScope.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallScope.java
@@ -8,13 +8,13 @@
 import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.RequestId;
 import org.cardamomthread.core.time.TimeSource;
-import org.cardamomthread.daemon.http.ExecutionState;
 import org.cardamomthread.daemon.http.HttpExchange;
 import org.cardamomthread.daemon.http.HttpReply;
 import org.cardamomthread.daemon.http.Problem;
 import org.cardamomthread.daemon.http.ResponseStream;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
+import org.cardamomthread.execution.ExecutionStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,6 +36,7 @@
     private final NodeMetrics metrics;
     private final NodeTracing tracing;
     private final TimeSource timeSource;
+    private final ChoiceLog choices;
     private final long startedAtMs;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicBoolean firstByteSeen = new AtomicBoolean();
@@ -56,6 +57,7 @@
         this.metrics = telemetry.metrics();
         this.tracing = telemetry.tracing();
         this.timeSource = telemetry.timeSource();
+        this.choices = telemetry.choices();
         this.startedAtMs = timeSource.monotonicMs();
         metrics.beginRequest(target.service());
     }
@@ -99,7 +101,7 @@
     /** Sends a problem document and ends the call. */
     void refuse(Problem problem) {
         exchange.respond(identify(problem.toReply(requestId.value())));
-        boolean wasRun = problem.execution() != ExecutionState.NOT_RUN;
+        boolean wasRun = problem.execution() != ExecutionStatus.NOT_RUN;
         end(
                 wasRun ? CallOutcome.FAILED : CallOutcome.REFUSED,
                 problem.type() + ": " + problem.detail());
@@ -135,6 +137,7 @@
             return;
         }
         endAction.run();
+        choices.end(requestId, outcome);
         metrics.endRequest(target.service(), outcome.getLabel(), getElapsedMs());
         if (outcome == CallOutcome.FAILED) {
             span.setStatus(StatusCode.ERROR, detail);
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/VersionComparison.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/VersionComparison.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.function.ToLongFunction;
 import org.cardamomthread.core.id.RouteId;
+import org.cardamomthread.policy.rollout.SequentialTest.EventCounts;
 
 /**
  * Compares the new version with the old on each route and each measure, from each epoch until now.
@@ -16,7 +17,7 @@
     private static final double FAILURE_TOLERANCE = 0.01;
     private static final double SLOW_TOLERANCE = 0.05;
     private static final double FAILURE_SIGN = 2; // evidence that calls for a closer look
-    private static final double SLOW_SIGN = 6;
+    private static final double SLOW_SIGN = 2.5;
     private static final double FIRST_EPOCH_WEIGHT = 0.5;
     private static final int RECENT_EPOCHS = 3;
 
@@ -61,22 +62,29 @@
             RouteId route, Measure measure, CallCounts[] oldCounts, CallCounts[] newCounts) {
         double proof = 0;
         double recent = 0;
+        CallCounts oldSinceStart = CallCounts.NONE;
+        for (CallCounts counts : oldCounts) {
+            oldSinceStart = oldSinceStart.plus(counts);
+        }
         CallCounts oldSum = CallCounts.NONE;
         CallCounts newSum = CallCounts.NONE;
         for (int from = newCounts.length - 1; from >= 0; from--) {
             oldSum = oldSum.plus(oldCounts[from]);
             newSum = newSum.plus(newCounts[from]);
-            double evidence = measure.proof(oldSum, newSum);
+            if (newCounts[from].calls() == 0 && from > 0) {
+                continue; // a fault that began here shows as one that began with the next calls
+            }
+            double evidence = measure.proof(newSum, oldSum, oldSinceStart);
             double weight =
                     from == 0
                             ? FIRST_EPOCH_WEIGHT
                             : (1 - FIRST_EPOCH_WEIGHT) / (RolloutPlan.EPOCHS - 1);
             proof += weight * evidence;
             if (newCounts.length - from <= RECENT_EPOCHS) {
-                recent = Math.max(recent, measure.suspicion(oldSum, newSum));
+                recent = Math.max(recent, measure.suspicion(newSum, oldSum, oldSinceStart));
             }
         }
-        return new Finding(route, measure.reason(), proof, recent);
+        return new Finding(route, measure.reason(), proof, route, recent);
     }
 
     /**
@@ -112,20 +120,16 @@
                     sign);
         }
 
-        double proof(CallCounts oldSum, CallCounts newSum) {
-            return weigh(proof, oldSum, newSum);
+        double proof(CallCounts newSum, CallCounts oldSum, CallCounts oldSinceStart) {
+            return proof.evidence(count(newSum), count(oldSum), count(oldSinceStart));
         }
 
-        double suspicion(CallCounts oldSum, CallCounts newSum) {
-            return weigh(suspicion, oldSum, newSum) / sign;
+        double suspicion(CallCounts newSum, CallCounts oldSum, CallCounts oldSinceStart) {
+            return suspicion.evidence(count(newSum), count(oldSum), count(oldSinceStart)) / sign;
         }
 
-        private double weigh(SequentialTest test, CallCounts oldSum, CallCounts newSum) {
-            return test.evidence(
-                    calls.applyAsLong(newSum),
-                    events.applyAsLong(newSum),
-                    calls.applyAsLong(oldSum),
-                    events.applyAsLong(oldSum));
+        private EventCounts count(CallCounts counts) {
+            return new EventCounts(calls.applyAsLong(counts), events.applyAsLong(counts));
         }
     }
 
@@ -135,11 +139,13 @@
      * @param route the route, or null without any evidence
      * @param reason the measure
      * @param proof evidence divided by the number of tests; above 1/a it proves a fault
+     * @param recentRoute the route with the greatest evidence of the last epochs, or null
      * @param recent greatest evidence of the last epochs; from 1 on it calls for a closer look
      */
-    record Finding(RouteId route, RolloutReason reason, double proof, double recent) {
+    record Finding(
+            RouteId route, RolloutReason reason, double proof, RouteId recentRoute, double recent) {
 
-        static final Finding NOTHING = new Finding(null, RolloutReason.STEP_PASSED, 0, 0);
+        static final Finding NOTHING = new Finding(null, RolloutReason.STEP_PASSED, 0, null, 0);
 
         /** Joins findings of several tests, whose number divides the proof. */
         Finding stronger(Finding other, int tests) {
@@ -150,6 +156,7 @@
                     isStronger ? other.route : route,
                     isStronger ? other.reason : reason,
                     Math.max(proof, otherProof),
+                    other.recent > recent ? other.recentRoute : recentRoute,
                     Math.max(recent, other.recent));
         }
     }
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/runtime/DefaultReplicationGroupTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/runtime/DefaultReplicationGroupTests.java
@@ -35,6 +35,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** Runs three groups in one process with a clock that the test moves. */
 public class DefaultReplicationGroupTests {
 
     private static final GroupId GROUP = new GroupId("claims");
@@ -171,4 +172,14 @@
                 expectThrows(ExecutionException.class, () -> get(leader.propose(bytes("command"))));
         assertTrue(((GroupUnavailableException) failure.getCause()).isNotAppended());
     }
+
+    @Test
+    public void refusesACommandThatNoMessageCouldCarry() throws Exception {
+        ReplicationGroup leader = awaitLeader();
+        ExecutionException failure =
+                expectThrows(
+                        ExecutionException.class, () -> get(leader.propose(new byte[5_000_000])));
+        assertTrue(((GroupUnavailableException) failure.getCause()).isNotAppended());
+        assertEquals(get(leader.propose(bytes("command"))).length, Long.BYTES);
+    }
 }
