Refuse unknown versions of HTTP; ask more of a returned data centre

Cause 1: the version of the request line was not checked; GET / HTTP/9.9 was served. It is answered with 505 now.

Cause 2: FailureTests.sendsNoNewWorkToADrainedDataCentre failed after caches and packing came in: two calls at a time go to the engine that already works, since a busy engine within its target is the cheaper one, so a returned data centre gets work only when it is needed. Ruled out: the return itself (revision in force on all nodes, credits granted). The test expected an even spread, which is no promise. It now drains the other data centre after the return, so that all work must go to the returned one with no failed and no wrong answer, which is stricter.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
@@ -133,6 +133,11 @@
                                 () -> refuse(context, createSlowBodyProblem()),
                                 limits.bodyTimeoutMs(),
                                 TimeUnit.MILLISECONDS);
+        HttpVersion version = request.protocolVersion();
+        if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
+            refuse(context, createVersionProblem(version));
+            return;
+        }
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
             refuse(context, createBodyTooLargeProblem());
             return;
@@ -222,6 +227,14 @@
                 "the request is not valid HTTP/1.1 (" + cause.getMessage() + "): send it anew");
     }
 
+    private static Problem createVersionProblem(HttpVersion version) {
+        return Problem.createNotRun(
+                505,
+                "unsupported-http-version",
+                "HTTP version not supported",
+                version + " is not served: use HTTP/1.1");
+    }
+
     private Problem createBodyTooLargeProblem() {
         return Problem.createNotRun(
                 413,
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/HttpServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/HttpServerTests.java
@@ -52,6 +52,7 @@
             {"POST /echo HTTP/1.1\r\ncontent-length: 5000\r\n\r\n", "413"},
             {"POST /echo HTTP/1.1\r\ncontent-length: 10\r\n\r\nhalf", "408"},
             {"POST /echo HTTP/1.1\r\ncontent-length: abc\r\n\r\n", "400"},
+            {"GET /echo HTTP/9.9\r\n\r\n", "505"},
         };
     }
 
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/FailureTests.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/FailureTests.java
@@ -92,8 +92,12 @@
             assertEquals(load.failures(), List.of());
             int before = runs(engine).size();
             operate("perth-a-1", "/v1/data-centres/perth-a/return");
+            operate("perth-a-1", "/v1/data-centres/perth-b/drain");
             Waits.until(
                     RECOVERY_MS, "new work after the return", () -> runs(engine).size() > before);
+            awaitWhole(load, System.nanoTime());
+            assertEquals(load.wrong(), List.of());
+            assertEquals(load.failures(), List.of());
         }
     }
 
