--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FaultyFileAccess.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FaultyFileAccess.java
@@ -5,7 +5,10 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Path;
 
-/** Fails at one operation, after writing half of what was to be written. */
+/**
+ * Fails at one operation, after writing half of what was to be written. After a failure of any kind
+ * all later operations fail, as after a crash; after a write or sync that failed, they succeed.
+ */
 final class FaultyFileAccess implements FileAccess {
 
     private final FileAccess delegate = new DefaultFileAccess();
@@ -29,7 +32,7 @@
     }
 
     private boolean fails(Operation operation) throws IOException {
-        if (hasFailed()) {
+        if (hasFailed() && failing == Operation.ANY) {
             throw new IOException("the process is gone");
         }
         return (failing == Operation.ANY || failing == operation) && remaining-- == 0;
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
@@ -246,6 +246,31 @@
         assertTrue(operations > 30, "operations " + operations);
     }
 
+    @Test
+    public void dropsTheWholeLogWithASnapshotFromTheLeader() throws Exception {
+        int operations = 0;
+        boolean hasFailed = true;
+        while (hasFailed) {
+            deleteFolder();
+            createFolder();
+            write(LongStream.rangeClosed(1, 20).toArray());
+            FaultyFileAccess access =
+                    new FaultyFileAccess(FaultyFileAccess.Operation.ANY, operations++);
+            try (FileLogStorage storage = storage(access)) {
+                storage.open(GROUP, NODE);
+                storage.installSnapshot(header(15, "state"), bytes("state"));
+            } catch (StorageException expected) {
+                assertTrue(access.hasFailed());
+            }
+            hasFailed = access.hasFailed();
+            RecoveredState recovered = reopen();
+            boolean isInstalled = recovered.snapshot().getIndex() == 15;
+            assertEquals(recovered.entries(), isInstalled ? List.of() : entries(1, 20, 3));
+            assertEquals(recovered.termState(), term(3));
+        }
+        assertTrue(operations > 5, "operations " + operations);
+    }
+
     /** Appends, saves and installs snapshots until the access fails; returns the synced index. */
     private long crashWhileWriting(FileAccess access) {
         long synced = 20;
