--- a/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replication/ReplicationBenchmark.java
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replication/ReplicationBenchmark.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.experiments.replication;
 
+import com.sun.management.OperatingSystemMXBean;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
@@ -32,6 +33,7 @@
     private static final int VOTERS = 3;
     private static final long ELECTION_TIMEOUT_MS = 3000;
     private static final long HEARTBEAT_MS = 150;
+    private static final long IDLE_ELECTION_TIMEOUT_MS = 1000;
     private static final long SHORT_ELECTION_TIMEOUT_MS = 30;
     private static final long SHORT_HEARTBEAT_MS = 10;
     private static final int NO_SNAPSHOTS = Integer.MAX_VALUE;
@@ -109,6 +111,7 @@
         for (int open : concurrency) {
             measureCommits(open);
         }
+        measureIdle();
         System.out.println("entries  snapshots  open ms  until lease ms  heap B/entry");
         prepare(folder.resolve("warm-up"), WARM_UP_ENTRIES, NO_SNAPSHOTS);
         prepare(folder.resolve("warm-up"), 1, NO_SNAPSHOTS);
@@ -155,6 +158,33 @@
         delete(groupFolder);
     }
 
+    /** Measures what all replicas of one group cost together while nothing is proposed. */
+    private void measureIdle() throws Exception {
+        Path groupFolder = folder.resolve("idle");
+        OperatingSystemMXBean system =
+                (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        try (LocalGroup group =
+                new LocalGroup(
+                        groupFolder,
+                        VOTERS,
+                        IDLE_ELECTION_TIMEOUT_MS,
+                        HEARTBEAT_MS,
+                        NO_SNAPSHOTS)) {
+            group.start();
+            group.awaitLeader();
+            TimeUnit.SECONDS.sleep(WARM_UP_SECONDS);
+            long sentBefore = group.sentBytes();
+            long processorBeforeNs = system.getProcessCpuTime();
+            TimeUnit.SECONDS.sleep(seconds);
+            double sentPerSecond = (group.sentBytes() - sentBefore) / (double) seconds;
+            double processorMs = (system.getProcessCpuTime() - processorBeforeNs) / 1e6;
+            System.out.printf(
+                    "idle group: %.0f B/s sent, %.1f ms/s of processor, three replicas together%n",
+                    sentPerSecond, processorMs / seconds);
+        }
+        delete(groupFolder);
+    }
+
     private void measureRestart(int count, int snapshotEntries, String name) throws Exception {
         Path groupFolder = folder.resolve("restart-" + count + "-" + name);
         prepare(groupFolder, count, snapshotEntries);
