Release patient work early where its prompt is cached

Cause: on Serra the patient tag of a report was held for a low price until the report had left all caches, so that its whole prompt was processed again. The release now compares the price with what a cached prompt saves.

--- a/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replay/MarketHistory.java
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replay/MarketHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import org.cardamomthread.policy.admission.MarketView;
+import org.cardamomthread.policy.routing.PrefixIndex;
 
 /** Derives usual prices from those of the hour before. Immutable. */
 final class MarketHistory {
@@ -28,14 +29,33 @@
         usualHighPrice = cheapest[3 * SAMPLES / 4];
     }
 
-    MarketView view(ReplayFleet fleet, Call.Pool pool, long nowMs) {
-        double cheapest = Double.POSITIVE_INFINITY;
+    /** Returns the market for one call as its gateway sees it. */
+    MarketView view(ReplayFleet fleet, CallState state, long nowMs) {
+        Call call = state.call();
+        PrefixIndex prefixes = fleet.gateway(state.gateway()).prefixes();
+        double least = Double.POSITIVE_INFINITY;
+        double price = Double.POSITIVE_INFINITY;
+        double saved = 0;
         for (FakeEndpoint endpoint : fleet.endpoints()) {
-            if (endpoint.spec().pool() == pool && fleet.credits(endpoint) > 0) {
-                cheapest = Math.min(cheapest, fleet.prices().pricePerHour(endpoint.spec(), nowMs));
+            if (endpoint.spec().pool() == call.pool() && fleet.credits(endpoint) > 0) {
+                double here = fleet.prices().pricePerHour(endpoint.spec(), nowMs);
+                double cached = prefixes.cachedTokens(endpoint.id(), call.prefix(), nowMs);
+                double savedHere = savedShare(call, endpoint.spec(), cached);
+                if (here * (1 - savedHere) < least) {
+                    least = here * (1 - savedHere);
+                    price = here;
+                    saved = savedHere;
+                }
             }
         }
-        double spare = (double) fleet.credits(pool) / Math.max(1, fleet.limits(pool));
-        return new MarketView(cheapest, usualLowPrice, usualHighPrice, Math.min(1, spare));
+        double spare = (double) fleet.credits(call.pool()) / Math.max(1, fleet.limits(call.pool()));
+        return new MarketView(price, usualLowPrice, usualHighPrice, saved, Math.min(1, spare));
+    }
+
+    private static double savedShare(Call call, EndpointSpec spec, double cachedTokens) {
+        double prefill = call.promptTokens() / spec.prefillTokensPerSecond();
+        double decode = call.expectedOutputTokens() / spec.decodeTokensPerSecond();
+        double saved = cachedTokens / spec.prefillTokensPerSecond();
+        return saved / (prefill + decode / spec.warmRequests());
     }
 }
--- a/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replay/Replay.java
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replay/Replay.java
@@ -107,7 +107,7 @@
         PatientRelease.Decision decision =
                 release.decide(
                         new PatientJob(call.arrivalMs(), call.deadlineMs(), runMs),
-                        market.view(fleet, call.pool(), loop.nowMs()),
+                        market.view(fleet, state, loop.nowMs()),
                         loop.nowMs());
         switch (decision.action()) {
             case HOLD -> {
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/MarketView.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/MarketView.java
@@ -5,10 +5,16 @@
  *
  * <p>Immutable and safe for use by several threads.
  *
- * @param cheapestPrice lowest price an hour of a place with a free credit, infinite without any
+ * @param cheapestPrice price an hour of the place with a free credit where the job costs least,
+ *     infinite without any
  * @param usualLowPrice price an hour that the cheapest place has a quarter of the time
  * @param usualHighPrice price an hour that the cheapest place exceeds a quarter of the time
+ * @param savedShare share of the job's host time that a cached prompt saves there, 0 to 1
  * @param spareShare share of the bearable requests that is free, 0 to 1
  */
 public record MarketView(
-        double cheapestPrice, double usualLowPrice, double usualHighPrice, double spareShare) {}
+        double cheapestPrice,
+        double usualLowPrice,
+        double usualHighPrice,
+        double savedShare,
+        double spareShare) {}
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/PatientRelease.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/PatientRelease.java
@@ -3,10 +3,11 @@
 /**
  * Decides when patient work is released to an endpoint.
  *
- * <p>Work starts at once at a low price with capacity to spare. The price that is accepted rises
- * with the share of the slack that has passed, and the deadline forces the start while the job can
- * still be run twice, since its host may be reclaimed. Stateless and safe for use by several
- * threads.
+ * <p>Work starts at once at a low price with capacity to spare, or where a cached prompt saves more
+ * than waiting for a low price would, since the cache will not last. The price that is accepted
+ * rises with the share of the slack that has passed, and the deadline forces the start while the
+ * job can still be run twice, since its host may be reclaimed. Stateless and safe for use by
+ * several threads.
  */
 public final class PatientRelease {
 
@@ -36,7 +37,8 @@
                 market.usualLowPrice()
                         + passed * passed * (market.usualHighPrice() - market.usualLowPrice());
         boolean spare = market.spareShare() >= LEAST_SPARE_SHARE * (1 - passed);
-        if (spare && market.cheapestPrice() <= acceptedPrice) {
+        double priceWithCache = market.cheapestPrice() * (1 - market.savedShare());
+        if (spare && priceWithCache <= acceptedPrice) {
             return new Decision(Action.START_CHEAP, nowMs);
         }
         return new Decision(Action.HOLD, Math.min(latestStartMs, nowMs + LONGEST_HOLD_MS));
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/AdmissionPoliciesTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/AdmissionPoliciesTests.java
@@ -95,6 +95,7 @@
         return new Object[][] {
             {0L, 1.0, 0.5, PatientRelease.Action.START_CHEAP},
             {0L, 2.0, 0.5, PatientRelease.Action.HOLD},
+            {0L, 1.9, 0.5, PatientRelease.Action.HOLD},
             {0L, 1.0, 0.0, PatientRelease.Action.HOLD},
             {850_000L, 2.0, 0.5, PatientRelease.Action.START_CHEAP},
             {930_000L, 9.0, 0.0, PatientRelease.Action.START_BY_DEADLINE},
@@ -108,8 +109,17 @@
                 new PatientRelease()
                         .decide(
                                 new PatientJob(0, 1_000_000, 30_000),
-                                new MarketView(price, 1, 2.2, spare),
+                                new MarketView(price, 1, 2.2, 0, spare),
                                 nowMs);
         assertEquals(decision.action(), expected);
     }
+
+    @Test
+    public void releasesPatientWorkWhereItsPromptIsCached() {
+        PatientJob job = new PatientJob(0, 1_000_000, 30_000);
+        MarketView cached = new MarketView(2, 1, 2.2, 0.6, 0.5);
+        assertEquals(
+                new PatientRelease().decide(job, cached, 0).action(),
+                PatientRelease.Action.START_CHEAP);
+    }
 }
