Add scripted scenarios; tell local nodes of remote ones only

The membership simulation is shared as a test jar.

Digests to a local node now leave out local nodes, whom it hears directly, and remote nodes get six rounds of digests instead of four before they are suspect; measured next.

--- a/cardamomthread-membership/src/main/java/org/cardamomthread/membership/node/DefaultNodeDirectory.java
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/node/DefaultNodeDirectory.java
@@ -75,16 +75,20 @@
         long nowMs = time.monotonicMs();
         List<OutgoingMessage> out = new ArrayList<>();
         List<NodeId> local = plan.localTargets(nowMs);
-        List<NodeId> digested = plan.digestTargets(nowMs);
-        if (local.isEmpty() && digested.isEmpty()) {
+        List<NodeId> told = plan.localDigestTargets(nowMs);
+        List<NodeId> remote = plan.remoteTargets(nowMs);
+        if (local.isEmpty() && told.isEmpty() && remote.isEmpty()) {
             return out;
         }
         heartbeat++;
         if (!local.isEmpty()) {
             addAll(out, local, GossipCodec.gossip(ownDigest(), highestRevision, List.of()));
         }
-        if (!digested.isEmpty()) {
-            addAll(out, digested, digestGossip(nowMs));
+        if (!told.isEmpty()) {
+            addAll(out, told, digestGossip(plan.digestsForLocal(nowMs)));
+        }
+        if (!remote.isEmpty()) {
+            addAll(out, remote, digestGossip(plan.digests(nowMs)));
         }
         table.forgetSilent(nowMs);
         return out;
@@ -245,7 +249,7 @@
         }
         List<OutgoingMessage> out = new ArrayList<>();
         if (joins) {
-            out.add(new OutgoingMessage(from, digestGossip(nowMs)));
+            out.add(new OutgoingMessage(from, digestGossip(plan.digests(nowMs))));
         }
         if (!pulled.isEmpty()) {
             out.add(new OutgoingMessage(from, request(pulled)));
@@ -324,8 +328,8 @@
         return List.of(new OutgoingMessage(from, GossipCodec.drainRecords(drains.records())));
     }
 
-    private PeerMessage digestGossip(long nowMs) {
-        return GossipCodec.gossip(ownDigest(), highestRevision, plan.digests(nowMs));
+    private PeerMessage digestGossip(List<NodeDigest> digests) {
+        return GossipCodec.gossip(ownDigest(), highestRevision, digests);
     }
 
     private NodeDigest ownDigest() {
--- a/cardamomthread-membership/src/main/java/org/cardamomthread/membership/node/GossipPlan.java
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/node/GossipPlan.java
@@ -50,13 +50,20 @@
         return targets;
     }
 
-    List<NodeId> digestTargets(long nowMs) {
+    /** Returns a local node to tell of others, or none before the next round. */
+    List<NodeId> localDigestTargets(long nowMs) {
+        if (nowMs < nextRemoteMs) {
+            return List.of();
+        }
+        return choose(table.inState(nowMs, true, NodeState.ALIVE, NodeState.SUSPECT), 1);
+    }
+
+    /** Returns nodes elsewhere and silent ones to write to; begins the next round. */
+    List<NodeId> remoteTargets(long nowMs) {
         List<NodeId> targets = new ArrayList<>();
         if (nowMs >= nextRemoteMs) {
             nextRemoteMs = nowMs + settings.remoteIntervalMs();
             targets.addAll(randomRemote(nowMs, settings.remoteFanOutFor(table.all().size())));
-            targets.addAll(
-                    choose(table.inState(nowMs, true, NodeState.ALIVE, NodeState.SUSPECT), 1));
         }
         if (nowMs >= nextProbeMs) {
             nextProbeMs = nowMs + settings.probeIntervalMs();
@@ -71,18 +78,37 @@
                 count);
     }
 
-    /** Returns the digests to tell: half the freshest, half any, as many as a message takes. */
+    /** Returns the digests to tell a node elsewhere. */
     List<NodeDigest> digests(long nowMs) {
         List<NodeRecord> known = table.inState(nowMs, true, NodeState.ALIVE, NodeState.SUSPECT);
         known.addAll(table.inState(nowMs, false, NodeState.ALIVE, NodeState.SUSPECT));
+        return select(known);
+    }
+
+    /**
+     * Returns the digests to tell a local node, which hears of other local ones from themselves.
+     */
+    List<NodeDigest> digestsForLocal(long nowMs) {
+        if (table.all().size() <= settings.digestsPerMessage()) {
+            return digests(nowMs);
+        }
+        return select(table.inState(nowMs, false, NodeState.ALIVE, NodeState.SUSPECT));
+    }
+
+    /** Selects half the freshest, half any, as many as a message takes. */
+    private List<NodeDigest> select(List<NodeRecord> known) {
         shuffle(known);
         int limit = settings.digestsPerMessage();
         if (known.size() > limit) {
             known.subList(limit / 2, known.size())
                     .sort(Comparator.comparingLong(NodeRecord::lastHeardMs).reversed());
-            known = known.subList(0, limit);
+            return digestsOf(known.subList(0, limit));
         }
-        return known.stream().map(NodeRecord::digest).toList();
+        return digestsOf(known);
+    }
+
+    private static List<NodeDigest> digestsOf(List<NodeRecord> records) {
+        return records.stream().map(NodeRecord::digest).toList();
     }
 
     private void reorderLocal(long nowMs) {
--- a/cardamomthread-membership/src/main/java/org/cardamomthread/membership/node/NodeDirectorySettings.java
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/node/NodeDirectorySettings.java
@@ -27,7 +27,7 @@
         long forgetAfterMs) {
 
     /** Rounds that an indirect heartbeat may take before a node's silence means anything. */
-    private static final int DIGEST_ROUNDS_BEFORE_SUSPICION = 4;
+    private static final int DIGEST_ROUNDS_BEFORE_SUSPICION = 6;
 
     private static final int MAX_REMOTE_FAN_OUT = 4;
 
--- a/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/CreditSimulation.java
+++ b/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/CreditSimulation.java
@@ -29,7 +29,7 @@
  * Interleaves nodes, endpoints, requests and faults at random, from one seed, and checks at every
  * start that an endpoint has no more in flight than it bore within the stated window.
  */
-final class CreditSimulation {
+public final class CreditSimulation {
 
     static final HomeSettings SETTINGS =
             new HomeSettings(2_000, 10, 1_500, 1_000, 250, 500, 4_000, 15_000);
@@ -71,7 +71,7 @@
     private long nextOrder;
     private long nextIncarnation = 1;
 
-    CreditSimulation(long seed, int endpointCount) {
+    public CreditSimulation(long seed, int endpointCount) {
         this.seed = seed;
         this.random = new Random(seed);
         for (NodeEntry entry : seeds) {
@@ -85,28 +85,28 @@
         }
     }
 
-    long nowMs() {
+    public long nowMs() {
         return time.monotonicMs();
     }
 
-    List<SimulatedEndpoint> endpoints() {
+    public List<SimulatedEndpoint> endpoints() {
         return endpoints;
     }
 
-    Collection<SimulatedNode> nodes() {
+    public Collection<SimulatedNode> nodes() {
         return running.values();
     }
 
-    void drop(Predicate<PeerMessage> newDropped) {
+    public void drop(Predicate<PeerMessage> newDropped) {
         dropped = newDropped;
     }
 
     /** Sends each announcement to the home that a function names, whatever the nodes' views. */
-    void forceHome(Function<EndpointAnnouncement, NodeId> newForcedHome) {
+    public void forceHome(Function<EndpointAnnouncement, NodeId> newForcedHome) {
         forcedHome = newForcedHome;
     }
 
-    void run(long durationMs, boolean faults) {
+    public void run(long durationMs, boolean faults) {
         long endMs = nowMs() + durationMs;
         while (nowMs() < endMs) {
             time.advanceMs(STEP_MS);
@@ -124,22 +124,22 @@
         }
     }
 
-    boolean isRunning(NodeId id) {
+    public boolean isRunning(NodeId id) {
         return running.containsKey(id);
     }
 
-    SimulatedNode node(String id) {
+    public SimulatedNode node(String id) {
         return running.get(new NodeId(id));
     }
 
-    void turnLeaving(SimulatedEndpoint endpoint, long durationMs) {
+    public void turnLeaving(SimulatedEndpoint endpoint, long durationMs) {
         if (endpoint.isUp()) {
             endpoint.setBears(0, EndpointState.LEAVING, nowMs());
             warmLater(endpoint, durationMs);
         }
     }
 
-    void kill(NodeId id, long downMs) {
+    public void kill(NodeId id, long downMs) {
         if (running.remove(id) != null) {
             NodeEntry entry =
                     seeds.stream().filter(seedEntry -> seedEntry.id().equals(id)).findAny().get();
@@ -147,11 +147,11 @@
         }
     }
 
-    void freeze(SimulatedNode node, long durationMs) {
+    public void freeze(SimulatedNode node, long durationMs) {
         node.freezeUntil(nowMs() + durationMs);
     }
 
-    void cut(String one, String other, long durationMs) {
+    public void cut(String one, String other, long durationMs) {
         cutUntilMs.put(one + other, nowMs() + durationMs);
         cutUntilMs.put(other + one, nowMs() + durationMs);
     }
@@ -285,14 +285,14 @@
         }
     }
 
-    private void turnCold(SimulatedEndpoint endpoint, long durationMs) {
+    public void turnCold(SimulatedEndpoint endpoint, long durationMs) {
         if (endpoint.isUp()) {
             endpoint.setBears(1, EndpointState.COLD, nowMs());
             warmLater(endpoint, durationMs);
         }
     }
 
-    private void restart(SimulatedEndpoint endpoint, long downMs) {
+    public void restart(SimulatedEndpoint endpoint, long downMs) {
         if (endpoint.isUp()) {
             endpoint.stop(nowMs());
             after(
--- a/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/SimulatedEndpoint.java
+++ b/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/SimulatedEndpoint.java
@@ -15,7 +15,7 @@
 import org.cardamomthread.membership.endpoint.PriceClass;
 
 /** Counts its requests and what it bears over time. */
-final class SimulatedEndpoint {
+public final class SimulatedEndpoint {
 
     private record Level(long fromMs, int value) {}
 
@@ -42,7 +42,7 @@
         setBears(warmRequests, EndpointState.READY, 0);
     }
 
-    void setBears(int requests, EndpointState newState, long nowMs) {
+    public void setBears(int requests, EndpointState newState, long nowMs) {
         bears = requests;
         state = newState;
         borne.addLast(new Level(nowMs, requests));
@@ -119,7 +119,7 @@
         return value;
     }
 
-    EndpointId id() {
+    public EndpointId id() {
         return id;
     }
 
@@ -131,7 +131,7 @@
         return incarnation;
     }
 
-    boolean isUp() {
+    public boolean isUp() {
         return up;
     }
 
@@ -139,11 +139,11 @@
         return inFlight;
     }
 
-    long lastStartMs() {
+    public long lastStartMs() {
         return lastStartMs;
     }
 
-    int starts() {
+    public int starts() {
         return starts;
     }
 }
--- a/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/SimulatedNode.java
+++ b/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/SimulatedNode.java
@@ -24,7 +24,7 @@
 import org.cardamomthread.membership.node.NodeEntry;
 
 /** Runs the directory, home and pool of one node process. */
-final class SimulatedNode {
+public final class SimulatedNode {
 
     static final NodeAddresses ADDRESSES = new NodeAddresses("", "", "", "");
 
@@ -96,11 +96,11 @@
         return NodeEntry.seed(new NodeId(id), new DataCentreId(dataCentre), ADDRESSES);
     }
 
-    NodeId id() {
+    public NodeId id() {
         return id;
     }
 
-    NodeDirectory directory() {
+    public NodeDirectory directory() {
         return directory;
     }
 
--- /dev/null
+++ b/cardamomthread-scenarios/src/test/java/org/cardamomthread/scenarios/CallWorld.java
@@ -0,0 +1,209 @@
+package org.cardamomthread.scenarios;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.execution.ExecutionStatus;
+import org.cardamomthread.execution.claim.CallAction;
+import org.cardamomthread.execution.claim.ClaimCommand;
+import org.cardamomthread.execution.claim.ClaimKey;
+import org.cardamomthread.execution.claim.ClaimOutcome;
+import org.cardamomthread.execution.claim.ClaimSettings;
+import org.cardamomthread.execution.claim.ClaimStateMachine;
+import org.cardamomthread.execution.claim.OnceOnlyCall;
+import org.cardamomthread.execution.claim.StoredAnswer;
+
+/**
+ * Plays calls that may not be repeated through gateways, the claims and one endpoint that records
+ * its runs.
+ *
+ * <p>Verbs: {@code send {id, key, body, gateway, fate}}; the fate is {@code answered}, {@code
+ * refused} (nothing was written), {@code reset-before} or {@code reset-after} the endpoint ran it,
+ * or {@code killed-before-claim}, {@code killed-after-claim} or {@code killed-after-dispatch} for a
+ * gateway that dies there. {@code cut} and {@code heal {gateway}} part a gateway from the claims;
+ * its commands arrive late, at the heal. {@code freeze} and {@code thaw {gateway}} stop it between
+ * claim and dispatch. {@code lose-disk {}} replaces the replica by a restored one, {@code wait
+ * {timeMs}} lets claims age, {@code gone {gateway}} lets others mark its claims. {@code
+ * expect-within {id, execution, body}} looks at a reply, {@code expect-runs {key, runs}} at the
+ * endpoint's record.
+ */
+final class CallWorld implements World {
+
+    private static final long START_MS = 1_733_299_200_000L;
+    private static final long EXPIRE_EVERY_MS = 60_000;
+
+    private ClaimStateMachine claims = new ClaimStateMachine(ClaimSettings.defaults());
+    private final Map<String, Integer> runs = new HashMap<>();
+    private final Map<String, CallAction.Reply> replies = new HashMap<>();
+    private final Set<String> cut = new HashSet<>();
+    private final Map<String, List<Runnable>> frozen = new HashMap<>();
+    private final Map<String, List<ClaimCommand>> late = new HashMap<>();
+    private long nowMs = START_MS;
+    private long index;
+
+    CallWorld() {
+        apply(new ClaimCommand.Expire(nowMs));
+    }
+
+    @Override
+    public void play(Scenario.Step step) {
+        switch (step.verb()) {
+            case "send" -> new Call(step).start();
+            case "cut" -> cut.add(step.text("gateway"));
+            case "heal" -> heal(step.text("gateway"));
+            case "freeze" -> frozen.put(step.text("gateway"), new ArrayList<>());
+            case "thaw" -> frozen.remove(step.text("gateway")).forEach(Runnable::run);
+            case "lose-disk" -> loseDisk();
+            case "wait" -> age(step.number("timeMs"));
+            case "gone" ->
+                    claims.markUnknownClaimsOf(new NodeId(step.text("gateway")), nowMs)
+                            .forEach(this::apply);
+            case "expect-within" -> expectReply(step);
+            case "expect-runs" ->
+                    assertEquals(
+                            runs.getOrDefault(step.text("key"), 0).intValue(),
+                            (int) step.number("runs"),
+                            "step " + step.number());
+            default -> throw step.unknown();
+        }
+    }
+
+    private void heal(String gateway) {
+        cut.remove(gateway);
+        late.getOrDefault(gateway, List.of()).forEach(this::apply);
+        late.remove(gateway);
+    }
+
+    private void loseDisk() {
+        ClaimStateMachine repaired = new ClaimStateMachine(ClaimSettings.defaults());
+        repaired.restore(claims.snapshot());
+        claims = repaired;
+    }
+
+    private void age(long timeMs) {
+        long endMs = nowMs + timeMs;
+        while (nowMs < endMs) {
+            nowMs = Math.min(endMs, nowMs + EXPIRE_EVERY_MS);
+            apply(new ClaimCommand.Expire(nowMs));
+        }
+    }
+
+    private void expectReply(Scenario.Step step) {
+        CallAction.Reply reply = replies.get(step.text("id"));
+        String where = "step " + step.number() + ": reply to " + step.text("id");
+        if (step.text("execution").equals("none")) {
+            assertEquals(reply, null, where);
+            return;
+        }
+        assertEquals(reply.execution().text(), step.text("execution"), where);
+        if (step.has("body")) {
+            String body = reply.answer().orElseThrow().body().toStringUtf8();
+            assertEquals(body, step.text("body"), where);
+        }
+        if (reply.execution() == ExecutionStatus.NOT_RUN) {
+            assertEquals(runs.getOrDefault(step.text("id"), 0).intValue(), 0, where);
+        }
+    }
+
+    private ClaimOutcome apply(ClaimCommand command) {
+        return ClaimOutcome.parse(claims.apply(++index, command.toBytes()));
+    }
+
+    /** One send. */
+    private final class Call {
+
+        private final String id;
+        private final String key;
+        private final String body;
+        private final String gateway;
+        private final String fate;
+        private final OnceOnlyCall call;
+
+        Call(Scenario.Step step) {
+            id = step.text("id");
+            key = step.text("key");
+            body = step.textOr("body", "booking");
+            gateway = step.text("gateway");
+            fate = step.textOr("fate", "answered");
+            call =
+                    new OnceOnlyCall(
+                            new ClaimKey(new ClientAccountId("bar-1"), new ServiceId("drops"), key),
+                            ByteString.copyFromUtf8(body),
+                            new NodeId(gateway),
+                            id);
+        }
+
+        void start() {
+            if (!fate.equals("killed-before-claim")) {
+                perform(call.start(nowMs));
+            }
+        }
+
+        private void perform(List<CallAction> actions) {
+            for (CallAction action : actions) {
+                if (action instanceof CallAction.Propose propose) {
+                    propose(propose.command());
+                } else if (action instanceof CallAction.Reply reply) {
+                    replies.put(id, reply);
+                } else if (!fate.equals("killed-after-claim")) {
+                    dispatchUnlessFrozen();
+                }
+            }
+        }
+
+        private void propose(ClaimCommand command) {
+            boolean reached = !cut.contains(gateway);
+            ClaimOutcome outcome = reached ? apply(command) : null;
+            if (!reached) {
+                late.computeIfAbsent(gateway, key -> new ArrayList<>()).add(command);
+            }
+            if (command instanceof ClaimCommand.Claim) {
+                perform(reached ? call.claimAnswered(outcome) : call.claimUnanswered(nowMs));
+            } else if (command instanceof ClaimCommand.Complete) {
+                perform(call.recordEnded());
+            } else if (command instanceof ClaimCommand.Release) {
+                if (!replies.containsKey(id)) {
+                    perform(call.releaseEnded());
+                }
+            }
+        }
+
+        private void dispatchUnlessFrozen() {
+            if (frozen.containsKey(gateway)) {
+                frozen.get(gateway).add(this::dispatch);
+            } else {
+                dispatch();
+            }
+        }
+
+        private void dispatch() {
+            if (fate.equals("refused")) {
+                perform(call.notSent(nowMs));
+                return;
+            }
+            call.sending();
+            if (fate.equals("reset-before")) {
+                perform(call.failedAfterSending(nowMs));
+                return;
+            }
+            runs.merge(key, 1, Integer::sum);
+            runs.merge(id, 1, Integer::sum);
+            if (fate.equals("reset-after")) {
+                perform(call.failedAfterSending(nowMs));
+            } else if (!fate.equals("killed-after-dispatch")) {
+                byte[] text = ("done by " + id).getBytes(StandardCharsets.UTF_8);
+                perform(call.answered(StoredAnswer.of(200, List.of(), text), nowMs));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-scenarios/src/test/java/org/cardamomthread/scenarios/CreditWorld.java
@@ -0,0 +1,125 @@
+package org.cardamomthread.scenarios;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Set;
+import java.util.TreeSet;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.membership.generated.PeerMessage;
+import org.cardamomthread.membership.simulation.CreditSimulation;
+import org.cardamomthread.membership.simulation.SimulatedEndpoint;
+import org.cardamomthread.membership.simulation.SimulatedNode;
+
+/**
+ * Plays on nodes a0, a1, a2 (perth-a) and b0, b1 (perth-b), with endpoints e0, e1... in perth-a
+ * that callers keep busy. That no endpoint has more in flight than it bears is checked at every
+ * start.
+ *
+ * <p>Verbs: {@code start {endpoints}}, {@code wait {timeMs}}, {@code cut {one, other, timeMs}},
+ * {@code freeze {node, timeMs}}, {@code kill {node, downMs}}, {@code drain} and {@code return
+ * {dataCentre, at}}, {@code leave}, {@code cold} and {@code restart {endpoint, timeMs}}, {@code
+ * lose {message}}, {@code expect-within {timeMs, state}} with state {@code quiet} or {@code
+ * working}, {@code expect-unconfirmed {dataCentre, at, nodes}} and {@code expect-drained
+ * {dataCentre, drained}}.
+ */
+final class CreditWorld implements World {
+
+    private static final long WATCH_MS = 5_000;
+
+    private final long seed;
+    private CreditSimulation simulation;
+    private long markMs;
+
+    CreditWorld(long seed) {
+        this.seed = seed;
+    }
+
+    @Override
+    public void play(Scenario.Step step) {
+        switch (step.verb()) {
+            case "start" -> simulation = new CreditSimulation(seed, (int) step.number("endpoints"));
+            case "wait" -> simulation.run(step.number("timeMs"), false);
+            case "cut" ->
+                    simulation.cut(step.text("one"), step.text("other"), step.number("timeMs"));
+            case "freeze" -> simulation.freeze(node(step, "node"), step.number("timeMs"));
+            case "kill" -> simulation.kill(new NodeId(step.text("node")), step.number("downMs"));
+            case "drain" -> setDrain(step, true);
+            case "return" -> setDrain(step, false);
+            case "leave" -> simulation.turnLeaving(marked(step), step.number("timeMs"));
+            case "cold" -> simulation.turnCold(marked(step), step.number("timeMs"));
+            case "restart" -> simulation.restart(marked(step), step.number("timeMs"));
+            case "lose" -> lose(step.text("message"));
+            case "expect-within" -> expectWithin(step);
+            case "expect-unconfirmed" -> expectUnconfirmed(step);
+            case "expect-drained" -> expectDrained(step);
+            default -> throw step.unknown();
+        }
+    }
+
+    private SimulatedNode node(Scenario.Step step, String field) {
+        return simulation.node(step.text(field));
+    }
+
+    private SimulatedEndpoint marked(Scenario.Step step) {
+        markMs = simulation.nowMs();
+        return endpoint(step.text("endpoint"));
+    }
+
+    private SimulatedEndpoint endpoint(String id) {
+        return simulation.endpoints().stream()
+                .filter(endpoint -> endpoint.id().value().equals(id))
+                .findAny()
+                .orElseThrow();
+    }
+
+    private void setDrain(Scenario.Step step, boolean out) {
+        markMs = simulation.nowMs();
+        node(step, "at").directory().setDrain(new DataCentreId(step.text("dataCentre")), out);
+    }
+
+    private void lose(String message) {
+        PeerMessage.ContentCase lost = PeerMessage.ContentCase.valueOf(message);
+        simulation.drop(sent -> sent.getContentCase() == lost);
+    }
+
+    /** Expects the endpoints named, or all, to be quiet or working a time after the last change. */
+    private void expectWithin(Scenario.Step step) {
+        long timeMs = step.number("timeMs");
+        boolean quiet = step.text("state").equals("quiet");
+        simulation.run(quiet ? timeMs + WATCH_MS : timeMs, false);
+        for (SimulatedEndpoint endpoint : simulation.endpoints()) {
+            if (step.has("endpoint") && !step.text("endpoint").equals(endpoint.id().value())) {
+                continue;
+            }
+            long lastMs = endpoint.lastStartMs() - markMs;
+            if (quiet) {
+                assertTrue(lastMs <= timeMs, endpoint.id() + " started work after " + lastMs);
+            } else {
+                assertTrue(
+                        endpoint.lastStartMs() > simulation.nowMs() - timeMs,
+                        endpoint.id() + " started no work");
+            }
+        }
+    }
+
+    private void expectUnconfirmed(Scenario.Step step) {
+        Set<String> nodes = new TreeSet<>();
+        node(step, "at")
+                .directory()
+                .drainUnconfirmedBy(new DataCentreId(step.text("dataCentre")))
+                .forEach(node -> nodes.add(node.value()));
+        assertEquals(nodes, new TreeSet<>(step.texts("nodes")), "step " + step.number());
+    }
+
+    private void expectDrained(Scenario.Step step) {
+        boolean drained = step.text("drained").equals("true");
+        for (SimulatedNode node : simulation.nodes()) {
+            assertEquals(
+                    node.directory().isDrained(new DataCentreId(step.text("dataCentre"))),
+                    drained,
+                    "as seen by " + node.id());
+        }
+    }
+}
