--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
@@ -3,14 +3,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.cardamomthread.configuration.settings.Listeners;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.PeerSettings;
+import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
-import org.cardamomthread.daemon.membership.ClassBearableRequests;
+import org.cardamomthread.daemon.membership.CacheEventFeed;
 import org.cardamomthread.daemon.membership.MembershipService;
+import org.cardamomthread.daemon.membership.ObservationFeed;
+import org.cardamomthread.daemon.membership.SlowStartBearableRequests;
+import org.cardamomthread.membership.endpoint.EndpointAnnouncement;
 import org.cardamomthread.membership.gateway.CreditPool;
 import org.cardamomthread.membership.gateway.CreditPoolSettings;
 import org.cardamomthread.membership.gateway.DefaultCreditPool;
@@ -23,14 +28,24 @@
 import org.cardamomthread.membership.node.NodeDirectory;
 import org.cardamomthread.membership.node.NodeDirectorySettings;
 import org.cardamomthread.membership.node.NodeEntry;
+import org.cardamomthread.membership.node.NodeState;
+import org.cardamomthread.policy.routing.PrefixIndex;
 import org.cardamomthread.transport.PeerTransport;
 
 /** Assembles the membership slice of a node. Immutable after construction. */
 final class MembershipParts {
 
     private static final String UNKNOWN_ADDRESS = "";
+    private static final int MAX_PREFIX_BLOCKS = 262_144;
+    private static final long PREFIX_HALF_LIFE_MS = 300_000;
+    private static final long MAX_PREFIX_AGE_MS = 1_800_000;
 
     private final NodeDirectory directory;
+    private final PrefixIndex prefixes =
+            new PrefixIndex(MAX_PREFIX_BLOCKS, PREFIX_HALF_LIFE_MS, MAX_PREFIX_AGE_MS);
+    private final SlowStartBearableRequests slowStart;
+    private final ObservationFeed observations;
+    private final CacheEventFeed cacheEvents;
     private final CreditPool pool;
     private final MembershipService service;
 
@@ -49,18 +64,36 @@
                         NodeDirectorySettings.defaults(),
                         timeSource,
                         new Random(incarnation));
+        slowStart = new SlowStartBearableRequests(configuration, directory::isDrained, timeSource);
+        observations = new ObservationFeed(slowStart, transport, control, timeSource);
+        cacheEvents = new CacheEventFeed(prefixes, directory, transport, control, timeSource);
         EndpointHome home =
                 new DefaultEndpointHome(
                         self,
                         new HomeAssignment(directory),
-                        HomeSettings.defaults(),
-                        new ClassBearableRequests(configuration, directory::isDrained, timeSource),
-                        announcement -> {},
+                        createHomeSettings(settings),
+                        slowStart,
+                        this::hear,
                         timeSource);
-        pool = new DefaultCreditPool(directory, CreditPoolSettings.defaults(), timeSource);
+        pool = new DefaultCreditPool(directory, createPoolSettings(settings), timeSource);
         service = new MembershipService(directory, home, pool, transport, control);
     }
 
+    /** Begins to exchange messages with other nodes. */
+    void start(long heartbeatIntervalMs) {
+        service.start(heartbeatIntervalMs);
+        observations.start();
+        cacheEvents.start();
+    }
+
+    PrefixIndex getPrefixes() {
+        return prefixes;
+    }
+
+    ObservationFeed getObservations() {
+        return observations;
+    }
+
     NodeDirectory getDirectory() {
         return directory;
     }
@@ -73,6 +106,43 @@
         return service;
     }
 
+    /** Lists the nodes that are alive and not leaving, this one included, in ascending order. */
+    List<NodeId> listLiveNodes() {
+        Stream<NodeId> others =
+                directory.others().stream()
+                        .filter(node -> node.state() == NodeState.ALIVE && !node.entry().leaving())
+                        .map(node -> node.entry().id());
+        return Stream.concat(Stream.of(directory.self().id()), others).sorted().toList();
+    }
+
+    private void hear(EndpointAnnouncement announcement) {
+        slowStart.accepted(announcement);
+        cacheEvents.accepted(announcement);
+    }
+
+    private static HomeSettings createHomeSettings(NodeSettings settings) {
+        HomeSettings defaults = HomeSettings.defaults();
+        return new HomeSettings(
+                settings.leaseMs(),
+                defaults.clockRatePerMille(),
+                defaults.announcementValidityMs(),
+                defaults.announcementDelayMs(),
+                defaults.fastestDelayMs(),
+                defaults.settleMs(),
+                defaults.gatewaySilenceMs(),
+                defaults.maxRequestMs());
+    }
+
+    private static CreditPoolSettings createPoolSettings(NodeSettings settings) {
+        CreditPoolSettings defaults = CreditPoolSettings.defaults();
+        return new CreditPoolSettings(
+                Math.min(defaults.demandIntervalMs(), settings.leaseMs() / 4),
+                defaults.urgentIntervalMs(),
+                defaults.localHomes(),
+                defaults.remoteHomes(),
+                settings.leaseMs());
+    }
+
     private static NodeEntry createSelf(NodeSettings settings, long incarnation) {
         Listeners listeners = settings.listeners();
         NodeAddresses addresses =
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -7,9 +7,12 @@
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.daemon.control.ProposalClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
+import org.cardamomthread.daemon.execution.JobClient;
+import org.cardamomthread.daemon.execution.JobRunner;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.membership.gateway.CreditPool;
 import org.cardamomthread.policy.routing.EndpointSelector;
+import org.cardamomthread.policy.routing.PrefixIndex;
 
 /**
  * Assembles a node's duty towards callers.
@@ -20,6 +23,7 @@
 
     private final CreditPlacement placement;
     private final CallerApi callerApi;
+    private final JobRunner.JobExecutor jobExecutor;
 
     /**
      * Assembles a gateway.
@@ -40,12 +44,15 @@
                         parts.incarnation(),
                         services,
                         new ReplicatedClaimClient(parts.proposals()));
+        CallStarter starter = new DefaultCallStarter(services, onceOnly);
         callerApi =
                 new CallerApi(
                         parts.configuration(),
-                        new DefaultCallStarter(services, onceOnly),
-                        new UnavailableJobApi(),
+                        starter,
+                        new ReplicatedJobApi(
+                                new JobClient(parts.proposals()), parts.telemetry().timeSource()),
                         parts.telemetry());
+        jobExecutor = new GatewayJobExecutor(parts.configuration(), starter, parts.telemetry());
     }
 
     /**
@@ -61,6 +68,7 @@
      * @param client runs attempts
      * @param proposals reaches the replicated log of claims
      * @param versions divides calls between versions
+     * @param prefixes what is known of prefix caches
      * @param choices hears of choices
      * @param attempts hears how attempts went
      * @param telemetry what each call reports to
@@ -77,6 +85,7 @@
             EndpointClient client,
             ProposalClient proposals,
             VersionRouter versions,
+            PrefixIndex prefixes,
             ChoiceLog choices,
             AttemptObserver attempts,
             CallTelemetry telemetry,
@@ -91,6 +100,15 @@
         return callerApi;
     }
 
+    /**
+     * Returns what runs the calls of jobs on this node.
+     *
+     * @return the executor
+     */
+    public JobRunner.JobExecutor getJobExecutor() {
+        return jobExecutor;
+    }
+
     /** Gives credits that have come to the calls that wait for them. */
     public void useCredits() {
         placement.pump();
@@ -112,6 +130,7 @@
                 parts.selector(),
                 new SelectionRequestFactory(),
                 parts.versions(),
+                parts.prefixes(),
                 parts.choices(),
                 parts.attempts(),
                 parts.random(),
