Send the difference of a change of declarations and keep their texts

A change carried the whole set through the log, and a voter wrote each declaration as JSON again to compare it. Commands now carry what differs from the view of the proposing node, unless that view is older than the base, and each set keeps the texts of its declarations. An operator's stale answer is described by the node that proposed, which holds the whole wanted set.

Seen failing without its mechanism, on a scratch copy: with the difference taken against an older view reachesTheWantedSetFromAnyHeldView.

--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/Declarations.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/Declarations.java
@@ -1,6 +1,5 @@
 package org.cardamomthread.configuration.declaration;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -9,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
+import java.util.StringJoiner;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.cardamomthread.core.id.ClientAccountId;
@@ -27,8 +27,9 @@
  */
 public final class Declarations {
 
-    private static final Declarations EMPTY = new Declarations(new TreeMap<>());
+    private static final Declarations EMPTY = new Declarations(new TreeMap<>(), new TreeMap<>());
 
+    private final SortedMap<DeclarationKey, String> texts;
     private final SortedMap<DeclarationKey, Object> entries;
     private final SortedMap<DataCentreId, DataCentre> dataCentres = new TreeMap<>();
     private final SortedMap<EndpointClassId, EndpointClass> endpointClasses = new TreeMap<>();
@@ -37,7 +38,9 @@
     private final SortedMap<ClientAccountId, ClientAccount> clientAccounts = new TreeMap<>();
     private final Map<String, ClientAccount> accountsByToken;
 
-    private Declarations(SortedMap<DeclarationKey, Object> entries) {
+    private Declarations(
+            SortedMap<DeclarationKey, String> texts, SortedMap<DeclarationKey, Object> entries) {
+        this.texts = Collections.unmodifiableSortedMap(texts);
         this.entries = Collections.unmodifiableSortedMap(entries);
         entries.values().forEach(this::index);
         accountsByToken =
@@ -93,10 +96,16 @@
      * @throws IllegalArgumentException if a text is not a declaration of its kind
      */
     public Declarations with(Map<DeclarationKey, String> changed, Set<DeclarationKey> removed) {
+        SortedMap<DeclarationKey, String> textCopy = new TreeMap<>(texts);
         SortedMap<DeclarationKey, Object> copy = new TreeMap<>(entries);
-        removed.forEach(copy::remove);
-        changed.forEach((key, text) -> copy.put(key, DeclarationCodec.read(key, text)));
-        return new Declarations(copy);
+        textCopy.keySet().removeAll(removed);
+        copy.keySet().removeAll(removed);
+        changed.forEach(
+                (key, text) -> {
+                    textCopy.put(key, text);
+                    copy.put(key, DeclarationCodec.read(key, text));
+                });
+        return new Declarations(textCopy, copy);
     }
 
     /**
@@ -106,19 +115,16 @@
      * @return the copy
      */
     public Declarations with(Service service) {
-        SortedMap<DeclarationKey, Object> copy = new TreeMap<>(entries);
-        copy.put(new DeclarationKey(DeclarationKind.SERVICE, service.id().value()), service);
-        return new Declarations(copy);
+        DeclarationKey key = new DeclarationKey(DeclarationKind.SERVICE, service.id().value());
+        return with(Map.of(key, DeclarationCodec.write(service)), Set.of());
     }
 
     /**
-     * Writes each declaration as its canonical JSON text.
+     * Returns each declaration as its canonical JSON text.
      *
-     * @return the texts in the order of their keys
+     * @return an unmodifiable map in the order of keys
      */
     public SortedMap<DeclarationKey, String> toTexts() {
-        SortedMap<DeclarationKey, String> texts = new TreeMap<>();
-        entries.forEach((key, value) -> texts.put(key, DeclarationCodec.write(value)));
         return texts;
     }
 
@@ -147,8 +153,18 @@
      * @return JSON on one line, the same for equal sets
      */
     public String toCanonicalJson() {
-        JsonNode tree = toTree();
-        return DeclarationCodec.write(tree);
+        StringJoiner sections = new StringJoiner(",", "{", "}");
+        for (DeclarationKind kind : DeclarationKind.values()) {
+            StringJoiner section = new StringJoiner(",", "\"" + kind.section() + "\":[", "]");
+            texts.forEach(
+                    (key, text) -> {
+                        if (key.kind() == kind) {
+                            section.add(text);
+                        }
+                    });
+            sections.add(section.toString());
+        }
+        return sections.toString();
     }
 
     /**
--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/state/CommandIdentity.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/state/CommandIdentity.java
@@ -8,8 +8,9 @@
 /**
  * Tells which operation a command belongs to and what it asks for.
  *
- * <p>The fingerprint leaves out times and epochs, which the proposer sets anew for a resend.
- * Immutable and safe for use by several threads.
+ * <p>The fingerprint leaves out what the proposer works out anew for a resend: times, epochs and
+ * the difference of declarations, for which their digest stands. Immutable and safe for use by
+ * several threads.
  */
 record CommandIdentity(String operationId, ByteString fingerprint) {
 
@@ -35,13 +36,18 @@
     private static ByteString fingerprint(ConfigurationCommand command) {
         ConfigurationCommand.Builder stripped = command.toBuilder();
         switch (command.getCommandCase()) {
+            case APPLY_DECLARATIONS ->
+                    stripped.getApplyDeclarationsBuilder()
+                            .clearDeclarations()
+                            .clearRemoved()
+                            .clearWhole();
             case START_VERSION_MOVE -> stripped.getStartVersionMoveBuilder().clearStartedAtMs();
             case ADVANCE_VERSION_MOVE -> stripped.getAdvanceVersionMoveBuilder().clearAtMs();
             case FINISH_VERSION_MOVE -> stripped.getFinishVersionMoveBuilder().clearAtMs();
             case STOP_VERSION -> stripped.getStopVersionBuilder().clearAtMs();
             case SET_DATA_CENTRE_STATE -> stripped.getSetDataCentreStateBuilder().clearEpoch();
             default -> {
-                // The other commands hold neither time nor epoch.
+                // The other command holds nothing of that kind.
             }
         }
         try {
--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/state/ConfigurationCommands.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/state/ConfigurationCommands.java
@@ -1,8 +1,8 @@
 package org.cardamomthread.configuration.state;
 
 import java.time.Instant;
-import java.util.Map;
 import java.util.Objects;
+import java.util.SortedMap;
 import org.cardamomthread.configuration.declaration.DeclarationKey;
 import org.cardamomthread.configuration.declaration.Declarations;
 import org.cardamomthread.configuration.generated.AdvanceVersionMove;
@@ -30,26 +30,68 @@
     private ConfigurationCommands() {}
 
     /**
-     * Builds the command that replaces the declarations.
+     * Builds the command that replaces the declarations, as the difference to those that a node
+     * holds if that is enough, and otherwise as the whole set.
      *
      * @param operation the operation
      * @param baseRevision the revision against which the change was made
      * @param declarations the whole new set, checked
+     * @param held the view that the proposing node holds
      * @return the command
      */
     public static ConfigurationCommand applyDeclarations(
-            OperationId operation, long baseRevision, Declarations declarations) {
-        Objects.requireNonNull(declarations, "declarations must not be null");
-        ApplyDeclarations.Builder apply =
-                ApplyDeclarations.newBuilder()
-                        .setOperationId(operation.value())
-                        .setBaseRevision(baseRevision);
-        for (Map.Entry<DeclarationKey, String> text : declarations.toTexts().entrySet()) {
-            apply.addDeclarations(EntryCodec.toMessage(text.getKey(), text.getValue()));
+            OperationId operation,
+            long baseRevision,
+            Declarations declarations,
+            ConfigurationView held) {
+        if (held.revision() < baseRevision) {
+            // What this node holds may be older than the base, so the difference could be too.
+            return applyDeclarations(operation, baseRevision, declarations);
+        }
+        SortedMap<DeclarationKey, String> heldTexts = held.declarations().toTexts();
+        SortedMap<DeclarationKey, String> wantedTexts = declarations.toTexts();
+        ApplyDeclarations.Builder apply = begin(operation, baseRevision, declarations);
+        wantedTexts.forEach(
+                (key, text) -> {
+                    if (!text.equals(heldTexts.get(key))) {
+                        apply.addDeclarations(EntryCodec.toMessage(key, text));
+                    }
+                });
+        for (DeclarationKey key : heldTexts.keySet()) {
+            if (!wantedTexts.containsKey(key)) {
+                apply.addRemoved(EntryCodec.toMessage(key, ""));
+            }
         }
         return ConfigurationCommand.newBuilder().setApplyDeclarations(apply).build();
     }
 
+    /**
+     * Builds the command that replaces the declarations, as the whole set.
+     *
+     * @param operation the operation
+     * @param baseRevision the revision against which the change was made
+     * @param declarations the whole new set, checked
+     * @return the command
+     */
+    public static ConfigurationCommand applyDeclarations(
+            OperationId operation, long baseRevision, Declarations declarations) {
+        ApplyDeclarations.Builder apply = begin(operation, baseRevision, declarations);
+        apply.setWhole(true);
+        declarations
+                .toTexts()
+                .forEach((key, text) -> apply.addDeclarations(EntryCodec.toMessage(key, text)));
+        return ConfigurationCommand.newBuilder().setApplyDeclarations(apply).build();
+    }
+
+    private static ApplyDeclarations.Builder begin(
+            OperationId operation, long baseRevision, Declarations declarations) {
+        Objects.requireNonNull(declarations, "declarations must not be null");
+        return ApplyDeclarations.newBuilder()
+                .setOperationId(operation.value())
+                .setBaseRevision(baseRevision)
+                .setDigest(declarations.digest());
+    }
+
     /**
      * Builds the command that starts a version move; the move has the id of the operation.
      *
--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/state/ConfigurationResult.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/state/ConfigurationResult.java
@@ -43,7 +43,14 @@
             differences = List.copyOf(differences);
         }
 
-        static Stale of(long revision, List<String> all) {
+        /**
+         * Builds an answer with as many differences as it may hold.
+         *
+         * @param revision the current revision
+         * @param all all differences
+         * @return the answer
+         */
+        public static Stale of(long revision, List<String> all) {
             int shown = Math.min(all.size(), MAX_DIFFERENCES);
             return new Stale(revision, all.subList(0, shown), all.size());
         }
--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/state/DeclarationCommands.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/state/DeclarationCommands.java
@@ -4,9 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedMap;
+import java.util.stream.Collectors;
 import org.cardamomthread.configuration.declaration.DeclarationChange;
-import org.cardamomthread.configuration.declaration.DeclarationChange.Type;
 import org.cardamomthread.configuration.declaration.DeclarationKey;
 import org.cardamomthread.configuration.declaration.Declarations;
 import org.cardamomthread.configuration.declaration.DeclarationsDifference;
@@ -20,9 +21,6 @@
     private DeclarationCommands() {}
 
     static Outcome apply(ConfigurationView view, ApplyDeclarations command) {
-        Declarations wanted = read(command);
-        List<DeclarationChange> changes =
-                DeclarationsDifference.between(view.declarations(), wanted);
         if (command.getBaseRevision() > view.revision()) {
             return Outcome.reject(
                     view,
@@ -33,21 +31,58 @@
                     "read the configuration and make the change against its revision");
         }
         if (command.getBaseRevision() < view.declarationsRevision()) {
-            return Outcome.stale(view, changes.stream().map(DeclarationChange::toString).toList());
+            return Outcome.stale(view, command.getWhole() ? describe(view, command) : List.of());
         }
+        Declarations wanted = read(view, command);
         Optional<Outcome> refusal = findRefusal(view, wanted);
         if (refusal.isPresent()) {
             return refusal.get();
         }
-        return changes.isEmpty() ? Outcome.unchanged(view) : change(view, wanted, changes);
+        ViewEditor editor = new ViewEditor(view);
+        edit(editor, view.declarations().toTexts(), wanted.toTexts());
+        if (editor.isEmpty()) {
+            return Outcome.unchanged(view);
+        }
+        forgetStops(editor, view, wanted);
+        return Outcome.accept(editor);
     }
 
-    private static Declarations read(ApplyDeclarations command) {
+    private static List<String> describe(ConfigurationView view, ApplyDeclarations command) {
+        return DeclarationsDifference.between(view.declarations(), read(view, command)).stream()
+                .map(DeclarationChange::toString)
+                .toList();
+    }
+
+    private static Declarations read(ConfigurationView view, ApplyDeclarations command) {
         Map<DeclarationKey, String> texts = new HashMap<>();
         for (DeclarationMessage message : command.getDeclarationsList()) {
             texts.put(EntryCodec.keyOf(message), message.getJson());
         }
-        return Declarations.ofTexts(texts);
+        if (command.getWhole()) {
+            return Declarations.ofTexts(texts);
+        }
+        Set<DeclarationKey> removed =
+                command.getRemovedList().stream()
+                        .map(EntryCodec::keyOf)
+                        .collect(Collectors.toSet());
+        return view.declarations().with(texts, removed);
+    }
+
+    private static void edit(
+            ViewEditor editor,
+            SortedMap<DeclarationKey, String> held,
+            SortedMap<DeclarationKey, String> wanted) {
+        wanted.forEach(
+                (key, text) -> {
+                    if (!text.equals(held.get(key))) {
+                        editor.putDeclaration(key, text);
+                    }
+                });
+        for (DeclarationKey key : held.keySet()) {
+            if (!wanted.containsKey(key)) {
+                editor.removeDeclaration(key);
+            }
+        }
     }
 
     private static Optional<Outcome> findRefusal(ConfigurationView view, Declarations wanted) {
@@ -92,23 +127,13 @@
                 && service.get().versions().contains(move.to());
     }
 
-    private static Outcome change(
-            ConfigurationView view, Declarations wanted, List<DeclarationChange> changes) {
-        ViewEditor editor = new ViewEditor(view);
-        SortedMap<DeclarationKey, String> texts = wanted.toTexts();
-        for (DeclarationChange change : changes) {
-            if (change.type() == Type.REMOVED) {
-                editor.removeDeclaration(change.key());
-            } else {
-                editor.putDeclaration(change.key(), texts.get(change.key()));
-            }
-        }
+    private static void forgetStops(
+            ViewEditor editor, ConfigurationView view, Declarations wanted) {
         for (StoppedVersion stopped : view.stoppedVersions()) {
             Optional<Service> service = wanted.findService(stopped.service());
             if (service.isEmpty() || !service.get().versions().contains(stopped.version())) {
                 editor.remove(EntryKeys.stopped(stopped.service(), stopped.version()));
             }
         }
-        return Outcome.accept(editor);
     }
 }
--- a/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/declaration/DeclarationsLoaderTests.java
+++ b/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/declaration/DeclarationsLoaderTests.java
@@ -94,6 +94,7 @@
         Declarations declarations = load(VALID);
         assertEquals(loader.load("answer", declarations.toTree()), declarations);
         assertEquals(Declarations.ofTexts(declarations.toTexts()), declarations);
+        assertEquals(declarations.toCanonicalJson(), declarations.toTree().toString());
     }
 
     @Test
--- a/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/state/CommandGenerator.java
+++ b/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/state/CommandGenerator.java
@@ -69,9 +69,12 @@
         OperationId operation = operation("op-" + nextOperation++);
         Instant at = NOW.plusSeconds(nextOperation);
         return switch (random.nextInt(8)) {
-            case 0, 1 ->
+            case 0 ->
                     ConfigurationCommands.applyDeclarations(
                             operation, base(seen), randomDeclarations(seen));
+            case 1 ->
+                    ConfigurationCommands.applyDeclarations(
+                            operation, base(seen), randomDeclarations(seen), seen);
             case 2 ->
                     ConfigurationCommands.startVersionMove(
                             operation, CHAT, randomVersion(), at.plusSeconds(60), at);
--- a/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/state/ConfigurationStateMachineTests.java
+++ b/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/state/ConfigurationStateMachineTests.java
@@ -57,6 +57,37 @@
         assertEquals(apply(1, 200, "v1"), new Accepted(3, 0));
     }
 
+    @Test
+    public void reachesTheWantedSetFromAnyHeldView() {
+        ConfigurationView older = machine.view();
+        apply(1, 200, "v1");
+        Declarations wanted = CommandGenerator.declarations(100, 3, "v1");
+        for (ConfigurationView held : List.of(older, machine.view())) {
+            ConfigurationStateMachine copy = new ConfigurationStateMachine();
+            copy.restore(machine.snapshot());
+            copy.apply(ConfigurationCommands.applyDeclarations(operation("w"), 2, wanted, held));
+            assertEquals(copy.view().declarations(), wanted);
+        }
+    }
+
+    @Test
+    public void givesOneAnswerToTheWholeAndTheDifference() {
+        Declarations wanted = CommandGenerator.declarations(300, 2, "v1");
+        ConfigurationResult first =
+                machine.apply(
+                        ConfigurationCommands.applyDeclarations(
+                                operation("w"), 1, wanted, machine.view()));
+        assertEquals(first, new Accepted(2, 0));
+        assertEquals(
+                machine.apply(ConfigurationCommands.applyDeclarations(operation("w"), 1, wanted)),
+                first);
+        assertEquals(
+                machine.apply(
+                        ConfigurationCommands.applyDeclarations(
+                                operation("w"), 1, wanted, machine.view())),
+                first);
+    }
+
     @Test
     public void rejectsABaseThatDoesNotExistYet() {
         assertRejected(apply(7, 200, "v1"), "above the current revision 1");
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/ChangeHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/ChangeHandler.java
@@ -8,7 +8,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.cardamomthread.configuration.declaration.DeclarationChange;
 import org.cardamomthread.configuration.declaration.Declarations;
+import org.cardamomthread.configuration.declaration.DeclarationsDifference;
 import org.cardamomthread.configuration.declaration.DeclarationsLoader;
 import org.cardamomthread.configuration.document.InvalidDocumentException;
 import org.cardamomthread.configuration.state.ConfigurationCommands;
@@ -48,10 +50,26 @@
         long base = body.revision("baseRevision");
         Declarations declarations = loader.load("declarations", body.object("declarations"));
         return controlPlane
-                .propose(ConfigurationCommands.applyDeclarations(operation, base, declarations))
+                .propose(
+                        ConfigurationCommands.applyDeclarations(
+                                operation, base, declarations, controlPlane.configuration()))
+                .thenApply(result -> describe(result, declarations))
                 .thenApply(result -> answer(result, acceptedBody(result)));
     }
 
+    /** Adds what the change would do now, since the group knows a part of it only. */
+    private ConfigurationResult describe(ConfigurationResult result, Declarations wanted) {
+        if (!(result instanceof Stale stale) || stale.differenceCount() > 0) {
+            return result;
+        }
+        Declarations inForce = controlPlane.configuration().declarations();
+        return Stale.of(
+                stale.revision(),
+                DeclarationsDifference.between(inForce, wanted).stream()
+                        .map(DeclarationChange::toString)
+                        .toList());
+    }
+
     CompletableFuture<OperatorResponse> startVersionMove(String text)
             throws InvalidOperatorRequestException {
         RequestBody body = RequestBody.parse(text, Set.of(OPERATION_ID, "service", "to", "by"));
--- /dev/null
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the replicated configuration. */
+package org.cardamomthread.experiments.configuration;
