--- /dev/null
+++ b/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/state/DataCentreStateTests.java
@@ -0,0 +1,51 @@
+package org.cardamomthread.configuration.state;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link DataCentreState}. */
+public class DataCentreStateTests {
+
+    private static final List<DataCentreState> STATES = states();
+
+    @Test
+    public void joinsAlikeInAnyOrderAndNumber() {
+        for (DataCentreState a : STATES) {
+            assertEquals(a.join(a), a);
+            for (DataCentreState b : STATES) {
+                assertEquals(a.join(b), b.join(a));
+                for (DataCentreState c : STATES) {
+                    assertEquals(a.join(b).join(c), a.join(b.join(c)));
+                }
+            }
+        }
+    }
+
+    @DataProvider
+    public Object[][] races() {
+        return new Object[][] {
+            {new DataCentreState(true, 1), new DataCentreState(false, 1), true},
+            {new DataCentreState(true, 1), new DataCentreState(false, 2), false},
+            {new DataCentreState(true, 2), new DataCentreState(false, 1), true},
+        };
+    }
+
+    @Test(dataProvider = "races")
+    public void letsTheHigherEpochAndThenOutWin(
+            DataCentreState first, DataCentreState second, boolean out) {
+        assertEquals(first.join(second).out(), out);
+    }
+
+    private static List<DataCentreState> states() {
+        List<DataCentreState> states = new ArrayList<>();
+        for (long epoch = 0; epoch < 3; epoch++) {
+            states.add(new DataCentreState(false, epoch));
+            states.add(new DataCentreState(true, epoch));
+        }
+        return states;
+    }
+}
