Take notices of reclaim and prices from the platform

Cause: a host with a notice went on getting new work until its endpoint said that it leaves. Two nodes a data centre ask the platform and repeat the notices that hold to the nodes there; homes lend no credit for such an endpoint. Prices come from the platform where it names them.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
@@ -9,6 +9,7 @@
 import org.cardamomthread.configuration.settings.PeerSettings;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.capacity.ReclaimRegister;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
 import org.cardamomthread.daemon.membership.CacheEventFeed;
@@ -55,7 +56,8 @@
             TimeSource timeSource,
             PeerTransport transport,
             ControlThread control,
-            ConfigurationHolder configuration) {
+            ConfigurationHolder configuration,
+            ReclaimRegister reclaims) {
         NodeEntry self = createSelf(settings, incarnation);
         directory =
                 new DefaultNodeDirectory(
@@ -64,7 +66,13 @@
                         NodeDirectorySettings.defaults(),
                         timeSource,
                         new Random(incarnation));
-        slowStart = new SlowStartBearableRequests(configuration, directory::isDrained, timeSource);
+        slowStart =
+                new SlowStartBearableRequests(
+                        configuration,
+                        announcement ->
+                                directory.isDrained(announcement.dataCentre())
+                                        || reclaims.isNoticed(announcement.endpoint()),
+                        timeSource);
         observations = new ObservationFeed(slowStart, transport, control, timeSource);
         cacheEvents = new CacheEventFeed(prefixes, directory, transport, control, timeSource);
         EndpointHome home =
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -52,6 +52,7 @@
     private final NioEventLoopGroup eventLoops;
     private final NettyPeerTransport transport;
     private final EndpointClient endpointClient;
+    private final CapacityParts capacity;
     private final MembershipParts membership;
     private final ConfigurationHolder configuration = new ConfigurationHolder();
     private final ControlParts controlParts;
@@ -81,9 +82,16 @@
         eventLoops = new NioEventLoopGroup(EVENT_LOOP_THREADS);
         transport = createTransport();
         endpointClient = new AsyncEndpointClient(eventLoops, timeSource);
+        capacity = new CapacityParts(settings, timeSource);
         membership =
                 new MembershipParts(
-                        settings, incarnation, timeSource, transport, control, configuration);
+                        settings,
+                        incarnation,
+                        timeSource,
+                        transport,
+                        control,
+                        configuration,
+                        capacity.getRegister());
         controlParts =
                 new ControlParts(settings, incarnation, configuration, transport, timeSource);
         ChoiceLog choices = new ChoiceLog(timeSource);
@@ -101,6 +109,7 @@
                                 controlParts.getClient(),
                                 controlParts::leadsExecution,
                                 endpointClient,
+                                capacity.getPrices(),
                                 telemetry));
         callers = createServer("callers", serving.getGateway().getCallerApi());
         endpoints =
@@ -127,6 +136,7 @@
         membership.getService().setCreditListener(serving.getGateway()::useCredits);
         membership.start(settings.heartbeatMs());
         serving.start();
+        capacity.start(membership.getDirectory(), transport, control);
         operators.listen(listeners.operators().toSocketAddress());
         endpoints.listen(listeners.endpoints().toSocketAddress());
         callers.listen(listeners.callers().toSocketAddress());
@@ -163,6 +173,7 @@
             server.close();
         }
         endpointClient.close();
+        capacity.close();
         controlParts.close();
         transport.close();
         control.close();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingParts.java
@@ -17,8 +17,8 @@
 import org.cardamomthread.daemon.execution.JobRunner;
 import org.cardamomthread.daemon.gateway.AttemptObservers;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
-import org.cardamomthread.daemon.gateway.ClassPriceBook;
 import org.cardamomthread.daemon.gateway.Gateway;
+import org.cardamomthread.daemon.gateway.PriceBook;
 import org.cardamomthread.daemon.rollout.MoveObserver;
 import org.cardamomthread.daemon.rollout.MoveVersionRouter;
 import org.cardamomthread.daemon.rollout.RolloutService;
@@ -48,6 +48,7 @@
      * @param proposals reaches the replicated logs
      * @param leadsExecution tells whether this node leads the group of claims and jobs
      * @param client runs attempts on endpoints
+     * @param prices knows what endpoints cost
      * @param telemetry what each call reports to
      */
     record Environment(
@@ -61,6 +62,7 @@
             ProposalClient proposals,
             BooleanSupplier leadsExecution,
             EndpointClient client,
+            PriceBook prices,
             CallTelemetry telemetry) {}
 
     ServingParts(Environment environment) {
@@ -126,7 +128,7 @@
                         environment.configuration()::getDeclarations,
                         environment.membership().getPool(),
                         new ScoringEndpointSelector(environment.membership().getPrefixes()),
-                        new ClassPriceBook(),
+                        environment.prices(),
                         environment.client(),
                         environment.proposals(),
                         new MoveVersionRouter(environment.configuration(), rollout),
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/capacity/HttpPlatformClient.java
@@ -0,0 +1,117 @@
+package org.cardamomthread.daemon.capacity;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.EndpointClassId;
+import org.cardamomthread.core.id.EndpointId;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Reads from the platform's API over HTTP. Safe for use by several threads. */
+public final class HttpPlatformClient implements PlatformClient {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(HttpPlatformClient.class);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final int OK = 200;
+
+    private final AsyncHttpClient client;
+    private final String base;
+
+    /**
+     * Creates a client.
+     *
+     * @param address the API's address as {@code host:port}
+     */
+    public HttpPlatformClient(String address) {
+        base = "http://" + address;
+        client =
+                Dsl.asyncHttpClient(
+                        Dsl.config()
+                                .setIoThreadsCount(1)
+                                .setConnectTimeout(TIMEOUT)
+                                .setRequestTimeout(TIMEOUT)
+                                .setMaxRequestRetry(0));
+    }
+
+    @Override
+    public CompletableFuture<NoticePage> listNotices(long afterSequence) {
+        return get("/v1/notices?after=" + afterSequence)
+                .thenApply(document -> readNotices(document, afterSequence));
+    }
+
+    @Override
+    public CompletableFuture<List<HostPrice>> listPrices() {
+        return get("/v1/prices").thenApply(HttpPlatformClient::readPrices);
+    }
+
+    @Override
+    public void close() {
+        try {
+            client.close();
+        } catch (IOException failure) {
+            LOGGER.warn("closing the platform client failed", failure);
+        }
+    }
+
+    private CompletableFuture<JsonNode> get(String target) {
+        return client.prepareGet(base + target)
+                .execute()
+                .toCompletableFuture()
+                .thenApply(
+                        response -> {
+                            if (response.getStatusCode() != OK) {
+                                throw new IllegalStateException(
+                                        "the platform must answer GET "
+                                                + target
+                                                + " with 200, not "
+                                                + response.getStatusCode());
+                            }
+                            return parse(response.getResponseBodyAsBytes());
+                        });
+    }
+
+    private static JsonNode parse(byte[] body) {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException failure) {
+            throw new UncheckedIOException("the platform must answer with JSON", failure);
+        }
+    }
+
+    private static NoticePage readNotices(JsonNode document, long afterSequence) {
+        List<ReclaimNotice> notices = new ArrayList<>();
+        long last = afterSequence;
+        for (JsonNode notice : document) {
+            last = Math.max(last, notice.path("sequence").asLong());
+            notices.add(
+                    new ReclaimNotice(
+                            new EndpointId(notice.path("endpointId").asText()),
+                            new DataCentreId(notice.path("dataCentre").asText()),
+                            notice.path("reclaimAtMs").asLong()));
+        }
+        return new NoticePage(notices, last);
+    }
+
+    private static List<HostPrice> readPrices(JsonNode document) {
+        List<HostPrice> prices = new ArrayList<>();
+        for (JsonNode price : document) {
+            prices.add(
+                    new HostPrice(
+                            new DataCentreId(price.path("dataCentre").asText()),
+                            new EndpointClassId(price.path("endpointClass").asText()),
+                            price.path("priceClass").asText(),
+                            price.path("pricePerHour").asDouble()));
+        }
+        return prices;
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/capacity/PlatformWatch.java
@@ -0,0 +1,149 @@
+package org.cardamomthread.daemon.capacity;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.cardamomthread.core.hash.RendezvousHash;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.generated.NoticeBatch;
+import org.cardamomthread.daemon.generated.NoticeMessage;
+import org.cardamomthread.membership.node.NodeDirectory;
+import org.cardamomthread.transport.PeerTopic;
+import org.cardamomthread.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings the platform's notices to the homes of the endpoints concerned.
+ *
+ * <p>Two nodes a data centre ask the platform, so that the load on it does not grow with the number
+ * of nodes; each repeats the notices that hold to the nodes of its data centre, so that a lost
+ * message or a new home costs one round. Runs on the control thread.
+ */
+public final class PlatformWatch {
+
+    /** Carries notices. */
+    public static final PeerTopic TOPIC = new PeerTopic(7, "notices");
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(PlatformWatch.class);
+    private static final int ASKING_NODES = 2;
+    private static final int REPEAT_EVERY_ROUNDS = 4;
+
+    private final PlatformClient platform;
+    private final ReclaimRegister register;
+    private final NodeDirectory directory;
+    private final PeerTransport transport;
+    private final ControlThread control;
+    private long lastSequence;
+    private int round;
+
+    /**
+     * Creates a watch that does not run yet.
+     *
+     * @param platform the platform's API
+     * @param register takes the notices
+     * @param directory the nodes
+     * @param transport the links to other nodes
+     * @param control runs the rounds
+     */
+    public PlatformWatch(
+            PlatformClient platform,
+            ReclaimRegister register,
+            NodeDirectory directory,
+            PeerTransport transport,
+            ControlThread control) {
+        this.platform = platform;
+        this.register = register;
+        this.directory = directory;
+        this.transport = transport;
+        this.control = control;
+    }
+
+    /**
+     * Begins to take notices from other nodes, and to ask the platform if it is this node's turn.
+     *
+     * @param intervalMs milliseconds between two questions
+     */
+    public void start(long intervalMs) {
+        transport.register(TOPIC, this::take);
+        control.repeat(intervalMs, this::ask);
+    }
+
+    private void ask() {
+        if (!isAsking()) {
+            return;
+        }
+        platform.listNotices(lastSequence)
+                .whenComplete((page, failure) -> control.execute(() -> handle(page, failure)));
+    }
+
+    private boolean isAsking() {
+        NodeId self = directory.self().id();
+        List<NodeId> nodes = new ArrayList<>(directory.usableNodes(directory.self().dataCentre()));
+        for (int place = 0; place < ASKING_NODES; place++) {
+            Optional<NodeId> chosen = RendezvousHash.choose("platform", nodes, NodeId::value);
+            if (chosen.filter(self::equals).isPresent()) {
+                return true;
+            }
+            chosen.ifPresent(nodes::remove);
+        }
+        return false;
+    }
+
+    private void handle(PlatformClient.NoticePage page, Throwable failure) {
+        if (failure != null) {
+            LOGGER.info("the platform did not answer for notices: {}", failure.getMessage());
+            return;
+        }
+        lastSequence = Math.max(lastSequence, page.lastSequence());
+        page.notices().forEach(register::add);
+        round++;
+        if (!page.notices().isEmpty()) {
+            LOGGER.info("{} notices of reclaim from the platform", page.notices().size());
+            spread(page.notices());
+        } else if (round % REPEAT_EVERY_ROUNDS == 0) {
+            spread(register.list());
+        }
+    }
+
+    private void spread(List<ReclaimNotice> notices) {
+        if (notices.isEmpty()) {
+            return;
+        }
+        NoticeBatch.Builder batch = NoticeBatch.newBuilder();
+        notices.forEach(notice -> batch.addNotices(toMessage(notice)));
+        byte[] payload = batch.build().toByteArray();
+        for (NodeId node : directory.usableNodes(directory.self().dataCentre())) {
+            transport.send(node, TOPIC, payload);
+        }
+    }
+
+    private CompletionStage<byte[]> take(NodeId from, byte[] payload) {
+        try {
+            for (NoticeMessage message : NoticeBatch.parseFrom(payload).getNoticesList()) {
+                register.add(
+                        new ReclaimNotice(
+                                new EndpointId(message.getEndpointId()),
+                                new DataCentreId(message.getDataCentre()),
+                                message.getReclaimAtMs()));
+            }
+        } catch (InvalidProtocolBufferException | IllegalArgumentException failure) {
+            LOGGER.warn("dropped malformed notices of node {}", from, failure);
+        }
+        return CompletableFuture.completedFuture(new byte[0]);
+    }
+
+    private static NoticeMessage toMessage(ReclaimNotice notice) {
+        return NoticeMessage.newBuilder()
+                .setEndpointId(notice.endpoint().value())
+                .setDataCentre(notice.dataCentre().value())
+                .setReclaimAtMs(notice.reclaimAtMs())
+                .build();
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Follows the platform: notices of reclaim and prices of hosts. */
+package org.cardamomthread.daemon.capacity;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/SlowStartBearableRequests.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/SlowStartBearableRequests.java
@@ -6,7 +6,6 @@
 import java.util.function.Predicate;
 import org.cardamomthread.configuration.declaration.EndpointClass;
 import org.cardamomthread.configuration.state.ConfigurationView;
-import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
@@ -22,8 +21,8 @@
 
 /**
  * Judges what endpoints bear: the cold bound of their class after a start or whenever one says or
- * shows that it is cold, more as first tokens come in time, nothing while an endpoint leaves, its
- * data centre is out of service or all its versions were stopped.
+ * shows that it is cold, more as first tokens come in time, nothing while an endpoint leaves, is
+ * withdrawn or all its versions were stopped.
  *
  * <p>Safe for use by several threads.
  */
@@ -33,7 +32,7 @@
     private static final long FORGET_AFTER_MS = 600_000;
 
     private final ConfigurationHolder configuration;
-    private final Predicate<DataCentreId> isDrained;
+    private final Predicate<EndpointAnnouncement> isWithdrawn;
     private final TimeSource timeSource;
     private final Map<EndpointId, Entry> entries = new HashMap<>();
 
@@ -55,15 +54,16 @@
      * Creates the judgement.
      *
      * @param configuration the configuration in force
-     * @param isDrained tells whether a data centre is out of service
+     * @param isWithdrawn tells whether an endpoint must get no new work for a reason outside it,
+     *     such as a drain of its data centre or a notice of reclaim
      * @param timeSource the node's clock
      */
     public SlowStartBearableRequests(
             ConfigurationHolder configuration,
-            Predicate<DataCentreId> isDrained,
+            Predicate<EndpointAnnouncement> isWithdrawn,
             TimeSource timeSource) {
         this.configuration = configuration;
-        this.isDrained = isDrained;
+        this.isWithdrawn = isWithdrawn;
         this.timeSource = timeSource;
     }
 
@@ -108,7 +108,7 @@
         EndpointAnnouncement announcement = endpoint.announcement();
         EndpointDescription description = announcement.description();
         if (!description.state().takesRequests()
-                || isDrained.test(announcement.dataCentre())
+                || isWithdrawn.test(announcement)
                 || isStopped(description, configuration.getView())) {
             return 0;
         }
