--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.stream.Collectors;
 
@@ -31,6 +32,8 @@
     private final Map<String, NodeAddresses> nodes = new LinkedHashMap<>();
     private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
 
+    private Optional<String> platform = Optional.empty();
+
     Cluster(String name) throws IOException {
         folder = Path.of("target", "clusters", name + "-" + UUID.randomUUID());
         Files.createDirectories(folder);
@@ -73,6 +76,17 @@
         }
     }
 
+    /** Starts a platform stand-in, which nodes started later follow, and returns its port. */
+    int startPlatform() throws Exception {
+        int port = NodeAddresses.freePorts(1).get(0);
+        List<String> arguments = List.of("platform", "--listen", "127.0.0.1:" + port);
+        processes.put("platform", ManagedProcess.start("platform", folder, STAND_IN, arguments));
+        platform = Optional.of("127.0.0.1:" + port);
+        Waits.until(
+                READY_MS, "the platform being up", () -> calls.status(port, "/v1/prices") == 200);
+        return port;
+    }
+
     ManagedProcess startNode(String id) throws IOException {
         Path settings = folder.resolve(id + ".yaml");
         Files.writeString(settings, settings(nodes.get(id)));
@@ -222,6 +236,11 @@
         yaml.append("  peerKey: {value: peer-key-of-the-test-deployment}\n");
         yaml.append("  endpointToken: {value: ").append(Calls.ENDPOINT_TOKEN).append("}\n");
         yaml.append("  operatorTokens: [{value: ").append(Calls.OPERATOR_TOKEN).append("}]\n");
+        platform.ifPresent(
+                address ->
+                        yaml.append("platform: {address: \"")
+                                .append(address)
+                                .append("\", pollMs: 200}\n"));
         yaml.append("drainDelayMs: 300\n");
         yaml.append("shutdownTimeoutMs: 15000\n");
         return yaml.toString();
