Sync the parents of a folder that the storage creates

A host that crashed soon after the first start could lose the name of the whole folder, and with it entries that the voter had confirmed. syncsTheParentsOfAFolderThatItCreates failed before.

--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FileLogStorage.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FileLogStorage.java
@@ -66,7 +66,7 @@
     @Override
     public RecoveredState open(GroupId groupId, NodeId nodeId) throws StorageException {
         try {
-            Files.createDirectories(folder);
+            createFolder(folder.toAbsolutePath());
             lock();
             VoterId voterId = openIdentity(groupId, nodeId);
             snapshot = snapshots.readNewest().orElse(snapshot);
@@ -78,6 +78,17 @@
         }
     }
 
+    /** Creates a folder and its parents so that they outlast a crash of the host. */
+    private void createFolder(Path wanted) throws IOException {
+        if (Files.isDirectory(wanted)) {
+            return;
+        }
+        Path wantedParent = wanted.getParent();
+        createFolder(wantedParent);
+        Files.createDirectories(wanted);
+        access.syncFolder(wantedParent);
+    }
+
     private void lock() throws IOException, StorageIdentityException {
         lockChannel =
                 FileChannel.open(
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FaultyFileAccess.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FaultyFileAccess.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Set;
 
 /**
  * Fails at one operation, after writing half of what was to be written. After a failure of any kind
@@ -13,6 +15,7 @@
 
     private final FileAccess delegate = new DefaultFileAccess();
     private final Operation failing;
+    private final Set<Path> syncedFolders = new HashSet<>();
     private int remaining;
 
     /** Names the operations. */
@@ -31,6 +34,10 @@
         return remaining < 0;
     }
 
+    Set<Path> syncedFolders() {
+        return syncedFolders;
+    }
+
     private boolean fails(Operation operation) throws IOException {
         if (hasFailed() && failing == Operation.ANY) {
             throw new IOException("the process is gone");
@@ -70,6 +77,7 @@
     public void syncFolder(Path folder) throws IOException {
         failAt(Operation.ANY, "simulated crash");
         delegate.syncFolder(folder);
+        syncedFolders.add(folder);
     }
 
     @Override
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
@@ -271,6 +271,19 @@
         assertTrue(operations > 5, "operations " + operations);
     }
 
+    @Test
+    public void syncsTheParentsOfAFolderThatItCreates() throws Exception {
+        folder = parent.resolve("data").resolve("claims");
+        FaultyFileAccess access =
+                new FaultyFileAccess(FaultyFileAccess.Operation.ANY, Integer.MAX_VALUE);
+        try (FileLogStorage storage = storage(access)) {
+            storage.open(GROUP, NODE);
+        }
+        assertTrue(
+                access.syncedFolders().containsAll(List.of(parent, parent.resolve("data"), folder)),
+                access.syncedFolders().toString());
+    }
+
     /** Appends, saves and installs snapshots until the access fails; returns the synced index. */
     private long crashWhileWriting(FileAccess access) {
         long synced = 20;
