--- a/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replay/ReplayPlatform.java
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/replay/ReplayPlatform.java
@@ -89,7 +89,14 @@
     /** Lets a fresh endpoint fall over and start again. */
     void collapse(FakeEndpoint endpoint) {
         die(endpoint);
-        loop.after(RESTART_MS, () -> fleet.start(endpoint.spec(), true));
+        HostOffer.Kind kind = kindOf(endpoint.spec());
+        starting.merge(kind, 1, Integer::sum);
+        loop.after(
+                RESTART_MS,
+                () -> {
+                    starting.merge(kind, -1, Integer::sum);
+                    fleet.start(endpoint.spec(), true);
+                });
     }
 
     private void drain(boolean out) {
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/RolloutPlan.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/RolloutPlan.java
@@ -31,11 +31,11 @@
     private static final double DEFAULT_FALSE_ALARM_RATE = 0.01;
     private static final List<RolloutStep> DEFAULT_STEPS =
             List.of(
-                    new RolloutStep(0.005, 0.70, 3),
-                    new RolloutStep(0.02, 0.12, 5),
-                    new RolloutStep(0.10, 0.06, 10),
-                    new RolloutStep(0.25, 0.06, 20),
-                    new RolloutStep(0.90, 0.06, 40));
+                    new RolloutStep(0.005, 0.79, 3),
+                    new RolloutStep(0.02, 0.08, 5),
+                    new RolloutStep(0.08, 0.04, 8),
+                    new RolloutStep(0.25, 0.04, 12),
+                    new RolloutStep(0.90, 0.05, 40));
 
     /** Checks the parts. */
     public RolloutPlan {
