--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/SequentialRolloutDeciderTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/SequentialRolloutDeciderTests.java
@@ -116,6 +116,28 @@
         assertEquals(decideNow(recorder.snapshot()).reason(), RolloutReason.SLOWER_FIRST_TOKEN);
     }
 
+    @Test
+    public void findsALateFaultAfterManyGoodCalls() {
+        EvidenceRecorder recorder = new EvidenceRecorder(NODE, plan);
+        long lateMs = DEADLINE_MS / 2;
+        for (int i = 0; i < 4_000; i++) {
+            long atMs = i * lateMs / 4_000;
+            recorder.record(
+                    CHAT, VersionRole.OLD, new CallOutcome(false, true, false, false), atMs);
+            recorder.record(
+                    CHAT, VersionRole.NEW, new CallOutcome(false, true, false, false), atMs);
+        }
+        for (int i = 0; i < 12; i++) {
+            recorder.record(
+                    CHAT, VersionRole.OLD, new CallOutcome(false, true, false, false), lateMs);
+            recorder.record(
+                    CHAT, VersionRole.NEW, new CallOutcome(true, true, false, false), lateMs);
+        }
+        RolloutVerdict verdict =
+                decider.decide(plan, MoveState.start(plan), recorder.snapshot(), lateMs);
+        assertEquals(verdict.reason(), RolloutReason.MORE_FAILURES);
+    }
+
     @Test
     public void takesBackAtTheDeadlineWithoutEnoughCalls() {
         RolloutVerdict verdict =
