Test that a leaving state alone ends new work; measure claims

The simulated endpoint announced zero when leaving, so the tests passed with the check of its state taken out; it now announces its full figure. A drain counted as confirmed by any heartbeat passed too; a test now sends one from a node that was not told.

--- /dev/null
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/execution/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of claims. */
+package org.cardamomthread.experiments.execution;
--- a/cardamomthread-membership/src/test/java/org/cardamomthread/membership/node/GossipCluster.java
+++ b/cardamomthread-membership/src/test/java/org/cardamomthread/membership/node/GossipCluster.java
@@ -66,6 +66,11 @@
         cut = newCut;
     }
 
+    /** Advances the clock past a heartbeat interval without any message. */
+    void advance() {
+        time.advanceMs(NodeDirectorySettings.defaults().heartbeatIntervalMs());
+    }
+
     void run(long durationMs) {
         for (long ms = 0; ms < durationMs; ms += STEP_MS) {
             time.advanceMs(STEP_MS);
--- a/cardamomthread-membership/src/test/java/org/cardamomthread/membership/node/NodeDirectoryTests.java
+++ b/cardamomthread-membership/src/test/java/org/cardamomthread/membership/node/NodeDirectoryTests.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.membership.OutgoingMessage;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -99,6 +100,21 @@
         assertTrue(observer.drainUnconfirmedBy(PERTH_A).isEmpty());
     }
 
+    @Test
+    public void heartbeatOfANodeThatWasNotToldConfirmsNothing() {
+        GossipCluster cluster = new GossipCluster(10, 3, 0);
+        cluster.run(5_000);
+        NodeDirectory observer = cluster.node("a0");
+        observer.setDrain(PERTH_B, true);
+        cluster.advance();
+        for (OutgoingMessage message : cluster.node("a1").tick()) {
+            if (message.to().equals(new NodeId("a0"))) {
+                observer.receive(new NodeId("a1"), message.message());
+            }
+        }
+        assertEquals(observer.drainConfirmedBy(PERTH_B), Set.of(new NodeId("a0")));
+    }
+
     @Test
     public void restartedNodeConfirmsADrainAnew() {
         GossipCluster cluster = new GossipCluster(9, 3, 0);
--- a/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/SimulatedEndpoint.java
+++ b/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/SimulatedEndpoint.java
@@ -84,9 +84,16 @@
 
     EndpointAnnouncement announce(long nowMs, long lagMs) {
         sequence++;
+        int announced = state == EndpointState.LEAVING ? warmRequests : bears;
         EndpointLoad load =
                 new EndpointLoad(
-                        nowMs - lagMs + clockOffsetMs, loadAt(nowMs - lagMs), 0, bears, 0, 0, 0);
+                        nowMs - lagMs + clockOffsetMs,
+                        loadAt(nowMs - lagMs),
+                        0,
+                        announced,
+                        0,
+                        0,
+                        0);
         EndpointDescription description =
                 new EndpointDescription(
                         "127.0.0.1:9101",
