--- a/cardamomthread-execution/src/main/java/org/cardamomthread/execution/claim/ClaimRecord.java
+++ b/cardamomthread-execution/src/main/java/org/cardamomthread/execution/claim/ClaimRecord.java
@@ -28,6 +28,12 @@
                 requestDigest, gateway, attemptId, claimedAtMs, newState, Optional.empty());
     }
 
+    /** Returns what is kept of an expired claim: that its key was used, and how it ended. */
+    ClaimRecord expired(ClaimState expiredState) {
+        return new ClaimRecord(
+                ByteString.EMPTY, gateway, "", claimedAtMs, expiredState, Optional.empty());
+    }
+
     ClaimRecord completed(StoredAnswer newAnswer) {
         return new ClaimRecord(
                 requestDigest,
--- a/cardamomthread-execution/src/main/java/org/cardamomthread/execution/claim/ClaimStateMachine.java
+++ b/cardamomthread-execution/src/main/java/org/cardamomthread/execution/claim/ClaimStateMachine.java
@@ -149,7 +149,7 @@
         }
         boolean completed = record.state() == ClaimState.COMPLETED;
         if (ageMs(record) > settings.answerMs()) {
-            return record.with(
+            return record.expired(
                     completed ? ClaimState.EXPIRED_COMPLETED : ClaimState.EXPIRED_UNKNOWN);
         }
         boolean overdue =
--- a/cardamomthread-scenarios/src/test/java/org/cardamomthread/scenarios/Scenario.java
+++ b/cardamomthread-scenarios/src/test/java/org/cardamomthread/scenarios/Scenario.java
@@ -16,7 +16,7 @@
  *
  * @param name the file's name
  * @param title the promise that it shows
- * @param world {@code credits} or {@code calls}
+ * @param world {@code credits}, {@code calls} or {@code jobs}
  * @param seed the seed of all random choices
  * @param steps the steps in order
  */
--- a/cardamomthread-scenarios/src/test/java/org/cardamomthread/scenarios/ScenarioTests.java
+++ b/cardamomthread-scenarios/src/test/java/org/cardamomthread/scenarios/ScenarioTests.java
@@ -39,9 +39,10 @@
         return switch (scenario.world()) {
             case "credits" -> new CreditWorld(scenario.seed());
             case "calls" -> new CallWorld();
+            case "jobs" -> new JobWorld();
             default ->
                     throw new IllegalArgumentException(
-                            scenario.name() + ": world must be credits or calls");
+                            scenario.name() + ": world must be credits, calls or jobs");
         };
     }
 }
