Bound the wait of operators for the configuration group

The API now waits two seconds for a drain before it is passed on, and five seconds for other changes; the command asks each node twice instead of three times.

takesADrainHereWhenTheGroupIsSilent hangs without the bound.

--- a/cardamomthread-command/src/main/java/org/cardamomthread/command/client/OperatorClient.java
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/client/OperatorClient.java
@@ -15,7 +15,7 @@
 public final class OperatorClient {
 
     /** The number of times that each node is tried. */
-    static final int ROUNDS = 3;
+    static final int ROUNDS = 2;
 
     private static final long PAUSE_MS = 300;
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/ChangeHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/ChangeHandler.java
@@ -8,11 +8,14 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.cardamomthread.configuration.declaration.DeclarationChange;
 import org.cardamomthread.configuration.declaration.Declarations;
 import org.cardamomthread.configuration.declaration.DeclarationsDifference;
 import org.cardamomthread.configuration.declaration.DeclarationsLoader;
 import org.cardamomthread.configuration.document.InvalidDocumentException;
+import org.cardamomthread.configuration.generated.ConfigurationCommand;
 import org.cardamomthread.configuration.state.ConfigurationCommands;
 import org.cardamomthread.configuration.state.ConfigurationResult;
 import org.cardamomthread.configuration.state.ConfigurationResult.Accepted;
@@ -35,11 +38,13 @@
 
     private final ControlPlane controlPlane;
     private final TimeSource timeSource;
+    private final ProposalTimeouts timeouts;
     private final DeclarationsLoader loader = new DeclarationsLoader();
 
-    ChangeHandler(ControlPlane controlPlane, TimeSource timeSource) {
+    ChangeHandler(ControlPlane controlPlane, TimeSource timeSource, ProposalTimeouts timeouts) {
         this.controlPlane = controlPlane;
         this.timeSource = timeSource;
+        this.timeouts = timeouts;
     }
 
     CompletableFuture<OperatorResponse> applyDeclarations(String text)
@@ -49,10 +54,10 @@
         OperationId operation = body.operationId();
         long base = body.revision("baseRevision");
         Declarations declarations = loader.load("declarations", body.object("declarations"));
-        return controlPlane
-                .propose(
+        return propose(
                         ConfigurationCommands.applyDeclarations(
-                                operation, base, declarations, controlPlane.configuration()))
+                                operation, base, declarations, controlPlane.configuration()),
+                        timeouts.changeMs())
                 .thenApply(result -> describe(result, declarations))
                 .thenApply(result -> answer(result, acceptedBody(result)));
     }
@@ -77,10 +82,10 @@
         ServiceId service = body.id("service", ServiceId::new);
         VersionId to = body.id("to", VersionId::new);
         Instant deadline = body.instant("by");
-        return controlPlane
-                .propose(
+        return propose(
                         ConfigurationCommands.startVersionMove(
-                                operation, service, to, deadline, timeSource.instant()))
+                                operation, service, to, deadline, timeSource.instant()),
+                        timeouts.changeMs())
                 .thenApply(
                         result ->
                                 answer(result, acceptedBody(result).put("id", operation.value())));
@@ -103,12 +108,32 @@
                 known.out() == out && known.epoch() > 0
                         ? known
                         : new DataCentreState(out, known.epoch() + 1);
-        return controlPlane
-                .propose(ConfigurationCommands.setDataCentreState(operation, id, wanted))
+        return propose(
+                        ConfigurationCommands.setDataCentreState(operation, id, wanted),
+                        out ? timeouts.drainMs() : timeouts.changeMs())
                 .thenApply(result -> answer(result, dataCentreBody(id, wanted, result)))
                 .exceptionally(failure -> unconfirmed(id, wanted, failure));
     }
 
+    /** Proposes a command and gives up waiting after a time; the command may then still commit. */
+    private CompletableFuture<ConfigurationResult> propose(
+            ConfigurationCommand command, long timeoutMs) {
+        return controlPlane
+                .propose(command)
+                .copy()
+                .orTimeout(timeoutMs, TimeUnit.MILLISECONDS)
+                .exceptionallyCompose(
+                        failure -> CompletableFuture.failedFuture(describe(failure, timeoutMs)));
+    }
+
+    private static Throwable describe(Throwable failure, long timeoutMs) {
+        if (!(failure instanceof TimeoutException)) {
+            return failure;
+        }
+        return new ProposalFailedException(
+                "the configuration group gave no answer within " + timeoutMs + " ms", false);
+    }
+
     private OperatorResponse unconfirmed(
             DataCentreId id, DataCentreState wanted, Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/ControlPlane.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/ControlPlane.java
@@ -27,7 +27,7 @@
      * Proposes a command to the configuration group and waits until it is answered.
      *
      * <p>The answer is given only once the command is committed and this node's view is at the
-     * answer's revision or a later one. The future ends within a few seconds.
+     * answer's revision or a later one.
      *
      * @param command the command
      * @return the answer; fails with {@link ProposalFailedException} if the group gives none
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/OperatorApi.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/operator/OperatorApi.java
@@ -36,12 +36,28 @@
      * @param timeSource the clock that stamps version moves
      */
     public OperatorApi(List<Secret> tokens, ControlPlane controlPlane, TimeSource timeSource) {
+        this(tokens, controlPlane, timeSource, ProposalTimeouts.DEFAULT);
+    }
+
+    /**
+     * Creates the API with timeouts of its own.
+     *
+     * @param tokens the operators' tokens, at least one
+     * @param controlPlane what operators may see and change
+     * @param timeSource the clock that stamps version moves
+     * @param timeouts how long to wait for the configuration group
+     */
+    public OperatorApi(
+            List<Secret> tokens,
+            ControlPlane controlPlane,
+            TimeSource timeSource,
+            ProposalTimeouts timeouts) {
         if (tokens.isEmpty()) {
             throw new IllegalArgumentException("tokens must hold at least one token");
         }
         this.tokens = List.copyOf(tokens);
         this.queries = new QueryHandler(controlPlane);
-        this.changes = new ChangeHandler(controlPlane, timeSource);
+        this.changes = new ChangeHandler(controlPlane, timeSource, timeouts);
     }
 
     /**
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/operator/FakeControlPlane.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/operator/FakeControlPlane.java
@@ -22,6 +22,7 @@
     private final Map<DataCentreId, DataCentreState> spread = new HashMap<>();
     private boolean losesAnswers;
     private boolean cutOff;
+    private boolean silent;
     private ConfigurationView laggingView;
 
     void setLosesAnswers(boolean losesAnswers) {
@@ -32,6 +33,10 @@
         this.cutOff = cutOff;
     }
 
+    void setSilent(boolean silent) {
+        this.silent = silent;
+    }
+
     /** Keeps showing the present view while commands go on. */
     void freezeView() {
         laggingView = machine.view();
@@ -52,6 +57,9 @@
             return CompletableFuture.failedFuture(
                     new ProposalFailedException("no majority is in reach", true));
         }
+        if (silent) {
+            return new CompletableFuture<>();
+        }
         ConfigurationResult result = machine.apply(command);
         if (losesAnswers) {
             return CompletableFuture.failedFuture(
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/operator/OperatorApiTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/operator/OperatorApiTests.java
@@ -171,6 +171,36 @@
         assertEquals(post("/v1/data-centres/perth-a/return", operation("r-1")).status(), 503);
     }
 
+    @Test
+    public void takesADrainHereWhenTheGroupIsSilent() {
+        OperatorApi impatient =
+                new OperatorApi(
+                        List.of(new Secret("second-token")),
+                        controlPlane,
+                        new ManualTimeSource(),
+                        new ProposalTimeouts(1, 1));
+        controlPlane.setSilent(true);
+        OperatorResponse drained =
+                impatient
+                        .handle(
+                                new OperatorRequest(
+                                        "POST",
+                                        "/v1/data-centres/perth-a/drain",
+                                        Optional.of(TOKEN),
+                                        operation("d-1")))
+                        .join();
+        assertEquals(drained.status(), 202, drained.body());
+        assertTrue(controlPlane.dataCentreState(PERTH).out());
+        OperatorResponse change =
+                impatient
+                        .handle(
+                                new OperatorRequest(
+                                        "POST", CHANGES, Optional.of(TOKEN), change("x", 1, 200)))
+                        .join();
+        assertEquals(change.status(), 503);
+        assertEquals(json(change).path("execution").asText(), "unknown");
+    }
+
     @Test
     public void listsNodesThatAreNotConfirmed() {
         JsonNode status = json(get("/v1/status"));
