--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/VersionRouter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/VersionRouter.java
@@ -1,7 +1,6 @@
 package org.cardamomthread.daemon.gateway;
 
 import java.util.random.RandomGenerator;
-import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.id.VersionId;
 
 /** Chooses the version that serves a call. Safe for use by several threads. */
@@ -10,9 +9,9 @@
     /**
      * Chooses a version for one attempt.
      *
-     * @param service the service of the call
+     * @param target what the call is for
      * @param random source for the division of traffic
      * @return the version
      */
-    VersionId choose(ServiceId service, RandomGenerator random);
+    VersionId choose(CallTarget target, RandomGenerator random);
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveVersionRouter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveVersionRouter.java
@@ -7,6 +7,7 @@
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
+import org.cardamomthread.daemon.gateway.CallTarget;
 import org.cardamomthread.daemon.gateway.VersionRouter;
 
 /**
@@ -32,15 +33,16 @@
     }
 
     @Override
-    public VersionId choose(ServiceId service, RandomGenerator random) {
+    public VersionId choose(CallTarget target, RandomGenerator random) {
+        ServiceId service = target.service();
         ConfigurationView view = configuration.getView();
         Optional<MoveWatch> watch = rollout.findWatch(service);
         if (watch.isEmpty()) {
             return view.declarations().findService(service).orElseThrow().currentVersion();
         }
         VersionMove move = watch.get().getMove();
-        boolean isNew =
-                !view.isStopped(service, move.to()) && random.nextDouble() < watch.get().getShare();
+        double share = watch.get().getShare(target.route());
+        boolean isNew = !view.isStopped(service, move.to()) && random.nextDouble() < share;
         return isNew ? move.to() : move.from();
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveWatch.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveWatch.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon.rollout;
 
+import java.util.Optional;
 import org.cardamomthread.configuration.state.VersionMove;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.id.RouteId;
@@ -31,6 +32,7 @@
     private MoveState state;
     private MoveEvidence known = MoveEvidence.EMPTY;
     private double share;
+    private Optional<RouteId> probedRoute = Optional.empty();
 
     MoveWatch(NodeId node, VersionMove move, RolloutPlan plan, RolloutDecider decider) {
         this.node = node;
@@ -68,9 +70,13 @@
         recorder.record(route, role, outcome, nowMs);
     }
 
-    /** Returns the share of the traffic that the new version gets from this node. */
-    synchronized double getShare() {
-        return known.stop().isPresent() ? 0 : share;
+    /** Returns the share of a route's calls that the new version gets from this node. */
+    synchronized double getShare(RouteId route) {
+        if (known.stop().isPresent()) {
+            return 0;
+        }
+        boolean isProbed = probedRoute.filter(route::equals).isPresent();
+        return isProbed ? RolloutVerdict.PROBE_SHARE : share;
     }
 
     /** Returns this node's own counts, and a stop if it knows of one. */
@@ -101,6 +107,7 @@
             if (verdict.state().step() == state.step()) {
                 state = verdict.state();
                 share = verdict.share();
+                probedRoute = verdict.probedRoute();
             }
         } else if (verdict.state().phase() == MoveState.Phase.TAKEN_BACK) {
             known = known.stopped(new StopNotice(node, verdict.reason()));
@@ -111,6 +118,7 @@
     /** Returns what the gathering node tells the others. */
     synchronized EvidenceAnswer createAnswer() {
         EvidenceAnswer.Builder answer = EvidenceAnswer.newBuilder().setShare(share);
+        probedRoute.ifPresent(route -> answer.setProbedRoute(route.value()));
         known.stop().ifPresent(stop -> answer.setStop(EvidenceCodec.toMessage(stop)));
         return answer.build();
     }
@@ -118,6 +126,10 @@
     /** Takes what the gathering node told. */
     synchronized void take(EvidenceAnswer answer) {
         share = answer.getShare();
+        probedRoute =
+                Optional.of(answer.getProbedRoute())
+                        .filter(route -> !route.isEmpty())
+                        .map(RouteId::new);
         if (answer.hasStop()) {
             known = known.stopped(EvidenceCodec.toStop(answer.getStop()));
         }
