Send further attempts of a moving service to its old version

While a suspicion is probed the new version gets most of a route's calls, a call that failed there was placed again by the same share, and as the version has one endpoint, the exclusion of the failed endpoint was lifted for want of another. Ruled out: the retry budget (unspent). A further attempt now goes to the old version.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
@@ -156,7 +156,7 @@
     }
 
     private Optional<PlacedCall> tryPlace(PlacementRequest request) {
-        VersionId version = versions.choose(request.target(), random);
+        VersionId version = versions.choose(request.target(), request.isRetry(), random);
         Set<EndpointId> excluded = request.excluded();
         Optional<PlacedCall> placed = tryPlace(request, version, excluded);
         if (placed.isEmpty() && !excluded.isEmpty()) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/VersionRouter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/VersionRouter.java
@@ -10,8 +10,9 @@
      * Chooses a version for one attempt.
      *
      * @param target what the call is for
+     * @param isRetry whether an earlier attempt failed, perhaps by the fault of a new version
      * @param random source for the division of traffic
      * @return the version
      */
-    VersionId choose(CallTarget target, RandomGenerator random);
+    VersionId choose(CallTarget target, boolean isRetry, RandomGenerator random);
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveVersionRouter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveVersionRouter.java
@@ -12,7 +12,8 @@
 
 /**
  * Divides a service's calls between the versions of a running move, and sends them to the current
- * version otherwise.
+ * version otherwise. A further attempt goes to the old version, so that a bad new one costs a
+ * caller one attempt and no answer.
  *
  * <p>Safe for use by several threads.
  */
@@ -33,7 +34,7 @@
     }
 
     @Override
-    public VersionId choose(CallTarget target, RandomGenerator random) {
+    public VersionId choose(CallTarget target, boolean isRetry, RandomGenerator random) {
         ServiceId service = target.service();
         ConfigurationView view = configuration.getView();
         Optional<MoveWatch> watch = rollout.findWatch(service);
@@ -42,7 +43,8 @@
         }
         VersionMove move = watch.get().getMove();
         double share = watch.get().getShare(target.route());
-        boolean isNew = !view.isStopped(service, move.to()) && random.nextDouble() < share;
+        boolean isNew =
+                !isRetry && !view.isStopped(service, move.to()) && random.nextDouble() < share;
         return isNew ? move.to() : move.from();
     }
 }
