--- a/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/path/LoadClient.java
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/path/LoadClient.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicLong;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.AsyncHttpClient;
@@ -57,6 +58,15 @@
                 .toCompletableFuture();
     }
 
+    /** Slows all later streams of the engine down by a factor. */
+    void slowDown(String faultsUrl, int factor) throws InterruptedException, ExecutionException {
+        client.preparePost(faultsUrl)
+                .setBody("{\"kind\":\"slow\",\"factor\":" + factor + "}")
+                .execute()
+                .toCompletableFuture()
+                .get();
+    }
+
     @Override
     public void close() throws IOException {
         client.close();
--- a/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/path/PathCommand.java
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/path/PathCommand.java
@@ -19,6 +19,9 @@
     private static final int USAGE_EXIT_CODE = 2;
     private static final int WARM_UP_CALLS = 3_000;
 
+    /** Factor that keeps the streams open while the memory is read. */
+    private static final int SLOWNESS = 100;
+
     private PathCommand() {}
 
     /**
@@ -75,7 +78,8 @@
             }
             measurement.streaming(32, 500);
             measurement.streaming(32, 2_000);
-            measurement.memory(pid, 1_000, 60);
+            client.slowDown("http://" + line.getOptionValue("engine") + "/v1/faults", SLOWNESS);
+            measurement.memory(pid, 1_000, 100);
         }
     }
 }
--- a/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/path/PathMeasurement.java
+++ b/cardamomthread-experiments/src/main/java/org/cardamomthread/experiments/path/PathMeasurement.java
@@ -20,7 +20,8 @@
 
     private static final int DIGITS = 3;
     private static final int ROUNDS = 5;
-    private static final long SETTLE_MS = 3_000;
+    private static final long SETTLE_MS = 30_000;
+    private static final long POLL_MS = 100;
     private static final double MEDIAN = 50;
     private static final double HIGH = 99;
     private static final double US_PER_MS = 1_000;
@@ -91,7 +92,10 @@
         for (int i = 0; i < streams; i++) {
             running.add(client.stream(node, tokens, received));
         }
-        TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLE_MS);
+        while (received.get() < streams && System.nanoTime() < endNs) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
         long open = running.stream().filter(stream -> !stream.isDone()).count();
         System.out.printf(
                 "resident memory with %d streams open: %d kB (%d tokens so far)%n",
