Keep a probe for callers that do not tell routes apart, and the reason of ended moves

Cause: since the probe moved to one route, share() no longer contained it, so that a caller that uses share() alone would settle no suspicion quickly; it is 0.25 during a probe now, and shareOf(route) tells routes apart. A move taken back answered each later question with DEADLINE_REACHED, whatever had ended it (the extended test failed first).

--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/RolloutReason.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/RolloutReason.java
@@ -21,5 +21,7 @@
     /** The deadline came before the steps and the bake time were over. */
     DEADLINE_REACHED,
     /** An operator took the new version back. */
-    OPERATOR
+    OPERATOR,
+    /** The move ended before; the verdict that ended it carries the reason. */
+    ALREADY_ENDED
 }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/RolloutVerdict.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/RolloutVerdict.java
@@ -10,7 +10,8 @@
  * <p>Immutable and safe for use by several threads.
  *
  * @param state the state from now on
- * @param share share of the calls for the new version, 0 to 1
+ * @param share share of the calls for the new version where routes are not told apart, 0 to 1
+ * @param otherShare share on the routes that are not probed, 0 to 1
  * @param probedRoute route on which a suspicion is settled, or empty
  * @param reason why
  * @param detail the reason in a sentence for operators
@@ -18,6 +19,7 @@
 public record RolloutVerdict(
         MoveState state,
         double share,
+        double otherShare,
         Optional<RouteId> probedRoute,
         RolloutReason reason,
         String detail) {
@@ -41,6 +43,6 @@
      */
     public double shareOf(RouteId route) {
         boolean probed = probedRoute.isPresent() && probedRoute.get().equals(route);
-        return probed ? PROBE_SHARE : share;
+        return probed ? PROBE_SHARE : otherShare;
     }
 }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/SequentialRolloutDecider.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/rollout/SequentialRolloutDecider.java
@@ -14,6 +14,7 @@
 
     private static final double SUSPICION = 1; // recent evidence that starts a probe
     private static final double DISPELLED = 0.4; // recent evidence below which a probe ends
+    private static final double WHOLE_PROBE_SHARE = 0.25; // where routes are not told apart
     private static final int LEAST_PROBE_CALLS = 8;
     private static final int MOST_PROBE_CALLS = 40;
     private static final long LONGEST_PROBE_MS = 20_000;
@@ -24,10 +25,10 @@
     public RolloutVerdict decide(
             RolloutPlan plan, MoveState state, MoveEvidence evidence, long nowMs) {
         if (state.phase() == MoveState.Phase.DONE) {
-            return verdict(state, 1, RolloutReason.BAKE_PASSED, "the move is done");
+            return verdict(state, 1, RolloutReason.ALREADY_ENDED, "done before");
         }
         if (state.phase() == MoveState.Phase.TAKEN_BACK) {
-            return verdict(state, 0, RolloutReason.DEADLINE_REACHED, "the move was taken back");
+            return verdict(state, 0, RolloutReason.ALREADY_ENDED, "taken back before");
         }
         if (evidence.stop().isPresent()) {
             StopNotice stop = evidence.stop().get();
@@ -73,9 +74,11 @@
 
     private static RolloutVerdict probe(
             RolloutPlan plan, MoveState state, VersionComparison.Finding finding) {
+        double stepShare = plan.steps().get(state.step()).share();
         return new RolloutVerdict(
                 state,
-                plan.steps().get(state.step()).share(),
+                WHOLE_PROBE_SHARE,
+                Math.min(stepShare, WHOLE_PROBE_SHARE),
                 Optional.ofNullable(finding.recentRoute()),
                 RolloutReason.SUSPICION,
                 describe(finding));
@@ -83,7 +86,7 @@
 
     private static RolloutVerdict verdict(
             MoveState state, double share, RolloutReason reason, String detail) {
-        return new RolloutVerdict(state, share, Optional.empty(), reason, detail);
+        return new RolloutVerdict(state, share, share, Optional.empty(), reason, detail);
     }
 
     private static RolloutVerdict advance(
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/SequentialRolloutDeciderTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/rollout/SequentialRolloutDeciderTests.java
@@ -138,6 +138,21 @@
         assertEquals(verdict.reason(), RolloutReason.MORE_FAILURES);
     }
 
+    @Test
+    public void probesOnlyTheSuspectedRoute() {
+        EvidenceRecorder recorder = new EvidenceRecorder(NODE, plan);
+        for (int i = 0; i < 200; i++) {
+            RouteId route = i % 2 == 0 ? CHAT : TAG;
+            recorder.record(route, VersionRole.OLD, new CallOutcome(false, true, false, false), i);
+        }
+        recorder.record(TAG, VersionRole.NEW, new CallOutcome(true, true, false, false), 500);
+        RolloutVerdict verdict = decideNow(recorder.snapshot());
+        assertEquals(verdict.reason(), RolloutReason.SUSPICION);
+        assertEquals(verdict.shareOf(TAG), RolloutVerdict.PROBE_SHARE, 0);
+        assertEquals(verdict.shareOf(CHAT), plan.steps().get(0).share(), 0);
+        assertEquals(verdict.share(), 0.25, 0);
+    }
+
     @Test
     public void takesBackAtTheDeadlineWithoutEnoughCalls() {
         RolloutVerdict verdict =
@@ -155,6 +170,7 @@
         RolloutVerdict later = decider.decide(plan, verdict.state(), MoveEvidence.EMPTY, 2_000);
         assertEquals(later.state().phase(), MoveState.Phase.TAKEN_BACK);
         assertEquals(later.share(), 0, 0);
+        assertEquals(later.reason(), RolloutReason.ALREADY_ENDED);
     }
 
     private RolloutVerdict decideNow(MoveEvidence evidence) {
