Record a shortage of credits without taking one

When no candidate was chosen the gateway called tryAcquire for its side effect on the next demand and dropped the result; a credit taken that way was never released and the endpoint lost that much for good. CreditPool.recordShortage now does only what was meant.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
@@ -176,7 +176,7 @@
             read.list().stream()
                     .filter(candidate -> !excluded.contains(candidate.id()))
                     .limit(MAX_DEMANDED_ENDPOINTS)
-                    .forEach(candidate -> pool.tryAcquire(candidate.id()));
+                    .forEach(candidate -> pool.recordShortage(candidate.id()));
             return Optional.empty();
         }
         EndpointCandidate candidate = chosen.chosen().get();
--- a/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/CreditPool.java
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/CreditPool.java
@@ -61,6 +61,14 @@
      */
     Optional<CreditHold> tryAcquire(EndpointId endpoint);
 
+    /**
+     * Records that a request would start at an endpoint if there were a credit; the next demand
+     * then asks for one more, at once. Takes no credit.
+     *
+     * @param endpoint the endpoint
+     */
+    void recordShortage(EndpointId endpoint);
+
     /**
      * States how many requests wait for an endpoint, beyond those that {@link #tryAcquire} refused.
      *
--- a/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/DefaultCreditPool.java
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/DefaultCreditPool.java
@@ -117,6 +117,14 @@
         return Optional.of(new Hold(slot));
     }
 
+    @Override
+    public synchronized void recordShortage(EndpointId endpoint) {
+        EndpointSlot slot = slots.get(endpoint);
+        if (slot != null) {
+            slot.refuse();
+        }
+    }
+
     @Override
     public synchronized void setWaiting(EndpointId endpoint, int waiting) {
         EndpointSlot slot = slots.get(endpoint);
--- a/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/EndpointSlot.java
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/EndpointSlot.java
@@ -71,13 +71,18 @@
 
     boolean tryStart(long nowMs) {
         if (!isLeased(nowMs) || inFlight() >= limit) {
-            refused++;
+            refuse();
             return false;
         }
         started++;
         return true;
     }
 
+    /** Counts a request that would have started. */
+    void refuse() {
+        refused++;
+    }
+
     void finish() {
         finished++;
     }
--- a/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/HomeChangeTests.java
+++ b/cardamomthread-membership/src/test/java/org/cardamomthread/membership/simulation/HomeChangeTests.java
@@ -10,6 +10,7 @@
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.membership.endpoint.EndpointAnnouncement;
 import org.cardamomthread.membership.endpoint.EndpointState;
+import org.cardamomthread.membership.gateway.CreditPool;
 import org.cardamomthread.membership.gateway.CreditPoolSettings;
 import org.cardamomthread.membership.generated.PeerMessage;
 import org.testng.annotations.DataProvider;
@@ -131,6 +132,16 @@
         assertTrue(demands.get() < 2 * regular, demands + " demands, " + regular + " regular");
     }
 
+    @Test
+    public void recordedShortageTakesNoCredit() {
+        CreditSimulation simulation = new CreditSimulation(7, 1);
+        simulation.run(SETTLED_MS, false);
+        CreditPool pool = simulation.node("a0").pool();
+        int before = pool.endpoints().get(0).inFlight();
+        pool.recordShortage(simulation.endpoints().get(0).id());
+        assertEquals(pool.endpoints().get(0).inFlight(), before);
+    }
+
     @Test
     public void limitBelowTheNumberOfGatewaysReachesEachOfThem() {
         CreditSimulation simulation = new CreditSimulation(5, 1);
