--- a/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/DefaultCreditPool.java
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/DefaultCreditPool.java
@@ -66,10 +66,9 @@
         List<OutgoingMessage> out = new ArrayList<>();
         for (NodeId home : homes) {
             HomeLink link = links.computeIfAbsent(home, key -> new HomeLink(settings.leaseMs()));
-            long intervalMs =
-                    isStarved(link) ? settings.urgentIntervalMs() : settings.demandIntervalMs();
-            if (nowMs - link.lastSentMs() >= intervalMs) {
-                out.add(new OutgoingMessage(home, demand(link, nowMs)));
+            boolean urgent = isStarved(link);
+            if (link.isDue(urgent, settings, nowMs)) {
+                out.add(new OutgoingMessage(home, demand(link, urgent, nowMs)));
             }
         }
         return out;
@@ -118,6 +117,14 @@
         return Optional.of(new Hold(slot));
     }
 
+    @Override
+    public synchronized void recordShortage(EndpointId endpoint) {
+        EndpointSlot slot = slots.get(endpoint);
+        if (slot != null) {
+            slot.refuse();
+        }
+    }
+
     @Override
     public synchronized void setWaiting(EndpointId endpoint, int waiting) {
         EndpointSlot slot = slots.get(endpoint);
@@ -149,7 +156,7 @@
         return homes;
     }
 
-    private PeerMessage demand(HomeLink link, long nowMs) {
+    private PeerMessage demand(HomeLink link, boolean urgent, long nowMs) {
         long sequence = nextSequence++;
         CreditDemand.Builder demand =
                 CreditDemand.newBuilder()
@@ -174,7 +181,7 @@
                 demand.addNamed(named(slot));
             }
         }
-        link.sent(sequence, nowMs);
+        link.sent(sequence, urgent, nowMs);
         return PeerMessage.newBuilder().setCreditDemand(demand).build();
     }
 
