--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/operator/OperatorApiTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/operator/OperatorApiTests.java
@@ -171,7 +171,7 @@
         assertEquals(post("/v1/data-centres/perth-a/return", operation("r-1")).status(), 503);
     }
 
-    @Test
+    @Test(timeOut = 20_000)
     public void takesADrainHereWhenTheGroupIsSilent() {
         OperatorApi impatient =
                 new OperatorApi(
