Share the false-alarm rate of a move between the deciders; probe as measured

Cause: every node may stop a version by itself, each at the full declared rate, so that the rate of a deployment rose with its nodes; and the nodes gave all routes the probe's mean share instead of the probed route a larger one and the others the step's. Half of the rate is now for the gathered counts and half is divided by the nodes. Operators' answers wait for the answered revision in every case.

--- a/cardamomthread-command/src/main/java/org/cardamomthread/command/StatusText.java
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/StatusText.java
@@ -74,7 +74,9 @@
         text.append("  ").append(voter.path("group").asText());
         text.append(' ').append(voter.path("id").asText());
         text.append(' ').append(voter.path("role").asText());
-        text.append(", index ").append(voter.path("index"));
+        if (voter.path("index").asLong() >= 0) {
+            text.append(", index ").append(voter.path("index"));
+        }
         appendUnless(text, voter, "reachable", ", out of reach");
         text.append('\n');
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/NodeControlPlane.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/NodeControlPlane.java
@@ -54,12 +54,7 @@
 
     @Override
     public CompletableFuture<ConfigurationResult> propose(ConfigurationCommand command) {
-        return control.propose(command)
-                .thenCompose(
-                        result ->
-                                result instanceof ConfigurationResult.Accepted
-                                        ? awaitInForce(result)
-                                        : CompletableFuture.completedFuture(result));
+        return control.propose(command).thenCompose(this::awaitInForce);
     }
 
     @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveWatch.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/MoveWatch.java
@@ -85,9 +85,21 @@
         return known.stop().map(own::stopped).orElse(own);
     }
 
-    /** Stops the new version if this node's own counts prove it bad; other nodes hear of it. */
-    synchronized void judgeAlone(long nowMs) {
-        RolloutVerdict verdict = decider.decide(plan, state, recorder.snapshot(), nowMs);
+    /**
+     * Stops the new version if this node's own counts prove it bad; other nodes hear of it.
+     *
+     * @param nowMs wall-clock time in milliseconds
+     * @param nodeCount nodes that judge alone, which share the false-alarm rate
+     */
+    synchronized void judgeAlone(long nowMs, int nodeCount) {
+        RolloutPlan alone =
+                new RolloutPlan(
+                        plan.startMs(),
+                        plan.deadlineMs(),
+                        plan.steps(),
+                        plan.bakeMs(),
+                        plan.falseAlarmRate() / nodeCount);
+        RolloutVerdict verdict = decider.decide(alone, state, recorder.snapshot(), nowMs);
         boolean isProof = verdict.reason() != RolloutReason.DEADLINE_REACHED;
         if (verdict.state().phase() == MoveState.Phase.TAKEN_BACK && isProof) {
             known = known.stopped(new StopNotice(node, verdict.reason()));
@@ -106,7 +118,7 @@
         if (verdict.state().phase() == MoveState.Phase.MOVING) {
             if (verdict.state().step() == state.step()) {
                 state = verdict.state();
-                share = verdict.share();
+                share = verdict.otherShare();
                 probedRoute = verdict.probedRoute();
             }
         } else if (verdict.state().phase() == MoveState.Phase.TAKEN_BACK) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/RolloutPlans.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/RolloutPlans.java
@@ -17,6 +17,9 @@
     private static final int FIRST_STEP_CALLS = 3;
     private static final double MAX_BAKE_SHARE = 0.3;
 
+    /** Half of the rate is for the gathered counts, half for the nodes that judge alone. */
+    private static final double FALSE_ALARM_SHARE = 0.5;
+
     private RolloutPlans() {}
 
     /**
@@ -28,7 +31,11 @@
         long deadlineMs = Math.max(move.deadline().toEpochMilli(), startMs + 1);
         long bakeMs = Math.min(policy.bakeMs(), (long) ((deadlineMs - startMs) * MAX_BAKE_SHARE));
         return new RolloutPlan(
-                startMs, deadlineMs, createSteps(policy), bakeMs, policy.falseAlarmRate());
+                startMs,
+                deadlineMs,
+                createSteps(policy),
+                bakeMs,
+                policy.falseAlarmRate() * FALSE_ALARM_SHARE);
     }
 
     private static List<RolloutStep> createSteps(RolloutPolicy policy) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/RolloutService.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/rollout/RolloutService.java
@@ -133,9 +133,12 @@
     }
 
     private void runMoves() {
+        List<NodeId> nodes = listLiveNodes();
         for (MoveWatch watch : watches.values()) {
-            watch.judgeAlone(timeSource.millis());
-            NodeId gatherer = chooseGatherer(watch.getMove());
+            watch.judgeAlone(timeSource.millis(), nodes.size());
+            NodeId gatherer =
+                    RendezvousHash.choose(watch.getMove().id().value(), nodes, NodeId::value)
+                            .orElseThrow();
             if (gatherer.equals(directory.self().id())) {
                 decide(watch);
             } else {
@@ -144,13 +147,13 @@
         }
     }
 
-    private NodeId chooseGatherer(VersionMove move) {
+    private List<NodeId> listLiveNodes() {
         List<NodeId> nodes = new ArrayList<>();
         nodes.add(directory.self().id());
         directory.others().stream()
                 .filter(node -> node.state() == NodeState.ALIVE && !node.entry().leaving())
                 .forEach(node -> nodes.add(node.entry().id()));
-        return RendezvousHash.choose(move.id().value(), nodes, NodeId::value).orElseThrow();
+        return nodes;
     }
 
     private void report(MoveWatch watch, NodeId gatherer) {
