--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/settings/NodeSettingsCheck.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/settings/NodeSettingsCheck.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.configuration.settings;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,6 +16,8 @@
 /** Checks the meaning of settings that have the right form. Confined to one thread. */
 final class NodeSettingsCheck {
 
+    private static final int MIN_PEER_KEY_BYTES = 16;
+
     private final Document document;
     private final NodeSettings settings;
     private final Map<NodeId, PeerSettings> peersById = new HashMap<>();
@@ -32,9 +35,20 @@
         checkVoters("configuration", settings.bootstrapVoters().configuration());
         checkVoters("work", settings.bootstrapVoters().work());
         checkTimes();
+        checkPeerKey();
         return problems;
     }
 
+    private void checkPeerKey() {
+        String key = settings.secrets().peerKey().reveal();
+        if (key.getBytes(StandardCharsets.UTF_8).length < MIN_PEER_KEY_BYTES) {
+            report(
+                    Pointers.of("secrets", "peerKey"),
+                    "the peer key has fewer than " + MIN_PEER_KEY_BYTES + " bytes",
+                    "write a random key of " + MIN_PEER_KEY_BYTES + " bytes or more");
+        }
+    }
+
     private void checkListeners() {
         Listeners listeners = settings.listeners();
         Map<NetworkAddress, String> names = new HashMap<>();
--- a/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/settings/NodeSettingsLoaderTests.java
+++ b/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/settings/NodeSettingsLoaderTests.java
@@ -76,10 +76,10 @@
     @Test
     public void readsSecretsFromFiles() throws IOException, InvalidDocumentException {
         Path folder = Files.createTempDirectory("settings");
-        Files.writeString(folder.resolve("peer.key"), "key-in-a-file\n");
+        Files.writeString(folder.resolve("peer.key"), "key-that-stands-in-a-file\n");
         Path file = folder.resolve("node.yaml");
         Files.writeString(file, valid.replace("value: peer-key-for-tests", "file: peer.key"));
-        assertTrue(loader.load(file).secrets().peerKey().matches("key-in-a-file"));
+        assertTrue(loader.load(file).secrets().peerKey().matches("key-that-stands-in-a-file"));
         Files.writeString(folder.resolve("peer.key"), "short");
         InvalidDocumentException error =
                 expectThrows(InvalidDocumentException.class, () -> loader.load(file));
@@ -116,6 +116,7 @@
             {"work: [perth-a-1]", "work: [x-1]", "14:", "add it to peers"},
             {"work: [perth-a-1]", "work: [perth-a-1, perth-a-1]", "14:", "an odd number"},
             {"{value: endpoint-token}", "{file: none.txt}", "17:", "create it with the secret"},
+            {"peer-key-for-tests", "short-peer-key", "16:", "16 bytes or more"},
             {"{value: endpoint-token}", "{}", "17:", "{file: path} or {value: text}"},
             {"{value: endpoint-token}", "x", "17:3: \"secrets/endpointToken\"", "type object"},
             {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ControlParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ControlParts.java
@@ -18,7 +18,9 @@
 import org.cardamomthread.daemon.control.ControlGroups;
 import org.cardamomthread.daemon.control.GroupDefinition;
 import org.cardamomthread.daemon.control.ProposalClient;
+import org.cardamomthread.daemon.execution.ClaimKeeper;
 import org.cardamomthread.daemon.execution.ExecutionReplica;
+import org.cardamomthread.daemon.execution.JobDispatcher;
 import org.cardamomthread.daemon.execution.JobQueries;
 import org.cardamomthread.daemon.operator.ProposalFailedException;
 import org.cardamomthread.daemon.operator.VoterStatus;
@@ -41,6 +43,11 @@
     private static final long JOB_RETENTION_MS = 24 * 3_600_000L;
 
     private final ControlGroups groups;
+    private final JobStateMachine jobs = new JobStateMachine(JOB_RETENTION_MS);
+    private final ClaimStateMachine claims = new ClaimStateMachine(ClaimSettings.defaults());
+    private final ExecutionReplica execution =
+            new ExecutionReplica(
+                    Map.of(ExecutionReplica.CLAIMS, claims, ExecutionReplica.JOBS, jobs));
 
     ControlParts(
             NodeSettings settings,
@@ -68,17 +75,15 @@
                         new SplittableRandom(incarnation));
     }
 
-    private static GroupDefinition createExecutionGroup(NodeSettings settings) {
-        JobStateMachine jobs = new JobStateMachine(JOB_RETENTION_MS);
-        ExecutionReplica replica =
-                new ExecutionReplica(
-                        Map.of(
-                                ExecutionReplica.CLAIMS,
-                                new ClaimStateMachine(ClaimSettings.defaults()),
-                                ExecutionReplica.JOBS,
-                                jobs));
+    private GroupDefinition createExecutionGroup(NodeSettings settings) {
         return GroupDefinition.claims(
-                settings.bootstrapVoters().work(), replica, new JobQueries(replica, jobs));
+                settings.bootstrapVoters().work(), execution, new JobQueries(execution, jobs));
+    }
+
+    /** Creates what ends claims that nobody else ends. */
+    ClaimKeeper createClaimKeeper(JobDispatcher.Workers deadNodes, TimeSource timeSource) {
+        return new ClaimKeeper(
+                execution, claims, this::leadsExecution, deadNodes, getClient(), timeSource);
     }
 
     /** Tells whether this node leads the group of claims and jobs, under a running lease. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipParts.java
@@ -123,6 +123,15 @@
         return Stream.concat(Stream.of(directory.self().id()), others).sorted().toList();
     }
 
+    /** Lists the nodes that are taken for dead. */
+    List<NodeId> listDeadNodes() {
+        return directory.others().stream()
+                .filter(node -> node.state() == NodeState.DEAD)
+                .map(node -> node.entry().id())
+                .sorted()
+                .toList();
+    }
+
     private void hear(EndpointAnnouncement announcement) {
         slowStart.accepted(announcement);
         cacheEvents.accepted(announcement);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -136,6 +136,7 @@
         membership.getService().setCreditListener(serving.getGateway()::useCredits);
         membership.start(settings.heartbeatMs());
         serving.start();
+        controlParts.createClaimKeeper(membership::listDeadNodes, timeSource).start(control);
         capacity.start(membership.getDirectory(), transport, control);
         operators.listen(listeners.operators().toSocketAddress());
         endpoints.listen(listeners.endpoints().toSocketAddress());
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/execution/ClaimKeeper.java
@@ -0,0 +1,89 @@
+package org.cardamomthread.daemon.execution;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.control.GroupDefinition;
+import org.cardamomthread.daemon.control.ProposalClient;
+import org.cardamomthread.execution.claim.ClaimCommand;
+import org.cardamomthread.execution.claim.ClaimStateMachine;
+
+/**
+ * Ends claims that nobody else ends, while this node leads their group: those past their time, and
+ * those of gateways that died in the middle of a call, whose outcome is unknown.
+ *
+ * <p>Runs on the control thread.
+ */
+public final class ClaimKeeper {
+
+    private static final long INTERVAL_MS = 5_000;
+    private static final int EXPIRY_EVERY_ROUNDS = 12;
+    private static final Duration TIMEOUT = Duration.ofSeconds(4);
+
+    private final ExecutionReplica replica;
+    private final ClaimStateMachine claims;
+    private final BooleanSupplier isLeader;
+    private final JobDispatcher.Workers deadNodes;
+    private final ProposalClient proposals;
+    private final TimeSource timeSource;
+    private int round;
+
+    /**
+     * Creates a keeper that does not run yet.
+     *
+     * @param replica guards the claims
+     * @param claims the claims, part of the replica
+     * @param isLeader tells whether this node leads the group
+     * @param deadNodes lists the nodes that are taken for dead
+     * @param proposals reaches the replicated log
+     * @param timeSource the node's clock
+     */
+    public ClaimKeeper(
+            ExecutionReplica replica,
+            ClaimStateMachine claims,
+            BooleanSupplier isLeader,
+            JobDispatcher.Workers deadNodes,
+            ProposalClient proposals,
+            TimeSource timeSource) {
+        this.replica = replica;
+        this.claims = claims;
+        this.isLeader = isLeader;
+        this.deadNodes = deadNodes;
+        this.proposals = proposals;
+        this.timeSource = timeSource;
+    }
+
+    /**
+     * Begins to end claims.
+     *
+     * @param control runs the rounds
+     */
+    public void start(ControlThread control) {
+        control.repeat(INTERVAL_MS, this::endClaims);
+    }
+
+    private void endClaims() {
+        if (!isLeader.getAsBoolean()) {
+            return;
+        }
+        round++;
+        long nowMs = timeSource.millis();
+        if (round % EXPIRY_EVERY_ROUNDS == 0) {
+            propose(new ClaimCommand.Expire(nowMs));
+        }
+        for (NodeId node : deadNodes.list()) {
+            List<ClaimCommand> doubts = replica.read(() -> claims.markUnknownClaimsOf(node, nowMs));
+            doubts.forEach(this::propose);
+        }
+    }
+
+    private void propose(ClaimCommand command) {
+        proposals.propose(
+                GroupDefinition.CLAIMS,
+                ExecutionReplica.address(ExecutionReplica.CLAIMS, command.toBytes()),
+                TIMEOUT);
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptReport.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptReport.java
@@ -6,6 +6,7 @@
  * <p>Immutable and safe for use by several threads.
  *
  * @param isFailed whether the endpoint failed the attempt
+ * @param isUnreached whether the connection failed, perhaps for a restart of the endpoint
  * @param isOverloaded whether the endpoint refused the attempt for its load
  * @param firstByteMs time to the first byte of the body in milliseconds, negative if none came
  * @param expectedFirstByteMs what that time was estimated to be, in milliseconds; zero if unknown
@@ -15,6 +16,7 @@
  */
 public record AttemptReport(
         boolean isFailed,
+        boolean isUnreached,
         boolean isOverloaded,
         long firstByteMs,
         long expectedFirstByteMs,
@@ -24,7 +26,7 @@
 
     /** Shows an attempt that was given up for reasons outside the endpoint. */
     static final AttemptReport ABANDONED =
-            new AttemptReport(false, false, -1, 0, -1, 0, "abandoned");
+            new AttemptReport(false, false, false, -1, 0, -1, 0, "abandoned");
 
     /**
      * Tells whether the attempt says nothing about the endpoint.
@@ -38,6 +40,13 @@
     /** Returns the same report with the estimate made when the endpoint was chosen. */
     AttemptReport withExpectedFirstByteMs(long estimateMs) {
         return new AttemptReport(
-                isFailed, isOverloaded, firstByteMs, estimateMs, meanGapMs, durationMs, result);
+                isFailed,
+                isUnreached,
+                isOverloaded,
+                firstByteMs,
+                estimateMs,
+                meanGapMs,
+                durationMs,
+                result);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptTiming.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptTiming.java
@@ -2,7 +2,7 @@
 
 import java.util.Locale;
 import org.cardamomthread.core.time.TimeSource;
-import org.cardamomthread.daemon.dispatch.EndpointFailureException;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 
 /** Measures one attempt: first byte and mean gap between tokens. Used by one thread at a time. */
 final class AttemptTiming {
@@ -28,20 +28,22 @@
 
     /** Reports an attempt that the endpoint answered whole. */
     AttemptReport createReport() {
-        return createReport(false, false, "complete");
+        return createReport(false, false, false, "complete");
     }
 
     /** Reports an attempt that failed. */
-    AttemptReport createReport(EndpointFailureException.Kind kind) {
-        boolean isOverloaded = kind == EndpointFailureException.Kind.OVERLOADED;
-        return createReport(true, isOverloaded, kind.name().toLowerCase(Locale.ROOT));
+    AttemptReport createReport(Kind kind) {
+        boolean isOverloaded = kind == Kind.OVERLOADED;
+        boolean isUnreached = kind == Kind.NOT_SENT || kind == Kind.CONNECTION_LOST;
+        return createReport(true, isUnreached, isOverloaded, kind.name().toLowerCase(Locale.ROOT));
     }
 
-    private AttemptReport createReport(boolean isFailed, boolean isOverloaded, String result) {
+    private AttemptReport createReport(
+            boolean isFailed, boolean isUnreached, boolean isOverloaded, String result) {
         long firstByteMs = firstAtMs < 0 ? -1 : firstAtMs - startedAtMs;
         double meanGapMs = count < 2 ? -1 : (double) (lastAtMs - firstAtMs) / (count - 1);
         long durationMs = timeSource.monotonicMs() - startedAtMs;
         return new AttemptReport(
-                isFailed, isOverloaded, firstByteMs, 0, meanGapMs, durationMs, result);
+                isFailed, isUnreached, isOverloaded, firstByteMs, 0, meanGapMs, durationMs, result);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacedCall.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.gateway;
 
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiConsumer;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.membership.endpoint.Capability;
@@ -15,8 +16,7 @@
     private final VersionId version;
     private final CreditHold hold;
     private final long expectedFirstByteMs;
-    private final AttemptObserver observer;
-    private final Runnable afterRelease;
+    private final BiConsumer<CreditPlacedCall, AttemptReport> afterRelease;
     private final AtomicBoolean released = new AtomicBoolean();
 
     CreditPlacedCall(
@@ -25,17 +25,24 @@
             VersionId version,
             CreditHold hold,
             long expectedFirstByteMs,
-            AttemptObserver observer,
-            Runnable afterRelease) {
+            BiConsumer<CreditPlacedCall, AttemptReport> afterRelease) {
         this.target = target;
         this.endpoint = endpoint;
         this.version = version;
         this.hold = hold;
         this.expectedFirstByteMs = expectedFirstByteMs;
-        this.observer = observer;
         this.afterRelease = afterRelease;
     }
 
+    CallTarget getTarget() {
+        return target;
+    }
+
+    /** Returns the endpoint as it was known when it was chosen. */
+    AvailableEndpoint getAvailable() {
+        return endpoint;
+    }
+
     @Override
     public EndpointId getEndpoint() {
         return endpoint.endpoint();
@@ -65,9 +72,7 @@
     public void release(AttemptReport report) {
         if (released.compareAndSet(false, true)) {
             hold.release();
-            AttemptReport whole = report.withExpectedFirstByteMs(expectedFirstByteMs);
-            observer.report(target, endpoint, version, whole);
-            afterRelease.run();
+            afterRelease.accept(this, report.withExpectedFirstByteMs(expectedFirstByteMs));
         }
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
@@ -195,7 +195,16 @@
         prefixes.expect(endpoint.endpoint(), selection.prefix(), timeSource.monotonicMs());
         long expectedMs = (long) chosen.score().orElseThrow().firstTokenMs();
         return new CreditPlacedCall(
-                request.target(), endpoint, version, hold, expectedMs, attempts, this::pump);
+                request.target(), endpoint, version, hold, expectedMs, this::finish);
+    }
+
+    /** Records an attempt whose credit has just been given back, and uses the credit. */
+    private void finish(CreditPlacedCall call, AttemptReport report) {
+        if (report.isUnreached()) {
+            pool.dropCredits(call.getEndpoint());
+        }
+        attempts.report(call.getTarget(), call.getAvailable(), call.getVersion(), report);
+        pump();
     }
 
     private static void refuseForQueue(WaitingCall call) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/OnceOnlyProblems.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/OnceOnlyProblems.java
@@ -25,8 +25,10 @@
                         "Claim not committed",
                         String.format(
                                 "the call of service \"%s\" may run at most once and its claim was"
-                                        + " not committed by a majority of voters: send it again"
-                                        + " with the same Idempotency-Key",
+                                        + " not committed by a majority of voters, so this send was"
+                                        + " not run; whether an earlier send with the key was, only"
+                                        + " the voters know: send it again with the same"
+                                        + " Idempotency-Key",
                                 target.service()))
                 .withRetryAfterS(RETRY_AFTER_S);
     }
