Leave a version on trial without spending the retry budget

An attempt that leaves a version on trial goes to the old version and is bounded by the move's share, so it is no amplification; it is not drawn from the budget now.

Test first: ModelStreamCallTests.leavesAVersionOnTrialWithoutSpendingTheRetryBudget; its second row shows that calls fail without the exemption.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRepeatableCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRepeatableCall.java
@@ -121,8 +121,9 @@
                     .addKeyValue("endpoint", placed.getEndpoint())
                     .addKeyValue("attempt", attempts)
                     .log("attempt failed: {}", failure.getMessage());
+            boolean wasTrial = placed.isTrial();
             releaseAttempt(report);
-            if (!mayRetry()) {
+            if (!mayRetry(wasTrial)) {
                 ended = true;
                 doGiveUp(createProblem(failure));
                 return;
@@ -175,10 +176,14 @@
         scope.end(CallOutcome.CANCELLED, "the caller closed the connection");
     }
 
-    private boolean mayRetry() {
+    /**
+     * Decides on a further attempt. One that leaves a version on trial is not drawn from the retry
+     * budget: it goes to the old version, and the share of the move bounds how many there are.
+     */
+    private boolean mayRetry(boolean wasTrial) {
         return attempts < MAX_ATTEMPTS
                 && scope.getElapsedMs() < CALL_TIMEOUT_MS
-                && services.retryPolicy().tryRetry(scope.getTarget().service());
+                && (wasTrial || services.retryPolicy().tryRetry(scope.getTarget().service()));
     }
 
     private void releaseAttempt(AttemptReport report) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacedCall.java
@@ -14,6 +14,7 @@
     private final CallTarget target;
     private final AvailableEndpoint endpoint;
     private final VersionId version;
+    private final boolean trial;
     private final CreditHold hold;
     private final long expectedFirstByteMs;
     private final BiConsumer<CreditPlacedCall, AttemptReport> afterRelease;
@@ -23,12 +24,14 @@
             CallTarget target,
             AvailableEndpoint endpoint,
             VersionId version,
+            boolean isTrial,
             CreditHold hold,
             long expectedFirstByteMs,
             BiConsumer<CreditPlacedCall, AttemptReport> afterRelease) {
         this.target = target;
         this.endpoint = endpoint;
         this.version = version;
+        this.trial = isTrial;
         this.hold = hold;
         this.expectedFirstByteMs = expectedFirstByteMs;
         this.afterRelease = afterRelease;
@@ -58,6 +61,11 @@
         return version;
     }
 
+    @Override
+    public boolean isTrial() {
+        return trial;
+    }
+
     @Override
     public boolean canResume() {
         return endpoint.description().capabilities().contains(Capability.RESUME);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditPlacement.java
@@ -194,8 +194,9 @@
             SelectionRequest selection) {
         prefixes.expect(endpoint.endpoint(), selection.prefix(), timeSource.monotonicMs());
         long expectedMs = (long) chosen.score().orElseThrow().firstTokenMs();
+        boolean isTrial = !version.equals(versions.choose(request.target(), true, random));
         return new CreditPlacedCall(
-                request.target(), endpoint, version, hold, expectedMs, this::finish);
+                request.target(), endpoint, version, isTrial, hold, expectedMs, this::finish);
     }
 
     /** Records an attempt whose credit has just been given back, and uses the credit. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ForwardingPlacedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ForwardingPlacedCall.java
@@ -27,6 +27,11 @@
         return delegate.getVersion();
     }
 
+    @Override
+    public boolean isTrial() {
+        return delegate.isTrial();
+    }
+
     @Override
     public boolean canResume() {
         return delegate.canResume();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/PlacedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/PlacedCall.java
@@ -31,6 +31,13 @@
      */
     VersionId getVersion();
 
+    /**
+     * Tells whether the version is one that a version move tries out.
+     *
+     * @return true if a further attempt would go to another version
+     */
+    boolean isTrial();
+
     /**
      * Tells whether the endpoint can go on from delivered text.
      *
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/FakePlacement.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/FakePlacement.java
@@ -12,11 +12,16 @@
     private final List<PlacementRequest> requests = new ArrayList<>();
     private int mostPlaced = Integer.MAX_VALUE;
     private int released;
+    private boolean trial;
 
     void refuseAfter(int attempts) {
         mostPlaced = attempts;
     }
 
+    void placeOnTrial() {
+        trial = true;
+    }
+
     PlacementRequest getRequest(int index) {
         return requests.get(index);
     }
@@ -61,6 +66,11 @@
             return new VersionId("v1");
         }
 
+        @Override
+        public boolean isTrial() {
+            return trial;
+        }
+
         @Override
         public boolean canResume() {
             return true;
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
@@ -34,11 +34,15 @@
     private FakePlacement placement;
     private FakeEndpointClient endpoints;
     private RecordedExchange caller;
+    private ManualTimeSource timeSource;
+    private RetryPolicy retryPolicy;
 
     @BeforeMethod
     public void reset() {
         placement = new FakePlacement();
         endpoints = new FakeEndpointClient();
+        timeSource = new ManualTimeSource();
+        retryPolicy = new BudgetRetryPolicy(timeSource);
         caller = new RecordedExchange("/v1/chat/completions", BODY);
     }
 
@@ -109,6 +113,33 @@
         assertEquals(placement.getReleased(), 1);
     }
 
+    @DataProvider
+    public Object[][] budgets() {
+        return new Object[][] {{true, true}, {false, false}};
+    }
+
+    @Test(dataProvider = "budgets")
+    public void leavesAVersionOnTrialWithoutSpendingTheRetryBudget(
+            boolean isTrial, boolean isAnswered) throws Exception {
+        if (isTrial) {
+            placement.placeOnTrial();
+        }
+        for (int i = 0; i < 200; i++) {
+            endpoints.add(
+                    listener ->
+                            listener.onFailure(
+                                    FakeEndpointClient.createFailure(Kind.SERVER_ERROR)));
+            endpoints.add(FakeEndpointClient.streamWhole("bags"));
+        }
+        int failed = 0;
+        for (int i = 0; i < 200; i++) {
+            caller = new RecordedExchange("/v1/chat/completions", BODY);
+            start();
+            failed += caller.getStatus() == 200 ? 0 : 1;
+        }
+        assertEquals(failed == 0, isAnswered, failed + " calls failed");
+    }
+
     @Test
     public void stopsTheAttemptIfTheCallerLeaves() throws Exception {
         endpoints.add(FakeEndpointClient::beginStream);
@@ -119,7 +150,6 @@
     }
 
     private void start() throws InvalidRequestException {
-        ManualTimeSource timeSource = new ManualTimeSource();
         NodeTracing tracing = new NodeTracing(new NodeId("node-a"), Optional.empty());
         Span span = tracing.startServerSpan("test", new DefaultHttpHeaders());
         CallScope scope =
@@ -133,10 +163,7 @@
                                 new NodeMetrics(), tracing, timeSource, new ChoiceLog(timeSource)));
         CallServices services =
                 new CallServices(
-                        placement,
-                        new AttemptRunner(endpoints, tracing),
-                        new BudgetRetryPolicy(timeSource),
-                        timeSource);
+                        placement, new AttemptRunner(endpoints, tracing), retryPolicy, timeSource);
         ModelRequest request = ModelRequest.parse(BODY.getBytes(StandardCharsets.UTF_8));
         new ModelStreamCall(scope, services, request).start();
     }
