Run on the users' platform: roles that join by seeds, a leased view, an adapter

A gateway and a control role of the daemon, assembled in daemon.fleet. Control nodes keep a replicated traffic document (highest version wins), drained data centres, version moves and accounting windows; gateways read them from the leader under a lease and forward requests as they are. The adapter in platform/ decodes and encodes the platform's messages.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -14,11 +15,14 @@
 import org.cardamomthread.configuration.settings.LogFormat;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.NodeSettingsLoader;
+import org.cardamomthread.daemon.fleet.FleetNode;
+import org.cardamomthread.daemon.fleet.FleetNodes;
 import org.cardamomthread.daemon.http.ListenException;
 import org.cardamomthread.replication.StorageException;
 import org.cardamomthread.transport.TransportStartException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
 
 /**
  * Runs one node.
@@ -79,6 +83,60 @@
     }
 
     private static ExitCode runNode(Path file, PrintStream err) {
+        try {
+            if (FleetNodes.isFleetFile(file)) {
+                return runFleetNode(file, err);
+            }
+        } catch (InvalidDocumentException invalid) {
+            err.println("cardamomthreadd: " + invalid.getMessage());
+            return ExitCode.INVALID_SETTINGS;
+        }
+        return runConfiguredNode(file, err);
+    }
+
+    /** Runs a node that joins by seeds. */
+    private static ExitCode runFleetNode(Path file, PrintStream err) {
+        org.cardamomthread.daemon.telemetry.LogFormat.JSON.apply();
+        Logger logger = LoggerFactory.getLogger(Cardamomthreadd.class);
+        FleetNode node;
+        try {
+            node = FleetNodes.create(file);
+        } catch (InvalidDocumentException invalid) {
+            err.println("cardamomthreadd: " + invalid.getMessage());
+            return ExitCode.INVALID_SETTINGS;
+        }
+        try {
+            node.start();
+        } catch (ListenException | TransportStartException failure) {
+            logger.error(failure.getMessage());
+            node.close();
+            return ExitCode.LISTEN_FAILURE;
+        } catch (StorageException failure) {
+            logger.error(failure.getMessage());
+            node.close();
+            return ExitCode.STORAGE_FAILURE;
+        }
+        Signal.handle(new Signal("HUP"), signal -> reload(file, logger));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> stop(node::stopGracefully, logger), "shutdown"));
+        return ExitCode.STOPPED;
+    }
+
+    /** Checks changed settings; addresses and limits take effect at the next start. */
+    private static void reload(Path file, Logger logger) {
+        try {
+            FleetNodes.check(file);
+            logger.atInfo()
+                    .addKeyValue("event", "settings-reloaded")
+                    .log("the settings are valid; they take effect at the next start");
+        } catch (InvalidDocumentException invalid) {
+            logger.atError()
+                    .addKeyValue("event", "settings-refused")
+                    .log("the changed settings are wrong: {}", invalid.getMessage());
+        }
+    }
+
+    private static ExitCode runConfiguredNode(Path file, PrintStream err) {
         NodeSettings settings;
         try {
             settings = new NodeSettingsLoader().load(file);
@@ -100,15 +158,16 @@
             node.close();
             return ExitCode.STORAGE_FAILURE;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, logger), "shutdown"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> stop(node::stopGracefully, logger), "shutdown"));
         return ExitCode.STOPPED;
     }
 
     /** Runs as the shutdown hook; halts with the code, since a hook can set no other. */
-    private static void stop(Node node, Logger logger) {
+    private static void stop(BooleanSupplier graceful, Logger logger) {
         ExitCode code;
         try {
-            code = node.stopGracefully() ? ExitCode.STOPPED : ExitCode.STOPPED_WITH_OPEN_REQUESTS;
+            code = graceful.getAsBoolean() ? ExitCode.STOPPED : ExitCode.STOPPED_WITH_OPEN_REQUESTS;
         } catch (RuntimeException failure) {
             logger.error("the node failed while it stopped", failure);
             code = ExitCode.INTERNAL_FAILURE;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupDefinition.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupDefinition.java
@@ -29,6 +29,10 @@
     /** The group of claims and accepted work. */
     public static final GroupId CLAIMS = new GroupId("claims");
 
+    /** The group of the traffic document and what operators order beside it. */
+    public static final GroupId TRAFFIC = new GroupId("traffic");
+
+    private static final PeerTopic TRAFFIC_TOPIC = new PeerTopic(13, "replication-traffic");
     private static final PeerTopic CONFIGURATION_TOPIC =
             new PeerTopic(10, "replication-configuration");
     private static final PeerTopic CLAIMS_TOPIC = new PeerTopic(11, "replication-claims");
@@ -68,4 +72,17 @@
             List<NodeId> voters, StateMachine stateMachine, QueryHandler queryHandler) {
         return new GroupDefinition(CLAIMS, CLAIMS_TOPIC, voters, stateMachine, queryHandler);
     }
+
+    /**
+     * Describes the group of the traffic document.
+     *
+     * @param voters its voters
+     * @param stateMachine its state on this node
+     * @param queryHandler reads from that state
+     * @return the description
+     */
+    public static GroupDefinition traffic(
+            List<NodeId> voters, StateMachine stateMachine, QueryHandler queryHandler) {
+        return new GroupDefinition(TRAFFIC, TRAFFIC_TOPIC, voters, stateMachine, queryHandler);
+    }
 }
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dialect/RequestHead.java
@@ -0,0 +1,27 @@
+package org.cardamomthread.daemon.dialect;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.cardamomthread.core.id.RequestId;
+
+/**
+ * Holds what a caller's request says of itself. Immutable.
+ *
+ * @param requestId the identifier of this attempt of the client
+ * @param timeoutMs how long the client waits, in milliseconds, or empty if it does not say
+ * @param tokens prompt tokens and the most output tokens together, or empty for no model request
+ * @param promptTokens the tokens of the prompt, 0 for no model request
+ * @param prompt the parts of the prompt in order, empty if not given
+ */
+public record RequestHead(
+        RequestId requestId,
+        OptionalLong timeoutMs,
+        OptionalLong tokens,
+        long promptTokens,
+        List<PromptPart> prompt) {
+
+    /** Copies the parts. */
+    public RequestHead {
+        prompt = List.copyOf(prompt);
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
@@ -26,9 +26,9 @@
  */
 final class AttemptHandler implements AsyncHandler<Void>, EndpointAttempt {
 
-    private static final String REQUEST_ID_HEADER = "x-request-id";
     private static final int STATUS_NO_CONTENT = 204;
     private static final int STATUS_NOT_MODIFIED = 304;
+    private static final int FIRST_REFUSAL_STATUS = 400;
 
     /** The stages of an attempt; the end is reached from either of the others. */
     private enum Phase {
@@ -43,6 +43,7 @@
     private final TimeSource timeSource;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.CONNECTING);
     private volatile boolean headReceived;
+    private volatile boolean isConnectionReused;
     private volatile long lastProgressMs;
     private volatile Channel channel;
     private volatile Timeout deadline;
@@ -80,6 +81,7 @@
 
     @Override
     public void onConnectionPooled(Channel pooled) {
+        isConnectionReused = true;
         useChannel(pooled);
     }
 
@@ -104,14 +106,15 @@
         if (hasEnded()) {
             return State.ABORT;
         }
-        String answered = headers.get(REQUEST_ID_HEADER);
-        if (!request.requestId().value().equals(answered)) {
+        String correlationHeader = request.answerForm().correlationHeader();
+        String answered = headers.get(correlationHeader);
+        if (!isOwnAnswer(answered)) {
             String detail =
                     "the answer carries request id \"%s\" instead of \"%s\": have the endpoint"
-                            + " return the X-Request-Id of each request";
+                            + " return the %s of each request";
             fail(
                     Kind.MISMATCHED_ANSWER,
-                    String.format(detail, answered, request.requestId()),
+                    String.format(detail, answered, request.requestId(), correlationHeader),
                     null);
             return State.ABORT;
         }
@@ -169,12 +172,22 @@
         }
     }
 
+    private boolean isOwnAnswer(String answeredId) {
+        if (answeredId == null) {
+            return request.answerForm().mayOmitIdInRefusal()
+                    && !isConnectionReused
+                    && status >= FIRST_REFUSAL_STATUS;
+        }
+        return answeredId.equals(request.requestId().value());
+    }
+
     private boolean hasFraming(HttpHeaders headers) {
         boolean isBodyless =
                 status == STATUS_NO_CONTENT
                         || status == STATUS_NOT_MODIFIED
                         || "HEAD".equals(request.method().name());
         return isBodyless
+                || request.answerForm().mayEndWithConnection()
                 || headers.contains(HttpHeaderNames.CONTENT_LENGTH)
                 || headers.containsValue(
                         HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointRequest.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointRequest.java
@@ -19,6 +19,7 @@
  * @param firstByteTimeoutMs longest wait for the answer's head, in milliseconds
  * @param gapTimeoutMs longest wait between two parts of the answer, in milliseconds
  * @param mayStart asked right before the first byte is written; if false nothing is sent
+ * @param answerForm which answers are accepted
  */
 public record EndpointRequest(
         String address,
@@ -30,4 +31,5 @@
         boolean isRepeatable,
         long firstByteTimeoutMs,
         long gapTimeoutMs,
-        BooleanSupplier mayStart) {}
+        BooleanSupplier mayStart,
+        AnswerForm answerForm) {}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/PlatformCaller.java
@@ -0,0 +1,64 @@
+package org.cardamomthread.daemon.duty;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+import org.cardamomthread.daemon.dialect.PlatformCall;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Sends calls to the platform, each once. Safe for use by several threads. */
+public final class PlatformCaller implements AutoCloseable {
+
+    /** The platform may be slow; a call that is later than this is taken for lost. */
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(PlatformCaller.class);
+
+    private final AsyncHttpClient client;
+    private final String base;
+
+    /**
+     * Creates a caller.
+     *
+     * @param address the platform's interface as {@code ip:port}
+     * @param eventLoops run its connections; not closed with the caller
+     */
+    public PlatformCaller(String address, EventLoopGroup eventLoops) {
+        base = "http://" + address;
+        client =
+                Dsl.asyncHttpClient(
+                        Dsl.config()
+                                .setEventLoopGroup(eventLoops)
+                                .setConnectTimeout(TIMEOUT)
+                                .setRequestTimeout(TIMEOUT)
+                                .setMaxRequestRetry(0));
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param call the call
+     * @return completes with the status code, or fails if no answer came
+     */
+    public CompletableFuture<Integer> send(PlatformCall call) {
+        return client.preparePost(base + call.path())
+                .setHeaders(call.headers())
+                .setBody(call.body())
+                .execute()
+                .toCompletableFuture()
+                .thenApply(response -> response.getStatusCode());
+    }
+
+    @Override
+    public void close() {
+        try {
+            client.close();
+        } catch (IOException failure) {
+            LOGGER.warn("closing the platform's client failed", failure);
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetParts.java
@@ -0,0 +1,127 @@
+package org.cardamomthread.daemon.fleet;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.core.time.SuspendCountingTimeSource;
+import org.cardamomthread.core.time.SystemTimeSource;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.http.HttpCall;
+import org.cardamomthread.daemon.http.HttpHandler;
+import org.cardamomthread.daemon.http.HttpLimits;
+import org.cardamomthread.daemon.http.HttpReply;
+import org.cardamomthread.daemon.http.HttpServer;
+import org.cardamomthread.daemon.telemetry.DecisionLog;
+import org.cardamomthread.daemon.telemetry.NodeMetrics;
+import org.cardamomthread.transport.NettyPeerTransport;
+import org.cardamomthread.transport.TransportListener;
+import org.cardamomthread.transport.TransportSettings;
+
+/**
+ * Holds what both roles are built from: clocks, event loop, links to other nodes, log and metrics.
+ * Safe for use by several threads.
+ */
+final class FleetParts implements AutoCloseable {
+
+    /** One loop: a host has one core, and the state of a gateway stays on one thread. */
+    private static final int EVENT_LOOP_THREADS = 1;
+
+    private static final int MAX_HEADER_BYTES = 64 * 1024;
+    private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+    /** Longer than callers may stay idle, so that they close first. */
+    private static final long IDLE_TIMEOUT_MS = 60_000;
+
+    private static final long BODY_TIMEOUT_MS = 20_000;
+    private static final int MAX_CONNECTIONS = 3_000;
+
+    private final FleetSettings settings;
+    private final TimeSource timeSource = new SuspendCountingTimeSource(new SystemTimeSource());
+    private final long incarnation = timeSource.millis();
+    private final SplittableRandom random = new SplittableRandom(incarnation);
+    private final NodeMetrics metrics = new NodeMetrics();
+    private final DecisionLog log = new DecisionLog(timeSource);
+    private final EventLoopGroup eventLoops;
+    private final NettyPeerTransport transport;
+
+    @SuppressWarnings("deprecation")
+    FleetParts(FleetSettings settings) {
+        this.settings = settings;
+        eventLoops = new NioEventLoopGroup(EVENT_LOOP_THREADS);
+        transport =
+                new NettyPeerTransport(
+                        settings.nodeId(),
+                        incarnation,
+                        new NetworkAddress(settings.ip(), settings.peerPort()).toSocketAddress(),
+                        settings.peerKey().getBytes(StandardCharsets.UTF_8),
+                        timeSource,
+                        TransportSettings.defaults(),
+                        TransportListener.NONE);
+    }
+
+    FleetSettings settings() {
+        return settings;
+    }
+
+    TimeSource timeSource() {
+        return timeSource;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    SplittableRandom random() {
+        return random;
+    }
+
+    NodeMetrics metrics() {
+        return metrics;
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+
+    EventLoopGroup eventLoops() {
+        return eventLoops;
+    }
+
+    NettyPeerTransport transport() {
+        return transport;
+    }
+
+    HttpServer createServer(String name, HttpHandler handler) {
+        HttpLimits limits =
+                new HttpLimits(
+                        MAX_HEADER_BYTES,
+                        MAX_BODY_BYTES,
+                        BODY_TIMEOUT_MS,
+                        IDLE_TIMEOUT_MS,
+                        MAX_CONNECTIONS);
+        return new HttpServer(name, eventLoops, limits, handler);
+    }
+
+    HttpServer createMetricsServer() {
+        return createServer(
+                "metrics",
+                exchange -> {
+                    HttpCall call = exchange.getCall();
+                    exchange.respond(
+                            "/metrics".equals(call.path())
+                                    ? HttpReply.create(
+                                            200,
+                                            "text/plain; version=0.0.4; charset=utf-8",
+                                            metrics.render())
+                                    : HttpReply.createText(404, "see /metrics\n"));
+                });
+    }
+
+    @Override
+    public void close() {
+        transport.close();
+        eventLoops.shutdownGracefully();
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FolderFailureException.java
@@ -0,0 +1,14 @@
+package org.cardamomthread.daemon.fleet;
+
+import java.nio.file.Path;
+import org.cardamomthread.replication.StorageException;
+
+/** Reports that the data folder of a control node cannot be used. */
+final class FolderFailureException extends StorageException {
+
+    private static final long serialVersionUID = 1L;
+
+    FolderFailureException(Path folder, Exception cause) {
+        super("data folder " + folder + " is unusable (" + cause + "): make it writable", cause);
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointState.java
@@ -0,0 +1,112 @@
+package org.cardamomthread.daemon.forwarding;
+
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.daemon.dialect.LoadReport;
+import org.cardamomthread.daemon.view.ViewedEndpoint;
+
+/**
+ * Holds what this gateway has seen of one start of an endpoint. Used by one thread at a time.
+ *
+ * <p>Load is estimated as the endpoint's last own figure plus what was sent from here since, and
+ * falls back to this gateway's own requests scaled by the number of gateways when that figure is
+ * old.
+ */
+final class EndpointState {
+
+    /** Age at which a load figure says less than the own requests. */
+    private static final long LOAD_VALID_MS = 1_500;
+
+    /** First pause after a failed connection; doubled by each further failure. */
+    private static final long FIRST_AVOIDANCE_MS = 250;
+
+    private static final long LONGEST_AVOIDANCE_MS = 4_000;
+
+    private ViewedEndpoint endpoint;
+    private LeakyShare coldShare;
+    private int inFlight;
+    private int startedSinceReport;
+    private LoadReport load;
+    private long loadMs;
+    private long avoidUntilMs;
+    private int failures;
+
+    EndpointState(ViewedEndpoint endpoint) {
+        this.endpoint = endpoint;
+    }
+
+    ViewedEndpoint endpoint() {
+        return endpoint;
+    }
+
+    EndpointId id() {
+        return endpoint.report().id();
+    }
+
+    void update(ViewedEndpoint newEndpoint) {
+        endpoint = newEndpoint;
+    }
+
+    void begin() {
+        inFlight++;
+        startedSinceReport++;
+    }
+
+    void end() {
+        inFlight--;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    void reportLoad(LoadReport report, long nowMs) {
+        load = report;
+        loadMs = nowMs;
+        startedSinceReport = 0;
+    }
+
+    void succeed() {
+        failures = 0;
+        avoidUntilMs = 0;
+    }
+
+    void fail(long nowMs) {
+        long pauseMs = FIRST_AVOIDANCE_MS << Math.min(failures, 4);
+        failures++;
+        avoidUntilMs = nowMs + Math.min(LONGEST_AVOIDANCE_MS, pauseMs);
+    }
+
+    boolean isAvoided(long nowMs) {
+        return nowMs < avoidUntilMs;
+    }
+
+    boolean isCold(long nowMs) {
+        return nowMs < endpoint.coldUntilMs();
+    }
+
+    void becomeCold(long untilMs) {
+        endpoint = new ViewedEndpoint(endpoint.report(), Math.max(endpoint.coldUntilMs(), untilMs));
+    }
+
+    /** Takes one request of this gateway's share of what a cold endpoint bears. */
+    boolean tryTakeCold(double ratePerS, long nowMs) {
+        if (coldShare == null) {
+            coldShare = new LeakyShare(ratePerS, 1, 0, nowMs);
+        }
+        coldShare.resize(ratePerS, 1, nowMs);
+        return coldShare.tryTake(1, nowMs);
+    }
+
+    /** Estimates the requests that the endpoint holds, of all gateways. */
+    double estimateLoad(int gateways, long nowMs) {
+        double scaled = (double) inFlight * Math.max(1, gateways);
+        if (load == null || nowMs - loadMs > LOAD_VALID_MS) {
+            return scaled;
+        }
+        return Math.max(inFlight, load.running() + load.waiting() + startedSinceReport);
+    }
+
+    int slots() {
+        return Math.max(1, endpoint.report().slots());
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -0,0 +1,77 @@
+package org.cardamomthread.daemon.forwarding;
+
+import java.util.Collection;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.daemon.dialect.RequestHead;
+import org.cardamomthread.daemon.telemetry.DecisionLog;
+import org.cardamomthread.daemon.view.ViewLease;
+
+/** Writes the decisions on requests to the log, with what they were based on. */
+final class ForwardingLog {
+
+    private final DecisionLog log;
+    private final ViewLease lease;
+
+    ForwardingLog(DecisionLog log, ViewLease lease) {
+        this.log = log;
+        this.lease = lease;
+    }
+
+    void logRefusal(RequestHead head, String reason, int status, long viewRevision) {
+        log.write(
+                "request-refused",
+                "request",
+                head.requestId(),
+                "reason",
+                reason,
+                "status",
+                status,
+                "viewRevision",
+                viewRevision,
+                "viewAgeMs",
+                lease.ageMs());
+    }
+
+    void logAttempt(AdmittedRequest request, EndpointId endpoint, String result, String detail) {
+        log.write(
+                "attempt-failed",
+                "request",
+                request.head().requestId(),
+                "route",
+                request.route().id(),
+                "endpoint",
+                endpoint,
+                "result",
+                result,
+                "detail",
+                detail);
+    }
+
+    void logEnd(
+            AdmittedRequest request,
+            String outcome,
+            int sends,
+            Collection<EndpointId> endpoints,
+            long elapsedMs) {
+        log.write(
+                "answered".equals(outcome) ? "request-answered" : "request-failed",
+                "request",
+                request.head().requestId(),
+                "route",
+                request.route().id(),
+                "service",
+                request.service().id(),
+                "outcome",
+                outcome,
+                "sends",
+                sends,
+                "endpoints",
+                endpoints,
+                "elapsedMs",
+                elapsedMs,
+                "viewRevision",
+                request.view().revision(),
+                "viewAgeMs",
+                lease.ageMs());
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/QuotaLedger.java
@@ -0,0 +1,85 @@
+package org.cardamomthread.daemon.forwarding;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.cardamomthread.configuration.traffic.TrafficAccount;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.view.GatewayView;
+
+/**
+ * Holds this gateway's shares of the accounts' quotas.
+ *
+ * <p>Invariant: what all gateways admit is bounded by the quota as long as their shares add up to
+ * one; a gateway without a share takes an even one. Used by one thread at a time.
+ */
+final class QuotaLedger {
+
+    /** Gateways assumed until the control nodes have told how many share the limits. */
+    private static final int ASSUMED_GATEWAYS = 16;
+
+    private final TimeSource timeSource;
+    private final Map<ClientAccountId, LeakyShare> buckets = new HashMap<>();
+    private final Map<ClientAccountId, DemandMeter> demands = new HashMap<>();
+
+    QuotaLedger(TimeSource timeSource) {
+        this.timeSource = timeSource;
+    }
+
+    /** Takes the shares of a new view over. */
+    void follow(GatewayView view) {
+        view.routes()
+                .ifPresent(
+                        routes ->
+                                routes.document().accounts().stream()
+                                        .filter(account -> account.ratePerS() > 0)
+                                        .forEach(account -> resize(account, view)));
+    }
+
+    /** Takes the amount of a request from its account's share, if it is there. */
+    boolean tryTake(TrafficAccount account, double amount) {
+        if (account.ratePerS() <= 0) {
+            return true;
+        }
+        long nowMs = timeSource.monotonicMs();
+        demands.computeIfAbsent(account.id(), id -> new DemandMeter(nowMs)).add(amount, nowMs);
+        LeakyShare bucket = buckets.get(account.id());
+        return bucket != null && bucket.tryTake(amount, nowMs);
+    }
+
+    /** Gives back what a request took that will never run. */
+    void giveBack(TrafficAccount account, double amount) {
+        LeakyShare bucket = buckets.get(account.id());
+        if (account.ratePerS() > 0 && bucket != null) {
+            bucket.add(amount);
+        }
+    }
+
+    /** Returns the time until a request of this amount would be admitted, in milliseconds. */
+    long waitMs(TrafficAccount account, double amount) {
+        LeakyShare bucket = buckets.get(account.id());
+        return bucket == null ? 0 : bucket.waitMs(amount, timeSource.monotonicMs());
+    }
+
+    /** Reports the demand of each account, in quota units a second. */
+    void report(BiConsumer<ClientAccountId, Double> sink) {
+        long nowMs = timeSource.monotonicMs();
+        demands.forEach((account, meter) -> sink.accept(account, meter.ratePerS(nowMs)));
+    }
+
+    private void resize(TrafficAccount account, GatewayView view) {
+        long nowMs = timeSource.monotonicMs();
+        demands.computeIfAbsent(account.id(), id -> new DemandMeter(nowMs));
+        int gateways = view.gateways() > 0 ? view.gateways() : ASSUMED_GATEWAYS;
+        double share = view.shares().getOrDefault(account.id(), 1.0 / gateways);
+        double ratePerS = account.ratePerS() * share;
+        double capacity = account.burst() * share;
+        LeakyShare bucket = buckets.get(account.id());
+        if (bucket == null) {
+            buckets.put(account.id(), new LeakyShare(ratePerS, capacity, capacity, nowMs));
+        } else {
+            bucket.resize(ratePerS, capacity, nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Refusals.java
@@ -0,0 +1,31 @@
+package org.cardamomthread.daemon.forwarding;
+
+import java.util.OptionalLong;
+import org.cardamomthread.daemon.dialect.PlatformDialect;
+import org.cardamomthread.daemon.dialect.RequestHead;
+import org.cardamomthread.daemon.http.HttpReply;
+import org.cardamomthread.daemon.http.Problem;
+import org.cardamomthread.execution.ExecutionStatus;
+
+/** Renders refusals as answers. Stateless. */
+final class Refusals {
+
+    private Refusals() {}
+
+    static HttpReply toReply(PlatformDialect dialect, RequestHead head, Refusal refusal) {
+        ExecutionStatus execution =
+                refusal.promisesNotRun() ? ExecutionStatus.NOT_RUN : ExecutionStatus.UNKNOWN;
+        Problem problem =
+                new Problem(
+                        refusal.status(),
+                        refusal.type(),
+                        refusal.title(),
+                        refusal.detail(),
+                        execution,
+                        OptionalLong.empty());
+        HttpReply reply = problem.toReply(head.requestId().value());
+        refusal.retryAfterMs()
+                .ifPresent(delayMs -> reply.with("retry-after", dialect.encodeRetryAfter(delayMs)));
+        return reply;
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/UsageCounter.java
@@ -0,0 +1,51 @@
+package org.cardamomthread.daemon.forwarding;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cardamomthread.configuration.traffic.generated.UsageWindow;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.time.TimeSource;
+
+/**
+ * Counts the requests that began to run, by accounting window and account. Used by one thread at a
+ * time.
+ */
+final class UsageCounter {
+
+    /** Windows that are reported again and again, so that a new leader learns them too. */
+    private static final int REPORTED_WINDOWS = 5;
+
+    private final TimeSource timeSource;
+    private final long windowMs;
+    private final TreeMap<Long, Map<String, Long>> windows = new TreeMap<>();
+
+    UsageCounter(TimeSource timeSource, long windowS) {
+        this.timeSource = timeSource;
+        this.windowMs = Duration.ofSeconds(windowS).toMillis();
+    }
+
+    /** Counts a request whose answer has just begun. */
+    void count(ClientAccountId account) {
+        long window = timeSource.millis() / windowMs;
+        windows.computeIfAbsent(window, number -> new TreeMap<>())
+                .merge(account.value(), 1L, Long::sum);
+    }
+
+    /** Lists the latest windows. */
+    List<UsageWindow> report() {
+        long oldest = timeSource.millis() / windowMs - REPORTED_WINDOWS;
+        windows.headMap(oldest).clear();
+        List<UsageWindow> messages = new ArrayList<>();
+        windows.forEach(
+                (window, counts) ->
+                        messages.add(
+                                UsageWindow.newBuilder()
+                                        .setWindow(window)
+                                        .putAllCounts(counts)
+                                        .build()));
+        return messages;
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptRunner.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptRunner.java
@@ -1,15 +1,14 @@
 package org.cardamomthread.daemon.gateway;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
-import java.util.Locale;
-import java.util.Set;
+import org.cardamomthread.daemon.dispatch.AnswerForm;
 import org.cardamomthread.daemon.dispatch.EndpointAttempt;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.dispatch.EndpointRequest;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
+import org.cardamomthread.daemon.http.EndToEndHeaders;
 import org.cardamomthread.daemon.http.HttpCall;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
 
@@ -20,21 +19,6 @@
  */
 final class AttemptRunner {
 
-    /** Headers of one connection, which must not go on to the next one. */
-    private static final Set<String> HOP_HEADERS =
-            Set.of(
-                    "connection",
-                    "keep-alive",
-                    "proxy-authenticate",
-                    "proxy-authorization",
-                    "te",
-                    "trailer",
-                    "transfer-encoding",
-                    "upgrade",
-                    "host",
-                    "content-length",
-                    "expect");
-
     private final EndpointClient client;
     private final NodeTracing tracing;
 
@@ -71,29 +55,20 @@
                         scope.getTarget().isRepeatable(),
                         scope.getTarget().traffic().getFirstByteTimeoutMs(),
                         scope.getTarget().traffic().getGapTimeoutMs(),
-                        placed::mayStart);
+                        placed::mayStart,
+                        AnswerForm.STANDARD);
         return client.start(request, new SpanEndingListener(span, listener));
     }
 
     /** Copies the headers of an answer that may go on to the caller. */
     static HttpHeaders createCallerHeaders(HttpHeaders answered) {
-        return copyEndToEnd(answered);
+        return EndToEndHeaders.copy(answered);
     }
 
     private static HttpHeaders createHeaders(HttpHeaders received) {
-        HttpHeaders headers = copyEndToEnd(received);
+        HttpHeaders headers = EndToEndHeaders.copy(received);
+        headers.remove("host");
         headers.remove("authorization");
         return headers;
     }
-
-    private static HttpHeaders copyEndToEnd(HttpHeaders received) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        received.forEach(
-                header -> {
-                    if (!HOP_HEADERS.contains(header.getKey().toLowerCase(Locale.ROOT))) {
-                        headers.add(header.getKey(), header.getValue());
-                    }
-                });
-        return headers;
-    }
 }
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointRegister.java
@@ -0,0 +1,167 @@
+package org.cardamomthread.daemon.registry;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.dialect.EndpointReport;
+
+/**
+ * Keeps the newest report of each endpoint, and counts the changes that gateways must learn.
+ *
+ * <p>Invariants: of one start of an endpoint a later report replaces an earlier one only; an
+ * endpoint that is leaving stays so until it starts anew; an address belongs to the endpoint that
+ * was started last. Used by one thread at a time.
+ */
+public final class EndpointRegister {
+
+    /** Reports may be seconds late on the platforms known; a silent endpoint is then kept out. */
+    static final long SILENT_AFTER_MS = 6_000;
+
+    /** How long an end is remembered, so that a late report does not bring the endpoint back. */
+    static final long FORGET_AFTER_MS = 120_000;
+
+    private static final long COLD_TOLERANCE_MS = 500;
+
+    private final TimeSource timeSource;
+    private final Map<EndpointId, RegisteredEndpoint> endpoints = new HashMap<>();
+    private final Map<NetworkAddress, EndpointId> owners = new HashMap<>();
+    private long revision = 1;
+
+    /**
+     * Creates an empty register.
+     *
+     * @param timeSource the clock
+     */
+    public EndpointRegister(TimeSource timeSource) {
+        this.timeSource = timeSource;
+    }
+
+    /**
+     * Takes a report in.
+     *
+     * @param received the report
+     * @return the entry in force, or empty if the report was older than what is known
+     */
+    public Optional<RegisteredEndpoint> accept(EndpointReport received) {
+        RegisteredEndpoint known = endpoints.get(received.id());
+        if (known != null && isOlder(received, known)) {
+            return Optional.empty();
+        }
+        if (!claimAddress(received)) {
+            return Optional.empty();
+        }
+        boolean isSameStart = known != null && known.report().bornMs() == received.bornMs();
+        EndpointReport report =
+                isSameStart && known.report().isLeaving() ? received.asLeaving() : received;
+        long nowMs = timeSource.monotonicMs();
+        RegisteredEndpoint entry =
+                new RegisteredEndpoint(report, false, false, nowMs, nowMs + report.coldMs(), 0);
+        boolean isChange = known == null || known.isSilent() || hasChanged(known, entry);
+        entry = entry.withRevision(isChange ? ++revision : known.revision());
+        endpoints.put(report.id(), entry);
+        return Optional.of(entry);
+    }
+
+    /**
+     * Takes in that an endpoint ends.
+     *
+     * @param endpoint the endpoint
+     * @param bornMs which start is meant, in milliseconds since 1970, 0 for the one that is known
+     * @return the entry that has ended, or empty if that start is not known
+     */
+    public Optional<RegisteredEndpoint> remove(EndpointId endpoint, long bornMs) {
+        RegisteredEndpoint known = endpoints.get(endpoint);
+        boolean isMeant = known != null && (bornMs == 0 || bornMs >= known.report().bornMs());
+        if (!isMeant) {
+            return Optional.empty();
+        }
+        if (!known.isGone()) {
+            known = known.asGone(timeSource.monotonicMs(), ++revision);
+            endpoints.put(endpoint, known);
+        }
+        return Optional.of(known);
+    }
+
+    /** Marks endpoints that have fallen silent, and forgets those not heard of for long. */
+    public void expire() {
+        long nowMs = timeSource.monotonicMs();
+        for (RegisteredEndpoint entry : List.copyOf(endpoints.values())) {
+            long silenceMs = nowMs - entry.heardMs();
+            if (silenceMs > FORGET_AFTER_MS) {
+                owners.remove(entry.report().address(), entry.report().id());
+                endpoints.remove(entry.report().id());
+            } else if (silenceMs > SILENT_AFTER_MS && !entry.isSilent() && !entry.isGone()) {
+                endpoints.put(entry.report().id(), entry.asSilent(++revision));
+            }
+        }
+    }
+
+    /**
+     * Returns the number of the last change.
+     *
+     * @return the revision, rising from 1
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Lists the endpoints that gateways may know: heard of lately and not ended.
+     *
+     * @return the entries, in no order
+     */
+    public Collection<RegisteredEndpoint> present() {
+        return endpoints.values().stream().filter(RegisteredEndpoint::isPresent).toList();
+    }
+
+    /**
+     * Lists the entries that have changed.
+     *
+     * @param since a revision of this register
+     * @return the entries with later changes, present or not
+     */
+    public Collection<RegisteredEndpoint> changedSince(long since) {
+        return endpoints.values().stream().filter(entry -> entry.revision() > since).toList();
+    }
+
+    private static boolean isOlder(EndpointReport received, RegisteredEndpoint known) {
+        EndpointReport report = known.report();
+        if (received.bornMs() != report.bornMs()) {
+            return received.bornMs() < report.bornMs();
+        }
+        return known.isGone() || received.sequence() < report.sequence();
+    }
+
+    /** Gives the address to the endpoint started last; tells whether the report may be kept. */
+    private boolean claimAddress(EndpointReport received) {
+        EndpointId owner = owners.get(received.address());
+        RegisteredEndpoint other = owner == null ? null : endpoints.get(owner);
+        if (other != null && !owner.equals(received.id()) && !other.isGone()) {
+            if (other.report().bornMs() > received.bornMs()) {
+                return false;
+            }
+            remove(owner, 0);
+        }
+        owners.put(received.address(), received.id());
+        return true;
+    }
+
+    private static boolean hasChanged(RegisteredEndpoint known, RegisteredEndpoint entry) {
+        EndpointReport before = known.report();
+        EndpointReport after = entry.report();
+        return before.bornMs() != after.bornMs()
+                || before.isLeaving() != after.isLeaving()
+                || before.slots() != after.slots()
+                || !before.address().equals(after.address())
+                || !before.service().equals(after.service())
+                || !before.version().equals(after.version())
+                || !before.dataCentre().equals(after.dataCentre())
+                || Math.abs(known.coldUntilMs() - entry.coldUntilMs()) > COLD_TOLERANCE_MS
+                        && Math.max(known.coldUntilMs(), entry.coldUntilMs()) > entry.heardMs();
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/DefaultForwardingMetrics.java
@@ -0,0 +1,38 @@
+package org.cardamomthread.daemon.telemetry;
+
+import org.cardamomthread.core.id.ServiceId;
+
+/** Counts forwarded requests in the node's metrics. Safe for use by several threads. */
+public final class DefaultForwardingMetrics implements ForwardingMetrics {
+
+    private final NodeMetrics metrics;
+
+    /**
+     * Creates the counters.
+     *
+     * @param metrics the node's metrics
+     */
+    public DefaultForwardingMetrics(NodeMetrics metrics) {
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void begin(ServiceId service) {
+        metrics.beginRequest(service);
+    }
+
+    @Override
+    public void end(ServiceId service, String outcome, long elapsedMs) {
+        metrics.endRequest(service, outcome, elapsedMs);
+    }
+
+    @Override
+    public void countAttempt(ServiceId service, String result) {
+        metrics.countAttempt(service, result);
+    }
+
+    @Override
+    public void refuse(String reason) {
+        metrics.countRefusal(reason);
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
@@ -34,6 +34,7 @@
     private final Counter recomputedTokens;
     private final Counter tokens;
     private final Counter peerBytes;
+    private final Counter refusals;
     private final Gauge inProgress;
 
     /** Creates the metrics, all zero. */
@@ -69,6 +70,11 @@
                         "cardamomthread_peer_bytes_total",
                         "Bytes exchanged with other nodes",
                         "direction");
+        refusals =
+                createCounter(
+                        "cardamomthread_refusals_total",
+                        "Requests refused before they were admitted, by reason",
+                        "reason");
         inProgress =
                 Gauge.builder()
                         .name("cardamomthread_requests_in_progress")
@@ -119,6 +125,15 @@
         attempts.labelValues(service.value(), result).inc();
     }
 
+    /**
+     * Counts a request that was refused before it was admitted.
+     *
+     * @param reason a fixed name of the reason
+     */
+    public void countRefusal(String reason) {
+        refusals.labelValues(reason).inc();
+    }
+
     /**
      * Counts tokens sent to a caller.
      *
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/EndpointEntries.java
@@ -0,0 +1,59 @@
+package org.cardamomthread.daemon.view;
+
+import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.daemon.dialect.EndpointReport;
+import org.cardamomthread.daemon.view.generated.EndpointEntry;
+
+/** Converts reports of endpoints to messages between nodes and back. Stateless. */
+public final class EndpointEntries {
+
+    private EndpointEntries() {}
+
+    /**
+     * Encodes a report.
+     *
+     * @param report the report
+     * @param coldMs how long the endpoint stays cold from now, in milliseconds
+     * @return the message
+     */
+    public static EndpointEntry encode(EndpointReport report, long coldMs) {
+        return EndpointEntry.newBuilder()
+                .setId(report.id().value())
+                .setBornMs(report.bornMs())
+                .setSequence(report.sequence())
+                .setService(report.service().value())
+                .setAddress(report.address().toString())
+                .setDataCentre(report.dataCentre().value())
+                .setVersion(report.version().value())
+                .setSlots(report.slots())
+                .setLeaving(report.isLeaving())
+                .setColdMs(coldMs)
+                .setReclaimable(report.isReclaimable())
+                .build();
+    }
+
+    /**
+     * Decodes a report.
+     *
+     * @param entry the message
+     * @return the report
+     */
+    public static EndpointReport decode(EndpointEntry entry) {
+        return new EndpointReport(
+                new EndpointId(entry.getId()),
+                entry.getBornMs(),
+                entry.getSequence(),
+                new ServiceId(entry.getService()),
+                NetworkAddress.parse(entry.getAddress()),
+                new DataCentreId(entry.getDataCentre()),
+                new VersionId(entry.getVersion()),
+                entry.getSlots(),
+                entry.getLeaving(),
+                entry.getColdMs(),
+                entry.getReclaimable());
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
@@ -0,0 +1,186 @@
+package org.cardamomthread.daemon.view;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.cardamomthread.configuration.traffic.generated.TrafficState;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.control.TrafficReplica;
+import org.cardamomthread.daemon.registry.EndpointRegister;
+import org.cardamomthread.daemon.registry.RegisteredEndpoint;
+import org.cardamomthread.daemon.view.generated.EndpointEntry;
+import org.cardamomthread.daemon.view.generated.ViewRequest;
+import org.cardamomthread.daemon.view.generated.ViewResponse;
+import org.cardamomthread.replication.NotLeaderException;
+import org.cardamomthread.replication.ReplicationGroup;
+import org.cardamomthread.transport.PeerTopic;
+
+/**
+ * Answers the gateways' requests for the view, on the node that leads.
+ *
+ * <p>Invariant: an answer is given only after the leader's lease has been confirmed later than the
+ * request came, so it includes each change acknowledged before the request was sent. Requests are
+ * handled on the control thread.
+ */
+public final class ViewServer {
+
+    /** Carries the gateways' requests. */
+    public static final PeerTopic TOPIC = new PeerTopic(20, "view");
+
+    /** Time that the gateways are given to report to a new leader before it divides shares anew. */
+    static final Duration SETTLING = Duration.ofMillis(1_500);
+
+    private final TrafficReplica replica;
+    private final Supplier<Optional<ReplicationGroup>> group;
+    private final EndpointRegister register;
+    private final GatewayReports reports;
+    private final Supplier<List<NodeId>> controlNodes;
+    private final ControlThread control;
+    private final TimeSource timeSource;
+    private final String registerSource;
+    private long leaderTerm = -1;
+    private long leaderSinceMs;
+
+    /**
+     * Creates a server.
+     *
+     * @param replica the traffic state on this node
+     * @param group this node's replica of the group, empty while or if it has none
+     * @param register the endpoints, used on the control thread
+     * @param reports what gateways report, used on the control thread
+     * @param controlNodes lists the control nodes known
+     * @param control runs the answers
+     * @param timeSource the clock
+     * @param registerSource names this start of this node
+     */
+    public ViewServer(
+            TrafficReplica replica,
+            Supplier<Optional<ReplicationGroup>> group,
+            EndpointRegister register,
+            GatewayReports reports,
+            Supplier<List<NodeId>> controlNodes,
+            ControlThread control,
+            TimeSource timeSource,
+            String registerSource) {
+        this.replica = replica;
+        this.group = group;
+        this.register = register;
+        this.reports = reports;
+        this.controlNodes = controlNodes;
+        this.control = control;
+        this.timeSource = timeSource;
+        this.registerSource = registerSource;
+    }
+
+    /**
+     * Answers a request.
+     *
+     * @param from the gateway
+     * @param payload the encoded {@link ViewRequest}
+     * @return the encoded {@link ViewResponse}
+     */
+    public CompletionStage<byte[]> handle(NodeId from, byte[] payload) {
+        ViewRequest request;
+        try {
+            request = ViewRequest.parseFrom(payload);
+        } catch (InvalidProtocolBufferException e) {
+            return CompletableFuture.completedFuture(
+                    refuse("unreadable request: run one release on all nodes", Optional.empty()));
+        }
+        Optional<ReplicationGroup> local = group.get();
+        if (local.isEmpty()) {
+            return CompletableFuture.completedFuture(
+                    refuse("this node does not vote", Optional.empty()));
+        }
+        return local.get()
+                .readBarrier()
+                .thenCompose(index -> control.submit(() -> answer(from, request, local.get())))
+                .exceptionally(this::refuse);
+    }
+
+    /**
+     * Tells whether this node has led long enough to know the gateways.
+     *
+     * @return true if shares and sums of reports are meaningful
+     */
+    public boolean isSettled() {
+        return leaderTerm >= 0 && timeSource.monotonicMs() - leaderSinceMs >= SETTLING.toMillis();
+    }
+
+    private byte[] answer(NodeId from, ViewRequest request, ReplicationGroup local) {
+        noteTerm(local.status().term());
+        reports.accept(from, request);
+        TrafficState state = replica.getState();
+        ViewResponse.Builder response =
+                ViewResponse.newBuilder()
+                        .setStateRevision(state.getRevision())
+                        .setRegisterSource(registerSource)
+                        .setRegisterRevision(register.revision());
+        if (request.getStateRevision() != state.getRevision()) {
+            response.setState(withoutWindows(state));
+        }
+        addEndpoints(request, response);
+        controlNodes.get().forEach(node -> response.addControlNodes(node.value()));
+        if (isSettled()) {
+            response.setGateways(reports.countPresent());
+            response.putAllShares(reports.computeShares(from));
+        }
+        return response.build().toByteArray();
+    }
+
+    private void noteTerm(long term) {
+        if (term != leaderTerm) {
+            leaderTerm = term;
+            leaderSinceMs = timeSource.monotonicMs();
+            reports.clear();
+        }
+    }
+
+    private void addEndpoints(ViewRequest request, ViewResponse.Builder response) {
+        boolean isKnown = request.getRegisterSource().equals(registerSource);
+        response.setRegisterComplete(!isKnown);
+        Collection<RegisteredEndpoint> entries =
+                isKnown ? register.changedSince(request.getRegisterRevision()) : register.present();
+        for (RegisteredEndpoint entry : entries) {
+            if (entry.isPresent()) {
+                response.addEndpoints(encode(entry));
+            } else {
+                response.addRemoved(entry.report().id().value());
+            }
+        }
+    }
+
+    private EndpointEntry encode(RegisteredEndpoint entry) {
+        long coldMs = Math.max(0, entry.coldUntilMs() - timeSource.monotonicMs());
+        return EndpointEntries.encode(entry.report(), coldMs);
+    }
+
+    private byte[] refuse(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        Optional<NodeId> leader =
+                cause instanceof NotLeaderException notLeader
+                        ? notLeader.leader()
+                        : Optional.empty();
+        return refuse(String.valueOf(cause.getMessage()), leader);
+    }
+
+    private static byte[] refuse(String reason, Optional<NodeId> leader) {
+        return ViewResponse.newBuilder()
+                .setRefusal(reason)
+                .setLeader(leader.map(NodeId::value).orElse(""))
+                .build()
+                .toByteArray();
+    }
+
+    private static TrafficState withoutWindows(TrafficState state) {
+        return state.toBuilder().clearWindows().build();
+    }
+}
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
@@ -166,7 +166,8 @@
                 isRepeatable,
                 DEADLINE_MS,
                 DEADLINE_MS,
-                () -> mayStart);
+                () -> mayStart,
+                AnswerForm.STANDARD);
     }
 
     /** What a listener heard. */
