--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -15,6 +15,7 @@
 import org.cardamomthread.daemon.duty.DutyLease;
 import org.cardamomthread.daemon.duty.MoveDuty;
 import org.cardamomthread.daemon.duty.PlatformCaller;
+import org.cardamomthread.daemon.duty.ScalingDuty;
 import org.cardamomthread.daemon.duty.UsageDuty;
 import org.cardamomthread.daemon.http.HttpServer;
 import org.cardamomthread.daemon.http.ListenException;
@@ -49,6 +50,7 @@
     private final ControlThread control = new ControlThread("control");
     private final TrafficReplica replica = new TrafficReplica();
     private final ControlDirectory directory;
+    private final EndpointRegister register;
     private final GatewayReports reports;
     private final ViewServer views;
     private final EndpointNewsFeed endpoints;
@@ -63,7 +65,7 @@
         FleetSettings settings = parts.settings();
         TimeSource timeSource = parts.timeSource();
         directory = new ControlDirectory(settings, parts.transport(), timeSource);
-        EndpointRegister register = new EndpointRegister(timeSource);
+        register = new EndpointRegister(timeSource);
         reports =
                 new GatewayReports(
                         timeSource, settings.limits().viewLeaseMs() + PRESENCE_MARGIN_MS);
@@ -203,6 +205,7 @@
         ProposalClient lateBound = new LateBoundProposals(this::proposals);
         new MoveDuty(lease, views, reports, replica, lateBound, parts.timeSource(), parts.log())
                 .start(control);
+        platform.ifPresent(caller -> startScaling(caller, lease));
         platform.ifPresent(
                 caller ->
                         new UsageDuty(
@@ -221,6 +224,21 @@
                                 .start(control));
     }
 
+    private void startScaling(PlatformCaller caller, DutyLease lease) {
+        new ScalingDuty(
+                        new ScalingDuty.Environment(
+                                lease,
+                                views,
+                                reports,
+                                replica,
+                                register,
+                                dialect,
+                                caller,
+                                parts.timeSource(),
+                                parts.log()))
+                .start(control);
+    }
+
     private void addGauges() {
         parts.metrics()
                 .addGauge(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
@@ -10,6 +10,9 @@
  * @param repeatRatio further sends that each first send allows
  * @param repeatExtra further sends allowed besides, over all gateways and one window
  * @param repeatWindowS the window of further sends, in seconds
+ * @param quotaWindowS the window over which quotas are judged, in seconds
+ * @param quotaOvershoot part of a quota by which all gateways together may exceed it
+ * @param quotaSlack quota units by which they may exceed it besides
  * @param usageWindowS the length of an accounting window, in seconds
  * @param usageLateS time after its end by which a window must be reported, in seconds
  */
@@ -20,6 +23,9 @@
         double repeatRatio,
         double repeatExtra,
         double repeatWindowS,
+        double quotaWindowS,
+        double quotaOvershoot,
+        double quotaSlack,
         long usageWindowS,
         long usageLateS) {
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -126,6 +126,9 @@
                 fraction("/limits/repeatRatio"),
                 fraction("/limits/repeatExtra"),
                 fraction("/limits/repeatWindowS"),
+                fraction("/limits/quotaWindowS"),
+                fraction("/limits/quotaOvershoot"),
+                fraction("/limits/quotaSlack"),
                 number("/limits/usageWindowS", 1, Long.MAX_VALUE),
                 number("/limits/usageLateS", 1, Long.MAX_VALUE));
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -121,7 +121,7 @@
                 .addKeyValue("requests", callers.getRequestsInProgress())
                 .log("gateway stops; open requests are finished");
         sleepUntil(startMs + UNREADY_MS);
-        callers.stopAccepting();
+        callers.stopTakingRequests();
         while (callers.getRequestsInProgress() > 0 && parts.timeSource().monotonicMs() < endMs) {
             sleep(POLL_INTERVAL_MS);
         }
@@ -179,6 +179,9 @@
                 limits.repeatRatio(),
                 limits.repeatExtra(),
                 limits.repeatWindowS(),
+                limits.quotaWindowS(),
+                limits.quotaOvershoot(),
+                limits.quotaSlack(),
                 limits.usageWindowS());
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -64,6 +64,7 @@
     void start() {
         long remainingMs = request.deadlineMs() - services.timeSource().monotonicMs();
         deadline = services.loop().schedule(this::expire, remainingMs, TimeUnit.MILLISECONDS);
+        services.loads().begin(request.service().id(), request.head().promptTokens());
         exchange.onDisconnect(() -> onLoop(this::abandon));
         attempt();
     }
@@ -114,7 +115,11 @@
                         remainingMs,
                         this::maySend,
                         new AnswerForm(services.dialect().correlationHeader(), true, true));
-        current = services.client().start(attempt, new Attempt(state));
+        Attempt listener = new Attempt(state);
+        EndpointAttempt started = services.client().start(attempt, listener);
+        if (!listener.done) {
+            current = started;
+        }
     }
 
     /** A request with a key must not leave once the view has become too old to trust the key. */
@@ -156,6 +161,7 @@
 
     private void end(String outcome, Refusal refusal) {
         ended = true;
+        services.loads().end(request.service().id());
         deadline.cancel(false);
         if (current != null) {
             current.cancel();
@@ -258,6 +264,11 @@
             }
             if (isGood() && !hasCountedUsage) {
                 hasCountedUsage = true;
+                services.loads()
+                        .recordFirstToken(
+                                request.service().id(),
+                                request.head().promptTokens(),
+                                nowMs - startedMs);
                 request.account().ifPresent(account -> services.usage().count(account.id()));
             }
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -18,6 +18,7 @@
     private final QuotaLedger quotas;
     private final UsageCounter usage;
     private final VersionResults results = new VersionResults();
+    private final ServiceLoads loads;
     private final ForwardingApi api;
 
     /**
@@ -52,7 +53,8 @@
     public Forwarder(Environment environment) {
         TimeSource timeSource = environment.timeSource();
         EndpointTable table = new EndpointTable();
-        quotas = new QuotaLedger(timeSource);
+        loads = new ServiceLoads(timeSource);
+        quotas = new QuotaLedger(timeSource, environment.limits());
         usage = new UsageCounter(timeSource, environment.limits().usageWindowS());
         ForwardingServices services =
                 new ForwardingServices(
@@ -66,6 +68,7 @@
                         new RepeatBudget(timeSource, environment.limits()),
                         usage,
                         results,
+                        loads,
                         new ForwardingLog(environment.log(), environment.lease()),
                         environment.metrics());
         api = new ForwardingApi(services, table, environment.random());
@@ -98,5 +101,6 @@
         quotas.report((account, ratePerS) -> request.putDemands(account.value(), ratePerS));
         request.addAllWindows(usage.report());
         request.addAllVersions(results.report());
+        request.addAllLoads(loads.report());
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingServices.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingServices.java
@@ -20,6 +20,7 @@
  * @param repeats bounds further sends
  * @param usage counts requests that began to run
  * @param results counts answers by version
+ * @param loads measures what is sent to each service
  * @param decisions writes a line for each decision
  * @param metrics counts requests
  */
@@ -34,5 +35,6 @@
         RepeatBudget repeats,
         UsageCounter usage,
         VersionResults results,
+        ServiceLoads loads,
         ForwardingLog decisions,
         ForwardingMetrics metrics) {}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/QuotaLedger.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/QuotaLedger.java
@@ -19,12 +19,17 @@
     /** Gateways assumed until the control nodes have told how many share the limits. */
     private static final int ASSUMED_GATEWAYS = 16;
 
+    /** Part of the allowed excess that gateways use, so that bursts at one of them pass. */
+    private static final double TOLERANCE_PART = 0.5;
+
     private final TimeSource timeSource;
+    private final ForwardingLimits limits;
     private final Map<ClientAccountId, LeakyShare> buckets = new HashMap<>();
     private final Map<ClientAccountId, DemandMeter> demands = new HashMap<>();
 
-    QuotaLedger(TimeSource timeSource) {
+    QuotaLedger(TimeSource timeSource, ForwardingLimits limits) {
         this.timeSource = timeSource;
+        this.limits = limits;
     }
 
     /** Takes the shares of a new view over. */
@@ -74,7 +79,11 @@
         int gateways = view.gateways() > 0 ? view.gateways() : ASSUMED_GATEWAYS;
         double share = view.shares().getOrDefault(account.id(), 1.0 / gateways);
         double ratePerS = account.ratePerS() * share;
-        double capacity = account.burst() * share;
+        double excess =
+                limits.quotaOvershoot()
+                                * (account.ratePerS() * limits.quotaWindowS() + account.burst())
+                        + limits.quotaSlack();
+        double capacity = account.burst() * share + excess * TOLERANCE_PART / gateways;
         LeakyShare bucket = buckets.get(account.id());
         if (bucket == null) {
             buckets.put(account.id(), new LeakyShare(ratePerS, capacity, capacity, nowMs));
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
@@ -73,8 +73,18 @@
         pipelined.add(part);
     }
 
+    /** Asks a connection to close as soon as it carries no request. */
+    enum DrainEvent {
+        /** The only event of this kind. */
+        DRAIN
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (event instanceof DrainEvent) {
+            closeIfDrained(context);
+            return;
+        }
         if (event instanceof IdleStateEvent) {
             if (exchange == null && head == null) {
                 context.close();
@@ -106,6 +116,13 @@
         while (exchange == null && !refused && !pipelined.isEmpty()) {
             accept(context, pipelined.remove());
         }
+        closeIfDrained(context);
+    }
+
+    private void closeIfDrained(ChannelHandlerContext context) {
+        if (activity.isClosingIdle() && exchange == null && head == null) {
+            context.close();
+        }
     }
 
     private void accept(ChannelHandlerContext context, HttpObject part) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
@@ -98,6 +98,20 @@
         }
     }
 
+    /**
+     * Closes the listening socket and each open connection as soon as it carries no request, so
+     * that no further request is read that the remaining time may not suffice for.
+     */
+    public void stopTakingRequests() {
+        stopAccepting();
+        activity.startClosingIdle();
+        connections.forEach(
+                connection ->
+                        connection
+                                .pipeline()
+                                .fireUserEventTriggered(HttpConnectionHandler.DrainEvent.DRAIN));
+    }
+
     /**
      * Returns the number of requests that have begun to arrive and are not yet answered whole.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ServerActivity.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ServerActivity.java
@@ -7,11 +7,21 @@
 
     private final AtomicInteger requestsInProgress = new AtomicInteger();
     private volatile boolean draining;
+    private volatile boolean closingIdle;
 
     void startDraining() {
         draining = true;
     }
 
+    void startClosingIdle() {
+        draining = true;
+        closingIdle = true;
+    }
+
+    boolean isClosingIdle() {
+        return closingIdle;
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayReports.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayReports.java
@@ -7,6 +7,7 @@
 import org.cardamomthread.configuration.traffic.generated.UsageWindow;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.view.generated.ServiceLoad;
 import org.cardamomthread.daemon.view.generated.VersionCounts;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 
@@ -165,6 +166,38 @@
         return sum.build();
     }
 
+    /**
+     * Adds up what the present gateways send to a service.
+     *
+     * @param service the service
+     * @return requests in flight and prompt tokens added up, with the least time for a token
+     */
+    public ServiceLoad sumLoad(String service) {
+        ServiceLoad.Builder sum = ServiceLoad.newBuilder().setService(service);
+        for (Report report : reports.values()) {
+            if (!isPresent(report)) {
+                continue;
+            }
+            for (ServiceLoad load : report.latest.getLoadsList()) {
+                if (load.getService().equals(service)) {
+                    add(sum, load);
+                }
+            }
+        }
+        return sum.build();
+    }
+
+    private static void add(ServiceLoad.Builder sum, ServiceLoad load) {
+        sum.setInFlight(sum.getInFlight() + load.getInFlight());
+        sum.setPromptTokensPerS(sum.getPromptTokensPerS() + load.getPromptTokensPerS());
+        boolean isLess =
+                sum.getMsPerPromptToken() == 0
+                        || load.getMsPerPromptToken() < sum.getMsPerPromptToken();
+        if (load.getMsPerPromptToken() > 0 && isLess) {
+            sum.setMsPerPromptToken(load.getMsPerPromptToken());
+        }
+    }
+
     /** Forgets all reports, when another node has led meanwhile. */
     public void clear() {
         reports.clear();
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
@@ -0,0 +1,119 @@
+package org.cardamomthread.daemon.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import org.cardamomthread.configuration.document.Document;
+import org.cardamomthread.configuration.document.InvalidDocumentException;
+import org.cardamomthread.configuration.document.YamlReader;
+import org.cardamomthread.core.id.NodeId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link FleetSettingsLoader}. */
+public class FleetSettingsLoaderTests {
+
+    private static final String GATEWAY =
+            """
+            role: gateway
+            nodeName: "edge-1"
+            ip: "10.1.0.14"
+            dataCentre: "perth-a"
+            peerPort: 7600
+            peerKey: "a key of sixteen bytes"
+            firstStart: true
+            listeners:
+              metrics: "10.1.0.14:9464"
+              callers: "10.1.0.14:8221"
+              readiness: "10.1.0.14:8224"
+            seeds: ["10.3.0.36:8229", "10.1.0.16:8229"]
+            limits:
+              revocationMs: 5000
+              leaseMs: 3000
+              shutdownMs: 8000
+              repeatRatio: 0.2
+              repeatExtra: 54
+              repeatWindowS: 10
+              usageWindowS: 5
+              usageLateS: 10
+              quotaWindowS: 8
+              quotaOvershoot: 0.1
+              quotaSlack: 140000
+            """;
+    private static final String CONTROL =
+            GATEWAY.replace("role: gateway", "role: control")
+                            .replace(
+                                    "  callers: \"10.1.0.14:8221\"",
+                                    "  control: \"10.1.0.14:8229\"")
+                    + "dataFolder: \"/data/control\"\nplatform: \"10.200.0.35:8225\"\n";
+
+    @Test
+    public void loadsBothRoles() throws InvalidDocumentException {
+        FleetSettings gateway = load(GATEWAY);
+        assertEquals(gateway.role(), FleetRole.GATEWAY);
+        assertEquals(gateway.nodeId(), new NodeId("10.1.0.14"));
+        assertEquals(
+                gateway.seedNodes(), List.of(new NodeId("10.1.0.16"), new NodeId("10.3.0.36")));
+        assertEquals(gateway.limits().viewLeaseMs(), 3_750);
+        FleetSettings control = load(CONTROL);
+        assertEquals(control.role(), FleetRole.CONTROL);
+        assertTrue(control.platform().isPresent());
+    }
+
+    @Test
+    public void ignoresKeysThatItDoesNotKnow() throws InvalidDocumentException {
+        assertEquals(load(GATEWAY + "colour: blue\n").role(), FleetRole.GATEWAY);
+    }
+
+    @DataProvider
+    public Object[][] mistakes() {
+        return new Object[][] {
+            {"role: gateway", "role: bystander", "role"},
+            {"nodeName: \"edge-1\"", "", "nodeName"},
+            {"ip: \"10.1.0.14\"", "ip: \"example\"", "ip"},
+            {"peerPort: 7600", "peerPort: \"7600\"", "peerPort"},
+            {"peerPort: 7600", "peerPort: 70000", "peerPort"},
+            {"a key of sixteen bytes", "short", "peerKey"},
+            {"firstStart: true", "firstStart: maybe", "firstStart"},
+            {"callers: \"10.1.0.14:8221\"", "", "listeners/callers"},
+            {"callers: \"10.1.0.14:8221\"", "callers: \"here\"", "listeners/callers"},
+            {"seeds: [\"10.3.0.36:8229\", \"10.1.0.16:8229\"]", "seeds: []", "seeds"},
+            {"\"10.3.0.36:8229\"", "\"10.3.0.36\"", "seeds/0"},
+            {"  leaseMs: 3000\n", "", "limits/leaseMs"},
+            {"repeatRatio: 0.2", "repeatRatio: -1", "limits/repeatRatio"},
+        };
+    }
+
+    @Test(dataProvider = "mistakes")
+    public void namesTheKeyOfAMistake(String right, String wrong, String key) {
+        String text = GATEWAY.replace(right, wrong);
+        InvalidDocumentException failure =
+                expectThrows(InvalidDocumentException.class, () -> load(text));
+        assertTrue(failure.getMessage().contains("\"" + key + "\""), failure.getMessage());
+    }
+
+    @Test
+    public void needsAFolderOnAControlNode() {
+        String text = CONTROL.replace("dataFolder: \"/data/control\"", "");
+        InvalidDocumentException failure =
+                expectThrows(InvalidDocumentException.class, () -> load(text));
+        assertTrue(failure.getMessage().contains("dataFolder"), failure.getMessage());
+    }
+
+    @Test
+    public void tellsItsDocumentsFromThoseOfListedPeers() throws InvalidDocumentException {
+        assertTrue(FleetSettingsLoader.isFleetDocument(parse(GATEWAY)));
+        assertFalse(FleetSettingsLoader.isFleetDocument(parse("nodeId: perth-a-1\n")));
+    }
+
+    private static FleetSettings load(String text) throws InvalidDocumentException {
+        return new FleetSettingsLoader().load(parse(text));
+    }
+
+    private static Document parse(String text) throws InvalidDocumentException {
+        return YamlReader.parse("settings.yaml", text);
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -0,0 +1,334 @@
+package org.cardamomthread.daemon.forwarding;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.configuration.traffic.Repeatability;
+import org.cardamomthread.configuration.traffic.RouteTable;
+import org.cardamomthread.configuration.traffic.TrafficAccount;
+import org.cardamomthread.configuration.traffic.TrafficDocument;
+import org.cardamomthread.configuration.traffic.TrafficRoute;
+import org.cardamomthread.configuration.traffic.TrafficService;
+import org.cardamomthread.configuration.traffic.WeightedService;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.RouteId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.dialect.EndpointReport;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
+import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
+import org.cardamomthread.daemon.telemetry.DecisionLog;
+import org.cardamomthread.daemon.telemetry.DefaultForwardingMetrics;
+import org.cardamomthread.daemon.telemetry.NodeMetrics;
+import org.cardamomthread.daemon.testing.FakeEndpointClient;
+import org.cardamomthread.daemon.testing.RecordedExchange;
+import org.cardamomthread.daemon.testing.TestDialect;
+import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.daemon.view.ViewLease;
+import org.cardamomthread.daemon.view.ViewedEndpoint;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests what callers see of forwarded requests, by what endpoints do. */
+public class ForwardedCallTests {
+
+    private static final ServiceId CHAT = new ServiceId("chat");
+    private static final long LEASE_MS = 3_750;
+
+    private ManualTimeSource time;
+    private FakeEndpointClient client;
+    private ViewLease lease;
+    private Forwarder forwarder;
+
+    @BeforeMethod
+    public void createForwarder() {
+        time = new ManualTimeSource();
+        time.advanceMs(10_000);
+        client = new FakeEndpointClient();
+        lease = new ViewLease(time, LEASE_MS);
+        forwarder =
+                new Forwarder(
+                        new Forwarder.Environment(
+                                new TestDialect(),
+                                client,
+                                new EmbeddedChannel().eventLoop(),
+                                time,
+                                lease,
+                                new ForwardingLimits(0.2, 54, 10, 8, 0.1, 1_000, 5),
+                                new DecisionLog(time),
+                                new DefaultForwardingMetrics(new NodeMetrics()),
+                                new SplittableRandom(1)));
+        lease.renew(time.monotonicMs());
+    }
+
+    @DataProvider
+    public Object[][] singleAttempts() {
+        Consumer<EndpointResponseListener> lost = fail(Kind.CONNECTION_LOST);
+        return new Object[][] {
+            {"whole answer", Repeatability.ONCE_PER_ATTEMPT, answer(200, true, false), 200},
+            {"unsigned success", Repeatability.ONCE_PER_ATTEMPT, answer(200, false, false), 502},
+            {"endpoint's failure", Repeatability.ONCE_PER_ATTEMPT, answer(500, true, false), 500},
+            {"endpoint's 503", Repeatability.ONCE_PER_ATTEMPT, answer(503, true, false), 503},
+            {"stated not run", Repeatability.ONCE_PER_ATTEMPT, answer(503, false, true), 503},
+            {"lost answer", Repeatability.ONCE_PER_ATTEMPT, lost, 502},
+            {"foreign answer", Repeatability.STREAM, fail(Kind.MISMATCHED_ANSWER), 502},
+            {"no answer", Repeatability.STREAM, fail(Kind.FIRST_BYTE_TIMEOUT), 502},
+            {"cut before an event", Repeatability.STREAM, cutStream(""), 502},
+        };
+    }
+
+    @Test(dataProvider = "singleAttempts")
+    public void answersTruthfullyAfterOneAttempt(
+            String name,
+            Repeatability repeatability,
+            Consumer<EndpointResponseListener> script,
+            int expectedStatus) {
+        client.add(script);
+        RecordedExchange exchange = send(repeatability, 1);
+        assertEquals(exchange.getStatus(), expectedStatus, name);
+        assertEquals(client.getAttemptCount(), 1, name);
+    }
+
+    @DataProvider
+    public Object[][] secondAttempts() {
+        Consumer<EndpointResponseListener> lost = fail(Kind.CONNECTION_LOST);
+        Consumer<EndpointResponseListener> notRun = answer(503, false, true);
+        return new Object[][] {
+            {"lost, repeatable", Repeatability.REPEATABLE, lost, 2, 200},
+            {"lost, once", Repeatability.ONCE_PER_ATTEMPT, lost, 1, 502},
+            {"lost stream", Repeatability.STREAM, lost, 1, 502},
+            {"lost resumable stream", Repeatability.RESUMABLE_STREAM, lost, 2, 200},
+            {"not run, once", Repeatability.ONCE_PER_ATTEMPT, notRun, 2, 200},
+            {"not run, stream", Repeatability.STREAM, notRun, 2, 200},
+            {"failed, repeatable", Repeatability.REPEATABLE, answer(500, true, false), 2, 200},
+            {"failed, once", Repeatability.ONCE_PER_ATTEMPT, answer(500, true, false), 1, 500},
+            {"unsigned, repeatable", Repeatability.REPEATABLE, answer(200, false, false), 2, 200},
+            {"not sent, once", Repeatability.ONCE_PER_ATTEMPT, fail(Kind.NOT_SENT), 2, 200},
+        };
+    }
+
+    @Test(dataProvider = "secondAttempts")
+    public void repeatsOnlyWhatMayRunAgain(
+            String name,
+            Repeatability repeatability,
+            Consumer<EndpointResponseListener> first,
+            int expectedAttempts,
+            int expectedStatus) {
+        client.add(first);
+        client.add(repeatability.isStream() ? wholeStream() : answer(200, true, false));
+        RecordedExchange exchange = send(repeatability, 2);
+        assertEquals(client.getAttemptCount(), expectedAttempts, name);
+        assertEquals(exchange.getStatus(), expectedStatus, name);
+    }
+
+    @Test
+    public void goesOnWithAResumableStreamAfterTheLastWholeEvent() {
+        client.add(cutStream("id: 1\ndata: a\n\nid: 2\ndat"));
+        client.add(
+                listener -> {
+                    listener.onHead(200, signed());
+                    listener.onPart(bytes("id: 2\ndata: b\n\n"));
+                    listener.onComplete();
+                });
+        RecordedExchange exchange = send(Repeatability.RESUMABLE_STREAM, 2);
+        assertEquals(exchange.getText(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertTrue(exchange.isWhole());
+        assertEquals(client.getRequest(1).headers().get("last-event-id"), "1");
+    }
+
+    @Test
+    public void breaksAStreamOffThatWasCut() {
+        client.add(cutStream("id: 1\ndata: a\n\n"));
+        RecordedExchange exchange = send(Repeatability.STREAM, 2);
+        assertTrue(exchange.isAborted());
+        assertFalse(exchange.isWhole());
+        assertEquals(client.getAttemptCount(), 1);
+    }
+
+    @Test
+    public void saysWhenToComeBackAfterARefusal() {
+        client.add(answer(503, false, true));
+        RecordedExchange exchange = send(Repeatability.ONCE_PER_ATTEMPT, 1);
+        assertTrue(Double.parseDouble(exchange.getAnswerHeader("retry-after")) > 0);
+        assertTrue(exchange.getText().contains("\"execution\":\"not-run\""), exchange.getText());
+    }
+
+    @Test
+    public void cancelsTheAttemptOfAClientThatLeaves() {
+        client.add(listener -> {});
+        RecordedExchange exchange = send(Repeatability.STREAM, 1);
+        exchange.disconnect();
+        assertTrue(client.isCancelled(0));
+    }
+
+    @Test
+    public void refusesKeyedRequestsWithoutALease() {
+        time.advanceMs(LEASE_MS);
+        RecordedExchange exchange = send(Repeatability.REPEATABLE, 1);
+        assertEquals(exchange.getStatus(), 503);
+        assertEquals(client.getAttemptCount(), 0);
+    }
+
+    @Test
+    public void doesNotSendAKeyedRequestAfterItsLeaseHasEnded() {
+        client.add(listener -> {});
+        send(Repeatability.REPEATABLE, 1);
+        assertTrue(client.getRequest(0).mayStart().getAsBoolean());
+        time.advanceMs(LEASE_MS);
+        assertFalse(client.getRequest(0).mayStart().getAsBoolean());
+    }
+
+    @DataProvider
+    public Object[][] refusals() {
+        return new Object[][] {
+            {"/none/x", "key", 404},
+            {"/a/x", "other", 401},
+            {"/a/x", null, 401},
+        };
+    }
+
+    @Test(dataProvider = "refusals")
+    public void refusesWhatTheDocumentDoesNotAllow(String path, String key, int expectedStatus) {
+        forwarder.follow(view(Repeatability.REPEATABLE, 1));
+        RecordedExchange exchange = new RecordedExchange(path, "", headers(key));
+        forwarder.getApi().handle(exchange);
+        assertEquals(exchange.getStatus(), expectedStatus);
+    }
+
+    @Test
+    public void answers503BeforeTheFirstDocument() {
+        RecordedExchange exchange = new RecordedExchange("/a/x", "", headers("key"));
+        forwarder.getApi().handle(exchange);
+        assertEquals(exchange.getStatus(), 503);
+    }
+
+    private RecordedExchange send(Repeatability repeatability, int maxAttempts) {
+        forwarder.follow(view(repeatability, maxAttempts));
+        RecordedExchange exchange = new RecordedExchange("/a/x", "body", headers("key"));
+        forwarder.getApi().handle(exchange);
+        return exchange;
+    }
+
+    private static HttpHeaders headers(String key) {
+        HttpHeaders headers =
+                new DefaultHttpHeaders().set("host", "ice.example").set("x-request-id", "r1");
+        return key == null ? headers : headers.set("authorization", "Bearer " + key);
+    }
+
+    private GatewayView view(Repeatability repeatability, int maxAttempts) {
+        TrafficRoute route =
+                new TrafficRoute(
+                        new RouteId("r"),
+                        "ice.example",
+                        "/a/",
+                        repeatability,
+                        5_000,
+                        100,
+                        100,
+                        1,
+                        List.of(new WeightedService(CHAT, 1)),
+                        maxAttempts,
+                        false);
+        TrafficDocument document =
+                new TrafficDocument(
+                        1,
+                        List.of(route),
+                        List.of(new TrafficService(CHAT, "/h", 10, 0, false, Optional.empty())),
+                        List.of(
+                                new TrafficAccount(
+                                        new ClientAccountId("bars"),
+                                        List.of("key"),
+                                        OptionalInt.empty(),
+                                        false,
+                                        0,
+                                        0,
+                                        0)));
+        Map<EndpointId, ViewedEndpoint> endpoints = new HashMap<>();
+        for (int i = 1; i <= 4; i++) {
+            EndpointReport report = report("e" + i, "10.0.0." + i + ":80");
+            endpoints.put(report.id(), new ViewedEndpoint(report, 0));
+        }
+        return new GatewayView(
+                1,
+                Optional.of(new RouteTable(document)),
+                Set.of(),
+                Map.of(),
+                endpoints,
+                1,
+                Map.of());
+    }
+
+    private static EndpointReport report(String id, String address) {
+        return new EndpointReport(
+                new EndpointId(id),
+                1,
+                1,
+                CHAT,
+                NetworkAddress.parse(address),
+                new DataCentreId("perth-a"),
+                new VersionId("v1"),
+                8,
+                false,
+                0,
+                false);
+    }
+
+    private static HttpHeaders signed() {
+        return new DefaultHttpHeaders().set(TestDialect.SIGNATURE, "s");
+    }
+
+    private static Consumer<EndpointResponseListener> answer(
+            int status, boolean isSigned, boolean isNotRun) {
+        return listener -> {
+            HttpHeaders headers = isSigned ? signed() : new DefaultHttpHeaders();
+            if (isNotRun) {
+                headers.set(TestDialect.NOT_RUN, "1");
+            }
+            listener.onHead(status, headers);
+            listener.onPart(bytes("body"));
+            listener.onComplete();
+        };
+    }
+
+    private static Consumer<EndpointResponseListener> wholeStream() {
+        return listener -> {
+            listener.onHead(200, signed());
+            listener.onPart(bytes("id: 1\ndata: a\n\n"));
+            listener.onComplete();
+        };
+    }
+
+    private static Consumer<EndpointResponseListener> cutStream(String delivered) {
+        return listener -> {
+            listener.onHead(200, signed());
+            listener.onPart(bytes(delivered));
+            listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST));
+        };
+    }
+
+    private static Consumer<EndpointResponseListener> fail(Kind kind) {
+        return listener -> listener.onFailure(FakeEndpointClient.createFailure(kind));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LimitsTests.java
@@ -0,0 +1,159 @@
+package org.cardamomthread.daemon.forwarding;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import org.cardamomthread.configuration.traffic.RouteTable;
+import org.cardamomthread.configuration.traffic.TrafficAccount;
+import org.cardamomthread.configuration.traffic.TrafficDocument;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.view.GatewayView;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link QuotaLedger} and {@link RepeatBudget} over several gateways. */
+public class LimitsTests {
+
+    private static final ForwardingLimits LIMITS =
+            new ForwardingLimits(0.2, 54, 10, 8, 0.1, 140_000, 5);
+    private static final double RATE = 20_000;
+    private static final double BURST = 20_000;
+    private static final ServiceId CHAT = new ServiceId("chat");
+
+    @DataProvider
+    public Object[][] seeds() {
+        Object[][] seeds = new Object[20][];
+        for (int i = 0; i < seeds.length; i++) {
+            seeds[i] = new Object[] {(long) i};
+        }
+        return seeds;
+    }
+
+    /** Each gateway is asked for more than it may admit; any window must keep the quota. */
+    @Test(dataProvider = "seeds")
+    public void gatewaysTogetherKeepTheQuota(long seed) {
+        Random random = new Random(seed);
+        ManualTimeSource time = new ManualTimeSource();
+        int gateways = 1 + random.nextInt(12);
+        TrafficAccount account = account();
+        QuotaLedger[] ledgers = new QuotaLedger[gateways];
+        for (int i = 0; i < gateways; i++) {
+            ledgers[i] = new QuotaLedger(time, LIMITS);
+            ledgers[i].follow(view(account, gateways));
+        }
+        double[] admitted = new double[300];
+        for (int step = 0; step < admitted.length; step++) {
+            for (QuotaLedger ledger : ledgers) {
+                double amount = 100 + random.nextInt(4_000);
+                if (ledger.tryTake(account, amount)) {
+                    admitted[step] += amount;
+                }
+            }
+            time.advanceMs(100);
+        }
+        double allowed =
+                (RATE * LIMITS.quotaWindowS() + BURST) * (1 + LIMITS.quotaOvershoot())
+                        + LIMITS.quotaSlack();
+        int window = (int) (LIMITS.quotaWindowS() * 10);
+        for (int start = 0; start + window <= admitted.length; start++) {
+            double sum = 0;
+            for (int i = start; i < start + window; i++) {
+                sum += admitted[i];
+            }
+            assertTrue(sum <= allowed, sum + " admitted, " + allowed + " allowed");
+        }
+    }
+
+    @Test
+    public void admitsNothingOfAnAccountWithoutAView() {
+        QuotaLedger ledger = new QuotaLedger(new ManualTimeSource(), LIMITS);
+        assertFalse(ledger.tryTake(account(), 1));
+    }
+
+    @Test
+    public void givesBackWhatNeverRan() {
+        ManualTimeSource time = new ManualTimeSource();
+        QuotaLedger ledger = new QuotaLedger(time, LIMITS);
+        TrafficAccount account = account();
+        ledger.follow(view(account, 1));
+        double taken = 0;
+        while (ledger.tryTake(account, 1_000)) {
+            taken += 1_000;
+        }
+        assertTrue(ledger.waitMs(account, 1_000) > 0);
+        ledger.giveBack(account, 1_000);
+        assertTrue(ledger.tryTake(account, 1_000), "after " + taken);
+    }
+
+    @DataProvider
+    public Object[][] gatewayCounts() {
+        return new Object[][] {{1}, {2}, {6}, {20}};
+    }
+
+    @Test(dataProvider = "gatewayCounts")
+    public void gatewaysTogetherKeepTheRepeatBudget(int gateways) {
+        ManualTimeSource time = new ManualTimeSource();
+        RepeatBudget[] budgets = new RepeatBudget[gateways];
+        for (int i = 0; i < gateways; i++) {
+            budgets[i] = new RepeatBudget(time, LIMITS);
+            budgets[i].follow(gateways);
+        }
+        int firsts = 0;
+        int repeats = 0;
+        for (int step = 0; step < 100; step++) {
+            for (RepeatBudget budget : budgets) {
+                budget.countFirstSend(CHAT);
+                firsts++;
+                while (budget.tryRepeat(CHAT)) {
+                    repeats++;
+                }
+            }
+            time.advanceMs(100);
+        }
+        double allowed = LIMITS.repeatRatio() * firsts + LIMITS.repeatExtra();
+        assertTrue(repeats <= allowed, repeats + " repeats, " + allowed + " allowed");
+        assertTrue(repeats > 0);
+    }
+
+    @Test
+    public void refillsWithTimeAndNeverBeyondItsCapacity() {
+        LeakyShare share = new LeakyShare(10, 5, 0, 0);
+        assertFalse(share.tryTake(1, 50));
+        assertEquals(share.waitMs(1, 50), 50);
+        assertTrue(share.tryTake(1, 100));
+        assertTrue(share.tryTake(5, 10_000));
+        assertFalse(share.tryTake(1, 10_000));
+    }
+
+    private static TrafficAccount account() {
+        return new TrafficAccount(
+                new ClientAccountId("bars"),
+                List.of("k"),
+                OptionalInt.empty(),
+                true,
+                200,
+                RATE,
+                BURST);
+    }
+
+    private static GatewayView view(TrafficAccount account, int gateways) {
+        TrafficDocument document = new TrafficDocument(1, List.of(), List.of(), List.of(account));
+        return new GatewayView(
+                1,
+                Optional.of(new RouteTable(document)),
+                Set.of(),
+                Map.of(),
+                Map.of(),
+                gateways,
+                Map.of(account.id(), 1.0 / gateways));
+    }
+}
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/ModelStreamCallTests.java
@@ -18,6 +18,8 @@
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
+import org.cardamomthread.daemon.testing.FakeEndpointClient;
+import org.cardamomthread.daemon.testing.RecordedExchange;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/HttpServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/HttpServerTests.java
@@ -104,6 +104,27 @@
         assertTrue(!answer.contains("0\r\n\r\n"), answer);
     }
 
+    @Test
+    public void closesIdleConnectionsAndFinishesBusyOnesBeforeItStops() throws Exception {
+        HttpServer stopping = new HttpServer("callers", eventLoops, LIMITS, this::answer);
+        stopping.listen(new InetSocketAddress("127.0.0.1", 0));
+        held = new CompletableFuture<>();
+        try (Socket idle = new Socket("127.0.0.1", stopping.getAddress().getPort());
+                Socket busy = new Socket("127.0.0.1", stopping.getAddress().getPort())) {
+            idle.getOutputStream().write(bytes("POST /echo HTTP/1.1\r\ncontent-length: 0\r\n\r\n"));
+            assertTrue(idle.getInputStream().read() >= 0);
+            busy.getOutputStream().write(bytes("GET /hold HTTP/1.1\r\n\r\n"));
+            held.get();
+            stopping.stopTakingRequests();
+            String rest = new String(idle.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(rest.startsWith("TTP/1.1 200"), rest);
+            held.get().respond(HttpReply.createText(200, "late"));
+            String late = new String(busy.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(late.endsWith("late"), late);
+        }
+        stopping.close();
+    }
+
     @Test
     public void namesTheListenerAndRemedyIfThePortIsInUse() {
         HttpServer second = new HttpServer("callers", eventLoops, LIMITS, this::answer);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/FakeEndpointClient.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/FakeEndpointClient.java
@@ -1,4 +1,4 @@
-package org.cardamomthread.daemon.gateway;
+package org.cardamomthread.daemon.testing;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.nio.charset.StandardCharsets;
@@ -13,38 +13,42 @@
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 
 /** Plays one script an attempt, in order and at once. */
-final class FakeEndpointClient implements EndpointClient {
+public final class FakeEndpointClient implements EndpointClient {
 
     private final List<Consumer<EndpointResponseListener>> scripts = new ArrayList<>();
     private final List<EndpointRequest> requests = new ArrayList<>();
     private final List<Boolean> cancelled = new ArrayList<>();
 
-    void add(Consumer<EndpointResponseListener> script) {
+    public void add(Consumer<EndpointResponseListener> script) {
         scripts.add(script);
     }
 
-    String getBody(int attempt) {
+    public String getBody(int attempt) {
         return new String(requests.get(attempt).body(), StandardCharsets.UTF_8);
     }
 
-    int getAttemptCount() {
+    public EndpointRequest getRequest(int attempt) {
+        return requests.get(attempt);
+    }
+
+    public int getAttemptCount() {
         return requests.size();
     }
 
-    boolean isCancelled(int attempt) {
+    public boolean isCancelled(int attempt) {
         return cancelled.get(attempt);
     }
 
-    static void beginStream(EndpointResponseListener listener) {
+    public static void beginStream(EndpointResponseListener listener) {
         listener.onHead(200, new DefaultHttpHeaders().set("content-type", "text/event-stream"));
     }
 
-    static void sendToken(EndpointResponseListener listener, String token) {
+    public static void sendToken(EndpointResponseListener listener, String token) {
         String event = "data: {\"choices\":[{\"delta\":{\"content\":\"" + token + "\"}}]}\n\n";
         listener.onPart(event.getBytes(StandardCharsets.UTF_8));
     }
 
-    static Consumer<EndpointResponseListener> streamWhole(String token) {
+    public static Consumer<EndpointResponseListener> streamWhole(String token) {
         return listener -> {
             beginStream(listener);
             sendToken(listener, token);
@@ -53,7 +57,7 @@
         };
     }
 
-    static EndpointFailureException createFailure(Kind kind) {
+    public static EndpointFailureException createFailure(Kind kind) {
         return new EndpointFailureException(kind, "127.0.0.1:1", "scripted", null);
     }
 
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/RecordedExchange.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/RecordedExchange.java
@@ -1,4 +1,4 @@
-package org.cardamomthread.daemon.gateway;
+package org.cardamomthread.daemon.testing;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -14,7 +14,7 @@
 import org.cardamomthread.daemon.http.ResponseStream;
 
 /** Records what a caller sees. */
-final class RecordedExchange implements HttpExchange, ResponseStream {
+public final class RecordedExchange implements HttpExchange, ResponseStream {
 
     private static final Pattern CONTENT = Pattern.compile("\"content\":\"([^\"]*)\"");
 
@@ -22,35 +22,41 @@
     private final StringBuilder text = new StringBuilder();
     private Runnable disconnectAction = () -> {};
     private int status;
+    private HttpHeaders answerHeaders = new DefaultHttpHeaders();
     private boolean whole;
     private boolean aborted;
 
-    RecordedExchange(String path, String body) {
+    public RecordedExchange(String path, String body) {
         this(path, body, new DefaultHttpHeaders());
     }
 
-    RecordedExchange(String path, String body, HttpHeaders headers) {
+    public RecordedExchange(String path, String body, HttpHeaders headers) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         call = new HttpCall(HttpMethod.POST, path, "", headers, bytes);
     }
 
-    int getStatus() {
+    public int getStatus() {
         return status;
     }
 
-    String getText() {
+    /** Returns a header of the answer, or null. */
+    public String getAnswerHeader(String name) {
+        return answerHeaders.get(name);
+    }
+
+    public String getText() {
         return text.toString();
     }
 
-    boolean isWhole() {
+    public boolean isWhole() {
         return whole;
     }
 
-    boolean isAborted() {
+    public boolean isAborted() {
         return aborted;
     }
 
-    List<String> getTokens() {
+    public List<String> getTokens() {
         List<String> tokens = new ArrayList<>();
         Matcher matcher = CONTENT.matcher(text);
         while (matcher.find()) {
@@ -59,7 +65,7 @@
         return tokens;
     }
 
-    void disconnect() {
+    public void disconnect() {
         disconnectAction.run();
     }
 
@@ -71,6 +77,7 @@
     @Override
     public void respond(HttpReply reply) {
         status = reply.status();
+        answerHeaders = reply.headers();
         text.append(new String(reply.body(), StandardCharsets.UTF_8));
         whole = true;
     }
@@ -78,6 +85,7 @@
     @Override
     public ResponseStream startStream(int streamStatus, HttpHeaders headers) {
         status = streamStatus;
+        answerHeaders = headers;
         return this;
     }
 
