Prefer endpoints that answer: shorter wait for connections, pause for those that fail too often

Cause, seen in the first scores: requests to endpoints that are down waited 800 ms for a connection, longer than the time limit of plain requests, and endpoints that fail four requests in ten kept their share. A gateway now waits 250 ms and prefers others for 2 s once an endpoint fails more than the usual share of its service.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
@@ -24,12 +24,16 @@
 public final class AsyncEndpointClient implements EndpointClient {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(AsyncEndpointClient.class);
+
+    /** Longest wait for a connection where no other is set; several round trips between regions. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(800);
+
     private static final Duration POOLED_IDLE_TIMEOUT = Duration.ofSeconds(20);
     private static final long TIMER_TICK_MS = 20;
     private static final int NO_REQUEST_TIMEOUT_MS = -1;
 
     private final TimeSource timeSource;
+    private final Duration connectTimeout;
     private final Timer timer = new HashedWheelTimer(TIMER_TICK_MS, TimeUnit.MILLISECONDS);
     private final AsyncHttpClient pooledClient;
     private final AsyncHttpClient singleUseClient;
@@ -41,7 +45,20 @@
      * @param timeSource the clock for progress deadlines
      */
     public AsyncEndpointClient(EventLoopGroup eventLoops, TimeSource timeSource) {
+        this(eventLoops, timeSource, CONNECT_TIMEOUT);
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param eventLoops the event loops that run its connections; not closed with the client
+     * @param timeSource the clock for progress deadlines
+     * @param connectTimeout longest wait for a connection
+     */
+    public AsyncEndpointClient(
+            EventLoopGroup eventLoops, TimeSource timeSource, Duration connectTimeout) {
         this.timeSource = timeSource;
+        this.connectTimeout = connectTimeout;
         this.pooledClient = createClient(eventLoops, true);
         this.singleUseClient = createClient(eventLoops, false);
     }
@@ -84,7 +101,7 @@
                         .setDisableUrlEncodingForBoundRequests(true)
                         .setCookieStore(null)
                         .setUserAgent(null)
-                        .setConnectTimeout(CONNECT_TIMEOUT)
+                        .setConnectTimeout(connectTimeout)
                         .setRequestTimeout(Duration.ofMillis(NO_REQUEST_TIMEOUT_MS))
                         .setReadTimeout(Duration.ofMillis(NO_REQUEST_TIMEOUT_MS))
                         .setPooledConnectionIdleTimeout(POOLED_IDLE_TIMEOUT)
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.fleet;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -30,6 +31,9 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(GatewayNode.class);
 
+    /** Far beyond a round trip within a region, and short against a request's time limit. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
+
     /** Time for the platform to notice that the gateway is not ready: two of its checks. */
     private static final long UNREADY_MS = 2_500;
 
@@ -56,7 +60,7 @@
         FleetSettings settings = parts.settings();
         TimeSource timeSource = parts.timeSource();
         EventLoop loop = (EventLoop) parts.eventLoops().next();
-        client = new AsyncEndpointClient(parts.eventLoops(), timeSource);
+        client = new AsyncEndpointClient(parts.eventLoops(), timeSource, CONNECT_TIMEOUT);
         lease = new ViewLease(timeSource, settings.limits().viewLeaseMs());
         forwarder =
                 new Forwarder(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointState.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointState.java
@@ -21,6 +21,18 @@
 
     private static final long LONGEST_AVOIDANCE_MS = 4_000;
 
+    /** Weight of the latest answer in the share of failures: about the last ten count. */
+    private static final double RESULT_WEIGHT = 0.1;
+
+    /** Answers from which the share of failures is trusted. */
+    private static final int MIN_RESULTS = 6;
+
+    /** Share of failures, beyond the usual one of the service, at which others are preferred. */
+    private static final double EXCESSIVE_FAILURES = 0.2;
+
+    /** Time after which an endpoint that failed too often is tried again. */
+    private static final long FAILING_PAUSE_MS = 2_000;
+
     private ViewedEndpoint endpoint;
     private LeakyShare coldShare;
     private int inFlight;
@@ -29,6 +41,8 @@
     private long loadMs;
     private long avoidUntilMs;
     private int failures;
+    private double failureShare;
+    private int results;
 
     EndpointState(ViewedEndpoint endpoint) {
         this.endpoint = endpoint;
@@ -65,9 +79,20 @@
         startedSinceReport = 0;
     }
 
-    void succeed() {
+    /** Takes the result of a request in; one that the endpoint failed counts as a failure. */
+    void recordResult(boolean isFailure, double usualShare, long nowMs) {
         failures = 0;
-        avoidUntilMs = 0;
+        results++;
+        failureShare += RESULT_WEIGHT * ((isFailure ? 1 : 0) - failureShare);
+        if (results >= MIN_RESULTS && failureShare > usualShare + EXCESSIVE_FAILURES) {
+            avoidUntilMs = nowMs + FAILING_PAUSE_MS;
+            results = 0;
+            failureShare = usualShare;
+        }
+    }
+
+    double failureShare() {
+        return failureShare;
     }
 
     void fail(long nowMs) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
@@ -1,6 +1,6 @@
 package org.cardamomthread.daemon.forwarding;
 
-import java.util.Collection;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,7 +36,10 @@
                 .toList();
     }
 
-    Collection<EndpointState> all() {
-        return states.values();
+    /** Returns the usual share of failures of a service: the median of its endpoints. */
+    double usualFailureShare(ServiceId service) {
+        double[] shares = of(service).stream().mapToDouble(EndpointState::failureShare).toArray();
+        Arrays.sort(shares);
+        return shares.length == 0 ? 0 : shares[shares.length / 2];
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -296,9 +296,8 @@
                 refused();
                 return;
             }
-            countResult(!isGood());
+            countResult(status >= STATUS_SERVER_ERROR || !head.isSigned());
             if (isGood()) {
-                state.succeed();
                 current = null;
                 relay.finish(status, services.dialect().encodeAnswer(headers));
                 end("answered", null);
@@ -345,8 +344,8 @@
             services.metrics().countAttempt(request.service().id(), kind);
             services.decisions()
                     .logAttempt(request, state.id(), kind, String.valueOf(failure.getMessage()));
-            state.fail(services.timeSource().monotonicMs());
             if (failure.isCertainlyNotRun()) {
+                state.fail(services.timeSource().monotonicMs());
                 retryUnsent();
                 return;
             }
@@ -355,6 +354,9 @@
             }
             mayHaveRun = true;
             countResult(true);
+            if (failure.getKind() == Kind.CONNECTION_LOST) {
+                state.fail(services.timeSource().monotonicMs());
+            }
             relay.clear();
             if (mayRepeat() && failure.getKind() != Kind.FIRST_BYTE_TIMEOUT) {
                 attempt();
@@ -374,7 +376,10 @@
         }
 
         private void countResult(boolean isFailure) {
-            long elapsedMs = services.timeSource().monotonicMs() - startedMs;
+            long nowMs = services.timeSource().monotonicMs();
+            double usual = services.table().usualFailureShare(request.service().id());
+            state.recordResult(isFailure, usual, nowMs);
+            long elapsedMs = nowMs - startedMs;
             services.results()
                     .count(
                             request.service().id(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -63,6 +63,7 @@
                         environment.loop(),
                         timeSource,
                         environment.lease(),
+                        table,
                         new EndpointChooser(table, timeSource, environment.random()),
                         quotas,
                         new RepeatBudget(timeSource, environment.limits()),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingServices.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingServices.java
@@ -15,6 +15,7 @@
  * @param loop the event loop that runs everything here
  * @param timeSource the clock
  * @param lease tells whether requests with a key may be admitted
+ * @param table what is known of the endpoints
  * @param chooser chooses endpoints
  * @param quotas this gateway's shares of quotas
  * @param repeats bounds further sends
@@ -30,6 +31,7 @@
         EventLoop loop,
         TimeSource timeSource,
         ViewLease lease,
+        EndpointTable table,
         EndpointChooser chooser,
         QuotaLedger quotas,
         RepeatBudget repeats,
