--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/traffic/RouteTable.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/traffic/RouteTable.java
@@ -73,6 +73,18 @@
         return Optional.ofNullable(accountsByKey.get(key));
     }
 
+    /**
+     * Finds an account by its name.
+     *
+     * @param name the account's name
+     * @return the account, or empty if the document has none of that name
+     */
+    public Optional<TrafficAccount> findAccountNamed(String name) {
+        return document.accounts().stream()
+                .filter(account -> account.id().value().equals(name))
+                .findFirst();
+    }
+
     /**
      * Finds a service.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/ControlGroups.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/ControlGroups.java
@@ -95,7 +95,8 @@
         return new DefaultReplicationGroup(
                 definition.id(),
                 self,
-                ReplicationSettings.withDefaults(definition.voters()),
+                ReplicationSettings.withDefaults(definition.voters())
+                        .withTimings(definition.electionTimeoutMs(), definition.heartbeatMs()),
                 new FileLogStorage(folder),
                 definition.stateMachine(),
                 (to, message) -> transport.send(to, definition.topic(), message),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupDefinition.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupDefinition.java
@@ -13,6 +13,8 @@
  * @param id the group
  * @param topic carries its messages between voters
  * @param voters the nodes that keep its log, the same list in the same order on each node
+ * @param electionTimeoutMs how long a voter hears nothing before it seeks another leader
+ * @param heartbeatMs the interval of a leader's messages
  * @param stateMachine the state on this node, used only if this node is a voter
  * @param queryHandler reads from that state
  */
@@ -20,6 +22,8 @@
         GroupId id,
         PeerTopic topic,
         List<NodeId> voters,
+        long electionTimeoutMs,
+        long heartbeatMs,
         StateMachine stateMachine,
         QueryHandler queryHandler) {
 
@@ -32,6 +36,16 @@
     /** The group of the traffic document and what operators order beside it. */
     public static final GroupId TRAFFIC = new GroupId("traffic");
 
+    /** Several times a pause of a busy process; changes wait for the next leader. */
+    private static final long ELECTION_TIMEOUT_MS = 1_000;
+
+    private static final long HEARTBEAT_MS = 150;
+
+    /** Shorter for the traffic group, since requests with a key end with the view lease. */
+    private static final long TRAFFIC_ELECTION_TIMEOUT_MS = 600;
+
+    private static final long TRAFFIC_HEARTBEAT_MS = 120;
+
     private static final PeerTopic TRAFFIC_TOPIC = new PeerTopic(13, "replication-traffic");
     private static final PeerTopic CONFIGURATION_TOPIC =
             new PeerTopic(10, "replication-configuration");
@@ -57,7 +71,13 @@
     public static GroupDefinition configuration(
             List<NodeId> voters, StateMachine stateMachine, QueryHandler queryHandler) {
         return new GroupDefinition(
-                CONFIGURATION, CONFIGURATION_TOPIC, voters, stateMachine, queryHandler);
+                CONFIGURATION,
+                CONFIGURATION_TOPIC,
+                voters,
+                ELECTION_TIMEOUT_MS,
+                HEARTBEAT_MS,
+                stateMachine,
+                queryHandler);
     }
 
     /**
@@ -70,7 +90,14 @@
      */
     public static GroupDefinition claims(
             List<NodeId> voters, StateMachine stateMachine, QueryHandler queryHandler) {
-        return new GroupDefinition(CLAIMS, CLAIMS_TOPIC, voters, stateMachine, queryHandler);
+        return new GroupDefinition(
+                CLAIMS,
+                CLAIMS_TOPIC,
+                voters,
+                ELECTION_TIMEOUT_MS,
+                HEARTBEAT_MS,
+                stateMachine,
+                queryHandler);
     }
 
     /**
@@ -83,6 +110,13 @@
      */
     public static GroupDefinition traffic(
             List<NodeId> voters, StateMachine stateMachine, QueryHandler queryHandler) {
-        return new GroupDefinition(TRAFFIC, TRAFFIC_TOPIC, voters, stateMachine, queryHandler);
+        return new GroupDefinition(
+                TRAFFIC,
+                TRAFFIC_TOPIC,
+                voters,
+                TRAFFIC_ELECTION_TIMEOUT_MS,
+                TRAFFIC_HEARTBEAT_MS,
+                stateMachine,
+                queryHandler);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/ScalingDuty.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/ScalingDuty.java
@@ -6,17 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.cardamomthread.configuration.traffic.EndpointScaling;
-import org.cardamomthread.configuration.traffic.TrafficDocument;
+import org.cardamomthread.configuration.traffic.RouteTable;
 import org.cardamomthread.configuration.traffic.TrafficService;
-import org.cardamomthread.configuration.traffic.generated.TrafficState;
 import org.cardamomthread.core.id.EndpointClassId;
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
-import org.cardamomthread.daemon.control.TrafficReplica;
 import org.cardamomthread.daemon.dialect.DutyHolder;
-import org.cardamomthread.daemon.dialect.MalformedMessageException;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.dialect.ScalingOrder;
 import org.cardamomthread.daemon.registry.EndpointRegister;
@@ -59,7 +57,6 @@
     private final EndpointMixPlanner planner = new EndpointMixPlanner(RECLAIMABLE_SHARE, refusals);
     private final Map<HostOffer.Kind, Ordered> ordered = new HashMap<>();
     private final Map<ServiceId, Integer> declared = new HashMap<>();
-    private TrafficDocument document;
 
     /** Holds the last order of a kind. */
     private record Ordered(int count, long atMs, boolean isOpen) {}
@@ -70,7 +67,7 @@
      * @param lease tells whether this node may act
      * @param views tells whether the gateways' reports are complete
      * @param reports the gateways' loads
-     * @param replica the document
+     * @param routes the document in force
      * @param register the endpoints
      * @param dialect reads the document and writes orders
      * @param platform sends orders
@@ -81,7 +78,7 @@
             DutyLease lease,
             ViewServer views,
             GatewayReports reports,
-            TrafficReplica replica,
+            Supplier<Optional<RouteTable>> routes,
             EndpointRegister register,
             PlatformDialect dialect,
             PlatformCaller platform,
@@ -108,29 +105,17 @@
 
     private void perform(ControlThread control) {
         Optional<DutyHolder> holder = environment.lease().current();
-        if (holder.isEmpty() || !environment.views().isSettled() || !followDocument()) {
+        Optional<RouteTable> routes = environment.routes().get();
+        if (holder.isEmpty() || !environment.views().isSettled() || routes.isEmpty()) {
             return;
         }
-        for (TrafficService service : document.services()) {
+        for (TrafficService service : routes.get().document().services()) {
             if (service.scaling().isPresent()) {
                 scale(service, service.scaling().get(), control);
             }
         }
     }
 
-    private boolean followDocument() {
-        TrafficState state = environment.replica().getState();
-        boolean isHeld = document != null && document.version() == state.getDocumentVersion();
-        if (!isHeld && state.getDocumentVersion() > 0) {
-            try {
-                document = environment.dialect().decodeDocument(state.getDocument().toByteArray());
-            } catch (MalformedMessageException e) {
-                throw new IllegalStateException("a document in the log must be readable", e);
-            }
-        }
-        return document != null;
-    }
-
     private void scale(TrafficService service, EndpointScaling scaling, ControlThread control) {
         long nowMs = environment.timeSource().monotonicMs();
         List<HostOffer> offers = createOffers(service, scaling);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -22,6 +22,7 @@
 import org.cardamomthread.daemon.registry.EndpointNewsFeed;
 import org.cardamomthread.daemon.registry.EndpointRegister;
 import org.cardamomthread.daemon.view.GatewayReports;
+import org.cardamomthread.daemon.view.QuotaPool;
 import org.cardamomthread.daemon.view.ViewServer;
 import org.cardamomthread.replication.ReplicationGroup;
 import org.cardamomthread.replication.StorageException;
@@ -49,6 +50,7 @@
     private final PlatformDialect dialect;
     private final ControlThread control = new ControlThread("control");
     private final TrafficReplica replica = new TrafficReplica();
+    private final DocumentHolder documents;
     private final ControlDirectory directory;
     private final EndpointRegister register;
     private final GatewayReports reports;
@@ -64,6 +66,7 @@
         this.dialect = dialect;
         FleetSettings settings = parts.settings();
         TimeSource timeSource = parts.timeSource();
+        documents = new DocumentHolder(replica, dialect);
         directory = new ControlDirectory(settings, parts.transport(), timeSource);
         register = new EndpointRegister(timeSource);
         reports =
@@ -103,6 +106,9 @@
     public void start() throws ListenException, TransportStartException, StorageException {
         FleetSettings settings = parts.settings();
         parts.transport().register(ViewServer.TOPIC, views::handle);
+        QuotaPool quotas =
+                new QuotaPool(documents::current, this::leads, control, parts.timeSource());
+        parts.transport().register(QuotaPool.TOPIC, quotas::handle);
         endpoints.start();
         Optional<List<NodeId>> voters = findVoters();
         if (voters.isPresent()) {
@@ -230,7 +236,7 @@
                                 lease,
                                 views,
                                 reports,
-                                replica,
+                                documents::current,
                                 register,
                                 dialect,
                                 caller,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetParts.java
@@ -57,7 +57,7 @@
                         new NetworkAddress(settings.ip(), settings.peerPort()).toSocketAddress(),
                         settings.peerKey().getBytes(StandardCharsets.UTF_8),
                         timeSource,
-                        TransportSettings.defaults(),
+                        TransportSettings.forFastRecovery(),
                         TransportListener.NONE);
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.dispatch.AsyncEndpointClient;
@@ -18,6 +19,7 @@
 import org.cardamomthread.daemon.http.ListenException;
 import org.cardamomthread.daemon.telemetry.DefaultForwardingMetrics;
 import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.daemon.view.QuotaBorrower;
 import org.cardamomthread.daemon.view.ViewClient;
 import org.cardamomthread.daemon.view.ViewFollower;
 import org.cardamomthread.daemon.view.ViewLease;
@@ -70,6 +72,8 @@
                                 loop,
                                 timeSource,
                                 lease,
+                                new QuotaBorrower(
+                                        parts.transport(), this::leader, loop, timeSource),
                                 createLimits(settings.limits()),
                                 parts.log(),
                                 new DefaultForwardingMetrics(parts.metrics()),
@@ -147,6 +151,10 @@
         parts.close();
     }
 
+    private Optional<NodeId> leader() {
+        return viewClient.leader();
+    }
+
     private void report(ViewRequest.Builder request) {
         request.setDataCentre(parts.settings().dataCentre().value())
                 .setIncarnation(parts.incarnation());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointState.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointState.java
@@ -3,6 +3,7 @@
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.daemon.dialect.LoadReport;
 import org.cardamomthread.daemon.view.ViewedEndpoint;
+import org.cardamomthread.policy.admission.TokenBucket;
 
 /**
  * Holds what this gateway has seen of one start of an endpoint. Used by one thread at a time.
@@ -34,7 +35,7 @@
     private static final long FAILING_PAUSE_MS = 2_000;
 
     private ViewedEndpoint endpoint;
-    private LeakyShare coldShare;
+    private TokenBucket coldShare;
     private int inFlight;
     private int startedSinceReport;
     private LoadReport load;
@@ -116,7 +117,7 @@
     /** Takes one request of this gateway's share of what a cold endpoint bears. */
     boolean tryTakeCold(double ratePerS, long nowMs) {
         if (coldShare == null) {
-            coldShare = new LeakyShare(ratePerS, 1, 0, nowMs);
+            coldShare = new TokenBucket(ratePerS, 1, 0, nowMs);
         }
         coldShare.resize(ratePerS, 1, nowMs);
         return coldShare.tryTake(1, nowMs);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -66,7 +66,9 @@
         deadline = services.loop().schedule(this::expire, remainingMs, TimeUnit.MILLISECONDS);
         services.loads().begin(request.service().id(), request.head().promptTokens());
         exchange.onDisconnect(() -> onLoop(this::abandon));
-        attempt();
+        if (!ended) {
+            attempt();
+        }
     }
 
     private void attempt() {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -9,6 +9,7 @@
 import org.cardamomthread.daemon.telemetry.DecisionLog;
 import org.cardamomthread.daemon.telemetry.ForwardingMetrics;
 import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.daemon.view.QuotaBorrower;
 import org.cardamomthread.daemon.view.ViewLease;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 
@@ -29,6 +30,7 @@
      * @param loop the event loop that runs everything here
      * @param timeSource the clock
      * @param lease tells whether requests with a key may be admitted
+     * @param borrower borrows quota beyond the own shares
      * @param limits the platform's limits
      * @param log writes decisions
      * @param metrics counts requests
@@ -40,6 +42,7 @@
             EventLoop loop,
             TimeSource timeSource,
             ViewLease lease,
+            QuotaBorrower borrower,
             ForwardingLimits limits,
             DecisionLog log,
             ForwardingMetrics metrics,
@@ -66,6 +69,7 @@
                         table,
                         new EndpointChooser(table, timeSource, environment.random()),
                         quotas,
+                        environment.borrower(),
                         new RepeatBudget(timeSource, environment.limits()),
                         usage,
                         results,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingApi.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingApi.java
@@ -130,33 +130,48 @@
             return;
         }
         double amount = account.map(known -> countQuota(known, head)).orElse(0.0);
-        if (account.isPresent() && !services.quotas().tryTake(account.get(), amount)) {
-            long waitMs = services.quotas().waitMs(account.get(), amount);
-            long retryMs = Math.min(MAX_QUOTA_RETRY_MS, Math.max(MIN_QUOTA_RETRY_MS, waitMs));
-            refuse(
-                    exchange,
-                    head,
-                    new Refusal(
-                            429,
-                            "quota-exceeded",
-                            "Quota exceeded",
-                            "the client account has used up its quota: send less, or later",
-                            OptionalLong.of(retryMs)));
+        Runnable forward = () -> forward(exchange, head, route, service.get(), account, amount);
+        if (account.isEmpty() || services.quotas().tryTake(account.get(), amount)) {
+            forward.run();
             return;
         }
+        services.borrower()
+                .borrow(
+                        account.get().id(),
+                        amount,
+                        isGranted -> {
+                            if (isGranted) {
+                                forward.run();
+                            } else {
+                                refuse(exchange, head, overQuota(account.get(), amount));
+                            }
+                        });
+    }
+
+    private Refusal overQuota(TrafficAccount account, double amount) {
+        long waitMs = services.quotas().waitMs(account, amount);
+        long retryMs = Math.min(MAX_QUOTA_RETRY_MS, Math.max(MIN_QUOTA_RETRY_MS, waitMs));
+        return new Refusal(
+                429,
+                "quota-exceeded",
+                "Quota exceeded",
+                "the client account has used up its quota: send less, or later",
+                OptionalLong.of(retryMs));
+    }
+
+    private void forward(
+            HttpExchange exchange,
+            RequestHead head,
+            TrafficRoute route,
+            TrafficService service,
+            Optional<TrafficAccount> account,
+            double amount) {
         long nowMs = services.timeSource().monotonicMs();
         long timeoutMs = Math.min(route.timeoutMs(), head.timeoutMs().orElse(route.timeoutMs()));
         AdmittedRequest request =
                 new AdmittedRequest(
-                        head,
-                        view,
-                        route,
-                        service.get(),
-                        account,
-                        amount,
-                        nowMs,
-                        nowMs + timeoutMs);
-        services.metrics().begin(service.get().id());
+                        head, view, route, service, account, amount, nowMs, nowMs + timeoutMs);
+        services.metrics().begin(service.id());
         new ForwardedCall(services, exchange, request).start();
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingServices.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingServices.java
@@ -5,6 +5,7 @@
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.telemetry.ForwardingMetrics;
+import org.cardamomthread.daemon.view.QuotaBorrower;
 import org.cardamomthread.daemon.view.ViewLease;
 
 /**
@@ -18,6 +19,7 @@
  * @param table what is known of the endpoints
  * @param chooser chooses endpoints
  * @param quotas this gateway's shares of quotas
+ * @param borrower borrows quota beyond the own shares
  * @param repeats bounds further sends
  * @param usage counts requests that began to run
  * @param results counts answers by version
@@ -34,6 +36,7 @@
         EndpointTable table,
         EndpointChooser chooser,
         QuotaLedger quotas,
+        QuotaBorrower borrower,
         RepeatBudget repeats,
         UsageCounter usage,
         VersionResults results,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/QuotaLedger.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/QuotaLedger.java
@@ -7,6 +7,8 @@
 import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.daemon.view.QuotaDivision;
+import org.cardamomthread.policy.admission.TokenBucket;
 
 /**
  * Holds this gateway's shares of the accounts' quotas.
@@ -19,12 +21,9 @@
     /** Gateways assumed until the control nodes have told how many share the limits. */
     private static final int ASSUMED_GATEWAYS = 16;
 
-    /** Part of the allowed excess that gateways use, so that bursts at one of them pass. */
-    private static final double TOLERANCE_PART = 0.5;
-
     private final TimeSource timeSource;
     private final ForwardingLimits limits;
-    private final Map<ClientAccountId, LeakyShare> buckets = new HashMap<>();
+    private final Map<ClientAccountId, TokenBucket> buckets = new HashMap<>();
     private final Map<ClientAccountId, DemandMeter> demands = new HashMap<>();
 
     QuotaLedger(TimeSource timeSource, ForwardingLimits limits) {
@@ -49,13 +48,13 @@
         }
         long nowMs = timeSource.monotonicMs();
         demands.computeIfAbsent(account.id(), id -> new DemandMeter(nowMs)).add(amount, nowMs);
-        LeakyShare bucket = buckets.get(account.id());
+        TokenBucket bucket = buckets.get(account.id());
         return bucket != null && bucket.tryTake(amount, nowMs);
     }
 
     /** Gives back what a request took that will never run. */
     void giveBack(TrafficAccount account, double amount) {
-        LeakyShare bucket = buckets.get(account.id());
+        TokenBucket bucket = buckets.get(account.id());
         if (account.ratePerS() > 0 && bucket != null) {
             bucket.add(amount);
         }
@@ -63,7 +62,7 @@
 
     /** Returns the time until a request of this amount would be admitted, in milliseconds. */
     long waitMs(TrafficAccount account, double amount) {
-        LeakyShare bucket = buckets.get(account.id());
+        TokenBucket bucket = buckets.get(account.id());
         return bucket == null ? 0 : bucket.waitMs(amount, timeSource.monotonicMs());
     }
 
@@ -78,15 +77,18 @@
         demands.computeIfAbsent(account.id(), id -> new DemandMeter(nowMs));
         int gateways = view.gateways() > 0 ? view.gateways() : ASSUMED_GATEWAYS;
         double share = view.shares().getOrDefault(account.id(), 1.0 / gateways);
-        double ratePerS = account.ratePerS() * share;
+        double ownPart = 1 - QuotaDivision.POOLED_PART;
+        double ratePerS = account.ratePerS() * share * ownPart;
         double excess =
                 limits.quotaOvershoot()
                                 * (account.ratePerS() * limits.quotaWindowS() + account.burst())
                         + limits.quotaSlack();
-        double capacity = account.burst() * share + excess * TOLERANCE_PART / gateways;
-        LeakyShare bucket = buckets.get(account.id());
+        double capacity =
+                account.burst() * share * ownPart
+                        + excess * QuotaDivision.TOLERANCE_PART / gateways;
+        TokenBucket bucket = buckets.get(account.id());
         if (bucket == null) {
-            buckets.put(account.id(), new LeakyShare(ratePerS, capacity, capacity, nowMs));
+            buckets.put(account.id(), new TokenBucket(ratePerS, capacity, capacity, nowMs));
         } else {
             bucket.resize(ratePerS, capacity, nowMs);
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/RepeatBudget.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/RepeatBudget.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.policy.admission.TokenBucket;
 
 /**
  * Bounds the further sends of requests, for each service, by a share of its first sends and by this
@@ -16,7 +17,7 @@
 
     private final TimeSource timeSource;
     private final ForwardingLimits limits;
-    private final Map<ServiceId, LeakyShare> buckets = new HashMap<>();
+    private final Map<ServiceId, TokenBucket> buckets = new HashMap<>();
     private int gateways = 1;
 
     RepeatBudget(TimeSource timeSource, ForwardingLimits limits) {
@@ -40,11 +41,11 @@
         return bucketOf(service).tryTake(1, timeSource.monotonicMs());
     }
 
-    private LeakyShare bucketOf(ServiceId service) {
+    private TokenBucket bucketOf(ServiceId service) {
         return buckets.computeIfAbsent(
                 service,
                 id ->
-                        new LeakyShare(
+                        new TokenBucket(
                                 extraPerS(), capacity(), capacity(), timeSource.monotonicMs()));
     }
 
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaPool.java
@@ -0,0 +1,96 @@
+package org.cardamomthread.daemon.view;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.cardamomthread.configuration.traffic.RouteTable;
+import org.cardamomthread.configuration.traffic.TrafficAccount;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.view.generated.QuotaRequest;
+import org.cardamomthread.daemon.view.generated.QuotaResponse;
+import org.cardamomthread.policy.admission.TokenBucket;
+import org.cardamomthread.transport.PeerTopic;
+
+/**
+ * Lends a part of each account's quota to gateways whose own share is used up.
+ *
+ * <p>Invariant: only the node that leads under its lease lends, and a new leader begins with
+ * nothing to lend, so that two leaders in a row lend no more than one would. Runs on the control
+ * thread.
+ */
+public final class QuotaPool {
+
+    /** Carries the gateways' requests. */
+    public static final PeerTopic TOPIC = new PeerTopic(23, "quota");
+
+    private final Supplier<Optional<RouteTable>> routes;
+    private final BooleanSupplier leads;
+    private final ControlThread control;
+    private final TimeSource timeSource;
+    private final Map<String, TokenBucket> buckets = new HashMap<>();
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param routes the accounts in force
+     * @param leads tells whether this node may lend
+     * @param control runs everything
+     * @param timeSource the clock
+     */
+    public QuotaPool(
+            Supplier<Optional<RouteTable>> routes,
+            BooleanSupplier leads,
+            ControlThread control,
+            TimeSource timeSource) {
+        this.routes = routes;
+        this.leads = leads;
+        this.control = control;
+        this.timeSource = timeSource;
+    }
+
+    /**
+     * Answers a gateway.
+     *
+     * @param from the gateway
+     * @param payload the encoded {@link QuotaRequest}
+     * @return the encoded {@link QuotaResponse}
+     */
+    public CompletionStage<byte[]> handle(NodeId from, byte[] payload) {
+        QuotaRequest request;
+        try {
+            request = QuotaRequest.parseFrom(payload);
+        } catch (InvalidProtocolBufferException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+        return control.submit(() -> lend(request).toByteArray());
+    }
+
+    private QuotaResponse lend(QuotaRequest request) {
+        Optional<TrafficAccount> account =
+                routes.get().flatMap(table -> table.findAccountNamed(request.getAccount()));
+        if (!leads.getAsBoolean() || account.isEmpty()) {
+            buckets.clear();
+            return QuotaResponse.getDefaultInstance();
+        }
+        long nowMs = timeSource.monotonicMs();
+        double ratePerS = account.get().ratePerS() * QuotaDivision.POOLED_PART;
+        double capacity = account.get().burst() * QuotaDivision.POOLED_PART;
+        TokenBucket bucket =
+                buckets.computeIfAbsent(
+                        request.getAccount(),
+                        name -> new TokenBucket(ratePerS, capacity, 0, nowMs));
+        bucket.resize(ratePerS, capacity, nowMs);
+        boolean isGranted = bucket.tryTake(request.getAmount(), nowMs);
+        return QuotaResponse.newBuilder()
+                .setGranted(isGranted)
+                .setWaitMs(isGranted ? 0 : bucket.waitMs(request.getAmount(), nowMs))
+                .build();
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
@@ -101,6 +101,15 @@
         executor.execute(this::ask);
     }
 
+    /**
+     * Returns the node that answered last.
+     *
+     * @return the leader, or empty while none is known
+     */
+    public Optional<NodeId> leader() {
+        return leader;
+    }
+
     private void ask() {
         NodeId target = leader.orElseGet(this::chooseNext);
         ViewRequest.Builder request = ViewRequest.newBuilder();
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -41,6 +41,7 @@
 import org.cardamomthread.daemon.testing.RecordedExchange;
 import org.cardamomthread.daemon.testing.TestDialect;
 import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.daemon.view.QuotaBorrower;
 import org.cardamomthread.daemon.view.ViewLease;
 import org.cardamomthread.daemon.view.ViewedEndpoint;
 import org.testng.annotations.BeforeMethod;
@@ -72,6 +73,7 @@
                                 new EmbeddedChannel().eventLoop(),
                                 time,
                                 lease,
+                                new QuotaBorrower(null, Optional::empty, Runnable::run, time),
                                 new ForwardingLimits(0.2, 54, 10, 8, 0.1, 1_000, 5),
                                 new DecisionLog(time),
                                 new DefaultForwardingMetrics(new NodeMetrics()),
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LimitsTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LimitsTests.java
@@ -17,6 +17,7 @@
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.ManualTimeSource;
 import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.policy.admission.TokenBucket;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -126,7 +127,7 @@
 
     @Test
     public void refillsWithTimeAndNeverBeyondItsCapacity() {
-        LeakyShare share = new LeakyShare(10, 5, 0, 0);
+        TokenBucket share = new TokenBucket(10, 5, 0, 0);
         assertFalse(share.tryTake(1, 50));
         assertEquals(share.waitMs(1, 50), 50);
         assertTrue(share.tryTake(1, 100));
--- a/cardamomthread-transport/src/main/java/org/cardamomthread/transport/TransportSettings.java
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/TransportSettings.java
@@ -58,6 +58,16 @@
                 4 << 20, 8 << 20, 4_096, 4_096, 2_000, 1_000, 2_000, 3_000, 50, 2_000, 60_000);
     }
 
+    /**
+     * Returns limits for nodes that must be in touch again soon after many were lost together.
+     *
+     * @return the usual limits with shorter pauses, and a second until a silent link is closed
+     */
+    public static TransportSettings forFastRecovery() {
+        return new TransportSettings(
+                4 << 20, 8 << 20, 4_096, 4_096, 1_000, 500, 1_000, 1_500, 50, 400, 60_000);
+    }
+
     /**
      * Returns the longest payload.
      *
