Buy no dear endpoints beyond what is required; process tests of nodes that join by seeds

The number that the operator began with is now kept with cheap endpoints only; dear ones are bought up to the estimated need.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/ScalingDuty.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/ScalingDuty.java
@@ -134,16 +134,17 @@
                         slots,
                         load.getPromptTokensPerS(),
                         load.getMsPerPromptToken());
-        int needed = Math.max(declared.get(service.id()), estimated);
+        int wanted = Math.max(declared.get(service.id()), estimated);
         EndpointMixPlanner.Situation situation =
                 new EndpointMixPlanner.Situation(
-                        needed,
+                        wanted,
+                        load.getInFlight() > 0 ? estimated : wanted,
                         addOrdered(present, scaling, nowMs),
                         warm,
                         scaling.minPerDataCentre(),
                         scaling.maxPerDataCentre());
         planner.plan(situation, offers, nowMs)
-                .forEach((kind, number) -> order(service, kind, number, needed, control));
+                .forEach((kind, number) -> order(service, kind, number, estimated, control));
     }
 
     /** Counts the endpoints by kind; returns the slots of one of them, 0 if there are none. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -24,6 +24,7 @@
 import org.cardamomthread.daemon.view.GatewayReports;
 import org.cardamomthread.daemon.view.QuotaPool;
 import org.cardamomthread.daemon.view.ViewServer;
+import org.cardamomthread.replication.ReplicaMember;
 import org.cardamomthread.replication.ReplicationGroup;
 import org.cardamomthread.replication.StorageException;
 import org.cardamomthread.transport.TransportStartException;
@@ -251,6 +252,11 @@
                         "cardamomthread_leads",
                         "1 while this node leads the replicated log under its lease",
                         () -> leads() ? 1 : 0);
+        parts.metrics()
+                .addGauge(
+                        "cardamomthread_votes",
+                        "1 while this node's data folder counts towards the majority",
+                        () -> votes() ? 1 : 0);
     }
 
     private Optional<ProposalClient> proposals() {
@@ -261,6 +267,17 @@
         return groups.flatMap(known -> known.replica(GroupDefinition.TRAFFIC));
     }
 
+    private boolean votes() {
+        return group().map(ReplicationGroup::status).stream()
+                .flatMap(
+                        status ->
+                                status.members().stream()
+                                        .filter(
+                                                member ->
+                                                        member.voterId().equals(status.voterId())))
+                .anyMatch(ReplicaMember::isVoter);
+    }
+
     private boolean leads() {
         return group().filter(replicaOfGroup -> replicaOfGroup.status().isLeaseHeld()).isPresent();
     }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/capacity/EndpointMixPlanner.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/capacity/EndpointMixPlanner.java
@@ -12,8 +12,8 @@
  * over data centres, and dear ones released once cheaper ones are warm.
  *
  * <p>Invariants: each data centre keeps its least and never exceeds its most; a release never takes
- * the warm endpoints below the need; a kind that was refused lately is not planned. Immutable apart
- * from the refusals, which it only reads; safe for use by several threads.
+ * the warm endpoints below what is required; a kind that was refused lately is not planned.
+ * Immutable apart from the refusals, which it only reads; safe for use by several threads.
  */
 public final class EndpointMixPlanner {
 
@@ -30,14 +30,16 @@
     /**
      * Holds what is there and what is wanted. Immutable.
      *
-     * @param needed endpoints that have to be warm together
+     * @param wanted endpoints that should be warm together, as long as they are cheap
+     * @param required endpoints that must be warm together whatever they cost, at most the wanted
      * @param expected endpoints that are present or ordered, by kind
      * @param warm endpoints that bear their full load, by kind
      * @param minPerDataCentre fewest endpoints of a data centre
      * @param maxPerDataCentre most endpoints of a data centre
      */
     public record Situation(
-            int needed,
+            int wanted,
+            int required,
             Map<HostOffer.Kind, Integer> expected,
             Map<HostOffer.Kind, Integer> warm,
             int minPerDataCentre,
@@ -80,17 +82,22 @@
             Situation situation, List<HostOffer> offers, long nowMs) {
         Map<HostOffer.Kind, Integer> target = computeTarget(situation, offers, nowMs);
         Map<HostOffer.Kind, Integer> orders = new HashMap<>();
-        int spare = sum(situation.warm()) - situation.needed();
+        int warm = sum(situation.warm());
         List<HostOffer> dearestFirst = offers.stream().sorted(BY_PRICE.reversed()).toList();
         for (HostOffer offer : dearestFirst) {
             HostOffer.Kind kind = offer.kind();
-            int wanted = target.getOrDefault(kind, 0);
+            int planned = target.getOrDefault(kind, 0);
             int expected = situation.expected().getOrDefault(kind, 0);
-            if (wanted > expected) {
-                orders.put(kind, wanted);
-            } else if (wanted < expected && spare > 0) {
-                int released = Math.min(expected - wanted, spare);
-                spare -= released;
+            int spare =
+                    warm
+                            - (FleetView.isReclaimable(kind)
+                                    ? situation.wanted()
+                                    : situation.required());
+            if (planned > expected) {
+                orders.put(kind, planned);
+            } else if (planned < expected && spare > 0) {
+                int released = Math.min(expected - planned, spare);
+                warm -= released;
                 orders.put(kind, expected - released);
             }
         }
@@ -107,14 +114,23 @@
                 target.add(offer);
             }
         }
-        fill(target, cheapestFirst, situation, true);
-        fill(target, cheapestFirst, situation, false);
+        List<HostOffer> reclaimable =
+                cheapestFirst.stream()
+                        .filter(offer -> FleetView.isReclaimable(offer.kind()))
+                        .toList();
+        fill(target, reclaimable, situation, situation.wanted(), true);
+        fill(target, cheapestFirst, situation, situation.required(), true);
+        fill(target, cheapestFirst, situation, situation.required(), false);
         return target.counts;
     }
 
     private void fill(
-            Target target, List<HostOffer> offers, Situation situation, boolean keepsShare) {
-        while (target.total < situation.needed()) {
+            Target target,
+            List<HostOffer> offers,
+            Situation situation,
+            int count,
+            boolean keepsShare) {
+        while (target.total < count) {
             List<HostOffer> possible =
                     offers.stream()
                             .filter(offer -> target.hasRoom(offer, situation))
@@ -149,7 +165,7 @@
 
         Target(Situation situation, double share, long nowMs) {
             this.nowMs = nowMs;
-            mostReclaimable = Math.max(1, (int) Math.ceil(share * situation.needed()));
+            mostReclaimable = Math.max(1, (int) Math.ceil(share * situation.wanted()));
         }
 
         int countOf(DataCentreId dataCentre) {
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/capacity/EndpointMixPlannerTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/capacity/EndpointMixPlannerTests.java
@@ -64,6 +64,18 @@
         assertTrue(orders.keySet().stream().noneMatch(FleetView::isReclaimable), "" + orders);
     }
 
+    @Test
+    public void buysNoDearEndpointsBeyondWhatIsRequired() {
+        DATA_CENTRES.forEach(name -> refusals.onRefused(kind(name, PriceClass.RECLAIMABLE), 1_000));
+        Map<HostOffer.Kind, Integer> warm = onDemandEach(1);
+        Map<HostOffer.Kind, Integer> orders =
+                planner.plan(
+                        new EndpointMixPlanner.Situation(12, 5, warm, warm, 1, 10),
+                        offers(),
+                        1_500);
+        assertEquals(orders.values().stream().mapToInt(Integer::intValue).sum(), 2, "" + orders);
+    }
+
     @DataProvider
     public Object[][] seeds() {
         Object[][] seeds = new Object[200][];
@@ -119,7 +131,9 @@
     private Map<HostOffer.Kind, Integer> plan(
             int needed, Map<HostOffer.Kind, Integer> expected, Map<HostOffer.Kind, Integer> warm) {
         return planner.plan(
-                new EndpointMixPlanner.Situation(needed, expected, warm, 1, 10), offers(), 1_500);
+                new EndpointMixPlanner.Situation(needed, needed, expected, warm, 1, 10),
+                offers(),
+                1_500);
     }
 
     private static int sum(Map<HostOffer.Kind, Integer> counts) {
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
@@ -101,14 +101,20 @@
         Waits.until(
                 READY_MS,
                 node.id() + " being alive",
-                () -> calls.status(node.operators(), "/healthz") == 200);
+                () -> {
+                    process(node.id()).requireRunning();
+                    return calls.status(node.operators(), "/healthz") == 200;
+                });
     }
 
     void awaitReady(NodeAddresses node) throws Exception {
         Waits.until(
                 READY_MS,
                 node.id() + " being ready",
-                () -> calls.status(node.operators(), "/readyz") == 200);
+                () -> {
+                    process(node.id()).requireRunning();
+                    return calls.status(node.operators(), "/readyz") == 200;
+                });
     }
 
     /**
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/ManagedProcess.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/ManagedProcess.java
@@ -13,7 +13,7 @@
  *
  * <p>Safe for use by several threads.
  */
-final class ManagedProcess implements AutoCloseable {
+public final class ManagedProcess implements AutoCloseable {
 
     private static final String VERSION = "0.1.0";
     private static final long STOP_MS = 10_000;
@@ -32,6 +32,12 @@
     static ManagedProcess start(String name, Path folder, String module, List<String> arguments)
             throws IOException {
         Path jar = Path.of("..", module, "target", module + "-" + VERSION + "-all.jar");
+        return startJar(name, folder, jar, arguments);
+    }
+
+    /** Starts a jar that holds all it needs. */
+    public static ManagedProcess startJar(
+            String name, Path folder, Path jar, List<String> arguments) throws IOException {
         if (!Files.exists(jar)) {
             throw new IOException(jar + " does not exist: run mvn package first");
         }
@@ -53,38 +59,51 @@
         return name;
     }
 
-    String log() throws IOException {
+    public String log() throws IOException {
         return Files.readString(log);
     }
 
-    boolean isRunning() {
+    public boolean isRunning() {
         return process.isAlive();
     }
 
-    long pid() {
+    /** Fails with the last line of the log if the process has ended. */
+    public void requireRunning() throws IOException {
+        if (!process.isAlive()) {
+            String[] lines = log().strip().split("\n");
+            throw new AssertionError(
+                    name
+                            + " ended with code "
+                            + process.exitValue()
+                            + ": "
+                            + lines[lines.length - 1]);
+        }
+    }
+
+    public long pid() {
         return process.pid();
     }
 
     /** Stops without notice, as a lost host does. */
-    void kill() throws InterruptedException {
+    public void kill() throws InterruptedException {
         process.destroyForcibly().waitFor();
     }
 
     /** Asks for a graceful shutdown. */
-    void terminate() {
+    public void terminate() {
         process.destroy();
     }
 
-    void freeze() throws IOException, InterruptedException {
+    public void freeze() throws IOException, InterruptedException {
         signal("-STOP");
     }
 
-    void thaw() throws IOException, InterruptedException {
+    public void thaw() throws IOException, InterruptedException {
         signal("-CONT");
     }
 
     /** Waits for the exit and returns its code. */
-    int awaitExit(long boundMs) throws InterruptedException, IOException {
+    public int awaitExit(long boundMs) throws InterruptedException, IOException {
         if (!process.waitFor(boundMs, TimeUnit.MILLISECONDS)) {
             throw new AssertionError(name + " did not exit within " + boundMs + " ms\n" + log());
         }
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/NodeAddresses.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/NodeAddresses.java
@@ -1,8 +1,6 @@
 package org.cardamomthread.processes;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -25,16 +23,11 @@
                 id, dataCentre, ports.get(0), ports.get(1), ports.get(2), ports.get(3));
     }
 
+    /** Reserves ports that nothing else takes, see {@link Ports}. */
     static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
+            ports.add(Ports.reserve());
         }
         return ports;
     }
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Waits.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Waits.java
@@ -4,14 +4,15 @@
 import java.util.concurrent.TimeUnit;
 
 /** Waits for conditions. Stateless and safe for use by several threads. */
-final class Waits {
+public final class Waits {
 
     private static final long POLL_MS = 20;
 
     private Waits() {}
 
     /** Polls a condition; an exception counts as not met. Fails after the bound. */
-    static void until(long boundMs, String what, Callable<Boolean> condition) throws Exception {
+    public static void until(long boundMs, String what, Callable<Boolean> condition)
+            throws Exception {
         long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(boundMs);
         Exception last = null;
         while (System.nanoTime() < endNs) {
--- /dev/null
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/FleetTests.java
@@ -0,0 +1,177 @@
+package org.cardamomthread.processes.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.cardamomthread.processes.Waits;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of nodes that join by seeds, as processes with stand-ins for endpoints. */
+@Test(groups = "processes")
+public class FleetTests {
+
+    private static final long REVOCATION_MS = 5_000;
+
+    private Fleet fleet;
+    private final List<RunnerStandIn> runners = new ArrayList<>();
+
+    @BeforeMethod
+    public void startFleet() throws Exception {
+        fleet = new Fleet();
+        for (int i = 0; i < 2; i++) {
+            runners.add(new RunnerStandIn("runner-" + i, fleet.controlAddresses(), false));
+        }
+        fleet.start(Documents.create(3, Fleet.KEY));
+        for (int i = 0; i < Fleet.GATEWAYS; i++) {
+            awaitServed(i, Fleet.KEY);
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopFleet() throws Exception {
+        runners.forEach(RunnerStandIn::close);
+        runners.clear();
+        fleet.close();
+    }
+
+    @DataProvider
+    public Object[][] requests() {
+        return new Object[][] {
+            {"/again/x", Fleet.KEY, 200},
+            {"/once/x", Fleet.KEY, 200},
+            {"/stream/once/x", Fleet.KEY, 200},
+            {"/stream/resumed/x", Fleet.KEY, 200},
+            {"/none/x", Fleet.KEY, 404},
+            {"/again/x", "another key", 401},
+        };
+    }
+
+    @Test
+    public void answersByRouteAndKey() throws Exception {
+        for (Object[] row : requests()) {
+            for (int i = 0; i < Fleet.GATEWAYS; i++) {
+                String id = newId();
+                HttpResponse<String> answer = fleet.call(i, (String) row[0], id, (String) row[1]);
+                assertEquals(answer.statusCode(), row[2], row[0] + ": " + answer.body());
+                if (answer.statusCode() == 200) {
+                    String expected =
+                            ((String) row[0]).startsWith("/stream/")
+                                    ? RunnerStandIn.expectedStream(id)
+                                    : RunnerStandIn.expectedBody(id);
+                    assertEquals(answer.body(), expected);
+                }
+            }
+        }
+    }
+
+    @Test
+    public void keepsTheNewestDocumentOverTheLossOfTheLeaderAndOfADisk() throws Exception {
+        int leader = fleet.leader();
+        fleet.replaceDocument(Documents.create(8, Fleet.KEY));
+        fleet.control(leader).kill();
+        fleet.wipe(leader);
+        assertReads(8, (leader + 1) % Fleet.CONTROL_NODES);
+        fleet.replaceDocument(Documents.create(9, Fleet.KEY));
+        fleet.startControl(leader, false);
+        Waits.until(
+                30_000,
+                "the wiped node voting again",
+                () -> fleet.metrics(Fleet.controlIp(leader)).body().contains("_votes 1.0"));
+        int second = (leader + 1) % Fleet.CONTROL_NODES;
+        fleet.control(second).kill();
+        assertReads(9, leader);
+        fleet.startControl(second, false);
+        awaitServed(0, Fleet.KEY);
+    }
+
+    @Test
+    public void refusesARevokedKeyThoughItIsOutOfTouch() throws Exception {
+        for (int i = 0; i < Fleet.GATEWAYS; i++) {
+            fleet.gateway(i).freeze();
+        }
+        fleet.replaceDocument(Documents.create(12, "new key"));
+        for (int i = 0; i < Fleet.CONTROL_NODES; i++) {
+            fleet.control(i).freeze();
+        }
+        Thread.sleep(REVOCATION_MS);
+        for (int i = 0; i < Fleet.GATEWAYS; i++) {
+            fleet.gateway(i).thaw();
+            String id = newId();
+            assertFalse(fleet.call(i, "/again/x", id, Fleet.KEY).statusCode() == 200);
+            assertFalse(hasRun(id), fleet.logs());
+        }
+        for (int i = 0; i < Fleet.CONTROL_NODES; i++) {
+            fleet.control(i).thaw();
+        }
+        awaitServed(0, "new key");
+    }
+
+    @Test
+    public void cutsNoStreamWhenAGatewayStops() throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            String id = newId();
+            ids.add(id);
+            answers.add(
+                    CompletableFuture.supplyAsync(
+                            () -> {
+                                try {
+                                    return fleet.call(0, "/stream/once/x", id, Fleet.KEY);
+                                } catch (Exception e) {
+                                    throw new IllegalStateException(e);
+                                }
+                            }));
+        }
+        Thread.sleep(300);
+        fleet.gateway(0).terminate();
+        for (int i = 0; i < ids.size(); i++) {
+            String expected = RunnerStandIn.expectedStream(ids.get(i));
+            assertEquals(answers.get(i).get().body(), expected);
+        }
+        assertEquals(fleet.gateway(0).awaitExit(10_000), 0);
+    }
+
+    @Test
+    public void ignoresAReloadThatIsValidAndSaysSo() throws Exception {
+        new ProcessBuilder("kill", "-HUP", Long.toString(fleet.gateway(0).pid())).start().waitFor();
+        Waits.until(
+                5_000,
+                "the line about the reload",
+                () -> fleet.gateway(0).log().contains("settings-reloaded"));
+        awaitServed(0, Fleet.KEY);
+    }
+
+    private void assertReads(long version, int index) throws Exception {
+        Waits.until(
+                15_000,
+                "a read of the document",
+                () -> fleet.control(index, "GET", "/Config.Read", "").statusCode() == 200);
+        String document = fleet.control(index, "GET", "/Config.Read", "").body();
+        assertTrue(document.contains("\"version\":" + version + ","), document);
+    }
+
+    private void awaitServed(int gateway, String key) throws Exception {
+        Waits.until(
+                20_000,
+                "an answer through gateway " + gateway,
+                () -> fleet.call(gateway, "/again/x", newId(), key).statusCode() == 200);
+    }
+
+    private boolean hasRun(String requestId) {
+        return runners.stream().anyMatch(runner -> runner.runs().containsKey(requestId));
+    }
+
+    private static String newId() {
+        return UUID.randomUUID().toString();
+    }
+}
--- /dev/null
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of nodes that join by seeds, as processes on loopback addresses. */
+package org.cardamomthread.processes.fleet;
