--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetParts.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetParts.java
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.core.time.SuspendCountingTimeSource;
 import org.cardamomthread.core.time.SystemTimeSource;
@@ -37,6 +38,9 @@
     private static final long BODY_TIMEOUT_MS = 20_000;
     private static final int MAX_CONNECTIONS = 3_000;
 
+    /** Threads that still run while the process ends can bring it down with an error. */
+    private static final long CLOSE_TIMEOUT_MS = 500;
+
     private final FleetSettings settings;
     private final TimeSource timeSource = new SuspendCountingTimeSource(new SystemTimeSource());
     private final long incarnation = timeSource.millis();
@@ -122,6 +126,8 @@
     @Override
     public void close() {
         transport.close();
-        eventLoops.shutdownGracefully();
+        eventLoops
+                .shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(CLOSE_TIMEOUT_MS);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingApi.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingApi.java
@@ -45,7 +45,14 @@
 
     /** Puts a new view in force. */
     void follow(GatewayView newView) {
+        boolean isChange =
+                newView.revision() != view.revision()
+                        || newView.endpoints().size() != view.endpoints().size()
+                        || newView.gateways() != view.gateways();
         view = newView;
+        if (isChange) {
+            services.decisions().logView(newView);
+        }
         table.follow(newView);
         services.quotas().follow(newView);
         services.repeats().follow(newView.gateways());
@@ -143,20 +150,25 @@
                             if (isGranted) {
                                 forward.run();
                             } else {
-                                refuse(exchange, head, overQuota(account.get(), amount));
+                                refuseOverQuota(exchange, head, account.get(), amount);
                             }
                         });
     }
 
-    private Refusal overQuota(TrafficAccount account, double amount) {
+    private void refuseOverQuota(
+            HttpExchange exchange, RequestHead head, TrafficAccount account, double amount) {
         long waitMs = services.quotas().waitMs(account, amount);
+        services.decisions().logQuotaRefusal(head, account.id(), amount, waitMs);
         long retryMs = Math.min(MAX_QUOTA_RETRY_MS, Math.max(MIN_QUOTA_RETRY_MS, waitMs));
-        return new Refusal(
-                429,
-                "quota-exceeded",
-                "Quota exceeded",
-                "the client account has used up its quota: send less, or later",
-                OptionalLong.of(retryMs));
+        refuse(
+                exchange,
+                head,
+                new Refusal(
+                        429,
+                        "quota-exceeded",
+                        "Quota exceeded",
+                        "the client account has used up its quota: send less, or later",
+                        OptionalLong.of(retryMs)));
     }
 
     private void forward(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -1,9 +1,11 @@
 package org.cardamomthread.daemon.forwarding;
 
 import java.util.Collection;
+import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.daemon.dialect.RequestHead;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
+import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.ViewLease;
 
 /** Writes the decisions on requests to the log, with what they were based on. */
@@ -32,6 +34,38 @@
                 lease.ageMs());
     }
 
+    void logQuotaRefusal(RequestHead head, ClientAccountId account, double amount, long waitMs) {
+        log.write(
+                "quota-refused",
+                "request",
+                head.requestId(),
+                "account",
+                account,
+                "amount",
+                amount,
+                "waitMs",
+                waitMs,
+                "viewAgeMs",
+                lease.ageMs());
+    }
+
+    void logView(GatewayView view) {
+        log.write(
+                "view-changed",
+                "revision",
+                view.revision(),
+                "documentVersion",
+                view.routes().map(routes -> routes.document().version()).orElse(0L),
+                "drained",
+                view.drained(),
+                "moves",
+                view.moves().size(),
+                "endpoints",
+                view.endpoints().size(),
+                "gateways",
+                view.gateways());
+    }
+
     void logAttempt(AdmittedRequest request, EndpointId endpoint, String result, String detail) {
         log.write(
                 "attempt-failed",
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/RunnerStandIn.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/RunnerStandIn.java
@@ -117,10 +117,13 @@
         }
     }
 
+    /** Streams all events, or those after the one that the request names as its last. */
     private void stream(HttpExchange exchange, String requestId) throws IOException {
+        String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
+        int first = last == null ? 1 : Integer.parseInt(last) + 1;
         exchange.sendResponseHeaders(200, 0);
         try (OutputStream out = exchange.getResponseBody()) {
-            for (int i = 1; i <= EVENTS; i++) {
+            for (int i = first; i <= EVENTS; i++) {
                 out.write(event(requestId, i).getBytes(StandardCharsets.UTF_8));
                 out.flush();
                 Thread.sleep(EVENT_PAUSE_MS);
--- /dev/null
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/SoakRecord.java
@@ -0,0 +1,102 @@
+package org.cardamomthread.processes.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Records what callers and operators saw, and checks it against what the endpoints ran.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class SoakRecord {
+
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+    private static final long REVOCATION_MS = 5_000;
+
+    private final Map<String, Sent> requests = new ConcurrentHashMap<>();
+    private final Map<String, Long> revokedMs = new ConcurrentHashMap<>();
+    private final ConcurrentLinkedQueue<String> faults = new ConcurrentLinkedQueue<>();
+    private final AtomicLong newestAcknowledged = new AtomicLong();
+    private final AtomicLong answered = new AtomicLong();
+
+    /** Holds one request of a caller; status 0 stands for no answer. */
+    record Sent(String path, String key, long sentMs, int status) {}
+
+    void acknowledge(long version) {
+        newestAcknowledged.accumulateAndGet(version, Math::max);
+    }
+
+    long newestAcknowledged() {
+        return newestAcknowledged.get();
+    }
+
+    long answered() {
+        return answered.get();
+    }
+
+    /** Notes that the acknowledgement of a document without a key has arrived. */
+    void revoke(String key) {
+        revokedMs.putIfAbsent(key, System.currentTimeMillis());
+    }
+
+    void addFault(String text) {
+        faults.add(text);
+    }
+
+    void addAnswer(String id, String path, String key, long sentMs, int status, String body) {
+        requests.put(id, new Sent(path, key, sentMs, status));
+        if (status != 200) {
+            return;
+        }
+        answered.incrementAndGet();
+        String expected =
+                path.startsWith("/stream/")
+                        ? RunnerStandIn.expectedStream(id)
+                        : RunnerStandIn.expectedBody(id);
+        if (!body.equals(expected)) {
+            addFault("request " + id + " to " + path + " was answered with: " + body);
+        }
+    }
+
+    void addRead(long versionBefore, long version) {
+        if (version < versionBefore) {
+            addFault("version " + version + " was read after " + versionBefore + " was acked");
+        }
+    }
+
+    /** Lists everything that broke a promise. */
+    List<String> findFaults(List<RunnerStandIn> runners) {
+        List<String> found = new ArrayList<>(faults);
+        requests.forEach((id, sent) -> check(id, sent, listRuns(id, runners), found));
+        return found;
+    }
+
+    private void check(String id, Sent sent, List<String> runs, List<String> found) {
+        boolean isOnce = sent.path().contains("once");
+        if (isOnce && runs.size() > 1) {
+            found.add("request " + id + " to " + sent.path() + " ran " + runs.size() + " times");
+        }
+        if (isOnce && NOT_RUN_STATUSES.contains(sent.status()) && !runs.isEmpty()) {
+            found.add("request " + id + " was answered " + sent.status() + " and ran");
+        }
+        if (runs.stream().anyMatch(account -> !account.equals("bars"))) {
+            found.add("request " + id + " ran for the accounts " + runs);
+        }
+        Long revoked = revokedMs.get(sent.key());
+        boolean isLate = revoked != null && sent.sentMs() > revoked + REVOCATION_MS;
+        if (isLate && !runs.isEmpty()) {
+            found.add("request " + id + " ran though its key had been revoked");
+        }
+    }
+
+    private static List<String> listRuns(String id, List<RunnerStandIn> runners) {
+        List<String> runs = new ArrayList<>();
+        runners.forEach(runner -> runs.addAll(runner.runs().getOrDefault(id, List.of())));
+        return runs;
+    }
+}
