--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dialect/AnswerHead.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dialect/AnswerHead.java
@@ -10,11 +10,6 @@
  * @param isNotRun whether the endpoint states that it has not run the request
  * @param load the endpoint's load, if stated
  * @param coldMs how long the endpoint stays cold, in milliseconds, if stated
- * @param isLeaving whether the endpoint closes the connection after this answer
  */
 public record AnswerHead(
-        boolean isSigned,
-        boolean isNotRun,
-        Optional<LoadReport> load,
-        OptionalLong coldMs,
-        boolean isLeaving) {}
+        boolean isSigned, boolean isNotRun, Optional<LoadReport> load, OptionalLong coldMs) {}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlDirectory.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlDirectory.java
@@ -102,11 +102,7 @@
             return;
         }
         NodeId target = nodes.get(Math.floorMod(next++, nodes.size()));
-        VotersRequest request =
-                VotersRequest.newBuilder()
-                        .setNode(settings.nodeId().value())
-                        .setIsControl(true)
-                        .build();
+        VotersRequest request = VotersRequest.newBuilder().setIsControl(true).build();
         transport
                 .request(target, TOPIC, request.toByteArray(), TIMEOUT)
                 .whenComplete(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointState.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointState.java
@@ -70,10 +70,6 @@
         inFlight--;
     }
 
-    int inFlight() {
-        return inFlight;
-    }
-
     void reportLoad(LoadReport report, long nowMs) {
         load = report;
         loadMs = nowMs;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaPool.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaPool.java
@@ -88,9 +88,6 @@
                         name -> new TokenBucket(ratePerS, capacity, 0, nowMs));
         bucket.resize(ratePerS, capacity, nowMs);
         boolean isGranted = bucket.tryTake(request.getAmount(), nowMs);
-        return QuotaResponse.newBuilder()
-                .setGranted(isGranted)
-                .setWaitMs(isGranted ? 0 : bucket.waitMs(request.getAmount(), nowMs))
-                .build();
+        return QuotaResponse.newBuilder().setGranted(isGranted).build();
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/TestDialect.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/TestDialect.java
@@ -57,8 +57,7 @@
                 headers.contains(SIGNATURE),
                 headers.contains(NOT_RUN),
                 Optional.empty(),
-                OptionalLong.empty(),
-                false);
+                OptionalLong.empty());
     }
 
     @Override
