Reset the connections of platform calls that are given up

The call had been given up after 2 s, but an orderly close keeps unsent bytes. Ruled out: two leaders of one term, since the numbers differ; a lease that is too long, since the order was sent before the cut.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/PlatformCaller.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/PlatformCaller.java
@@ -10,12 +10,25 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Sends calls to the platform, each once. Safe for use by several threads. */
+/**
+ * Sends calls to the platform, each once.
+ *
+ * <p>Invariant: a call that was given up reaches the platform no more. Its connection is reset,
+ * since after an orderly close the host would go on sending what a cut link has held up, and the
+ * platform would get an order of a former holder after those of the next one. Safe for use by
+ * several threads.
+ */
 public final class PlatformCaller implements AutoCloseable {
 
-    /** The platform may be slow; a call that is later than this is taken for lost. */
+    /**
+     * The platform may be slow; a call that is later than this is given up. Shorter than the time
+     * for which the next holder of a duty waits.
+     */
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
+    /** Makes a close reset the connection and drop what was not sent. */
+    private static final int RESET_ON_CLOSE = 0;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(PlatformCaller.class);
 
     private final AsyncHttpClient client;
@@ -35,6 +48,7 @@
                                 .setEventLoopGroup(eventLoops)
                                 .setConnectTimeout(TIMEOUT)
                                 .setRequestTimeout(TIMEOUT)
+                                .setSoLinger(RESET_ON_CLOSE)
                                 .setMaxRequestRetry(0));
     }
 
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/PlatformCallerTests.java
@@ -0,0 +1,66 @@
+package org.cardamomthread.daemon.duty;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.cardamomthread.daemon.dialect.PlatformCall;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link PlatformCaller}. */
+public class PlatformCallerTests {
+
+    private static final PlatformCall CALL =
+            new PlatformCall("/order", new DefaultHttpHeaders(), new byte[] {1, 2, 3});
+
+    private EventLoopGroup eventLoops;
+    private ServerSocket platform;
+    private PlatformCaller caller;
+
+    @BeforeMethod
+    @SuppressWarnings("deprecation")
+    public void start() throws IOException {
+        eventLoops = new NioEventLoopGroup(1);
+        platform = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        caller = new PlatformCaller("127.0.0.1:" + platform.getLocalPort(), eventLoops);
+    }
+
+    @AfterMethod
+    public void stop() throws IOException {
+        caller.close();
+        platform.close();
+        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    public void returnsTheStatus() throws Exception {
+        CompletableFuture<Integer> status = caller.send(CALL);
+        try (Socket socket = platform.accept()) {
+            String answer = "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n";
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            assertEquals((int) status.get(5, TimeUnit.SECONDS), 409);
+        }
+    }
+
+    @Test
+    public void resetsTheConnectionOfACallThatItGivesUp() throws Exception {
+        CompletableFuture<Integer> status = caller.send(CALL);
+        try (Socket socket = platform.accept()) {
+            expectThrows(ExecutionException.class, () -> status.get(10, TimeUnit.SECONDS));
+            TimeUnit.MILLISECONDS.sleep(200);
+            expectThrows(IOException.class, () -> socket.getInputStream().readAllBytes());
+        }
+    }
+}
