Lend most of each quota from the leader and use the allowed excess

Half of each quota lay in shares of six gateways, each about one long request a second, and what a gateway does not use is lost. The tenant whose limit was lowered (159,300 to 44,250 tokens a second) was held to the bare rate, though any window may hold the quota, a tenth and 140,000 tokens more. Change: the leader lends four fifths, with an answer that says when more is there; the pool refills faster by half of a window's allowed excess, holds a quarter of it and may be overdrawn by one request, so that large requests are not passed over for small ones; gateways begin with nothing. The log of refusals and answers names account, amount and rate.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -108,7 +108,12 @@
         FleetSettings settings = parts.settings();
         parts.transport().register(ViewServer.TOPIC, views::handle);
         QuotaPool quotas =
-                new QuotaPool(documents::current, this::leads, control, parts.timeSource());
+                new QuotaPool(
+                        documents::current,
+                        this::leads,
+                        settings.limits().quotas(),
+                        control,
+                        parts.timeSource());
         parts.transport().register(QuotaPool.TOPIC, quotas::handle);
         endpoints.start();
         Optional<List<NodeId>> voters = findVoters();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
@@ -1,5 +1,7 @@
 package org.cardamomthread.daemon.fleet;
 
+import org.cardamomthread.daemon.view.QuotaDivision;
+
 /**
  * Holds the limits that the platform states. Immutable.
  *
@@ -10,9 +12,7 @@
  * @param repeatRatio further sends that each first send allows
  * @param repeatExtra further sends allowed besides, over all gateways and one window
  * @param repeatWindowS the window of further sends, in seconds
- * @param quotaWindowS the window over which quotas are judged, in seconds
- * @param quotaOvershoot part of a quota by which all gateways together may exceed it
- * @param quotaSlack quota units by which they may exceed it besides
+ * @param quotas how quotas are divided, with the excess that is allowed
  * @param usageWindowS the length of an accounting window, in seconds
  * @param usageLateS time after its end by which a window must be reported, in seconds
  */
@@ -23,9 +23,7 @@
         double repeatRatio,
         double repeatExtra,
         double repeatWindowS,
-        double quotaWindowS,
-        double quotaOvershoot,
-        double quotaSlack,
+        QuotaDivision quotas,
         long usageWindowS,
         long usageLateS) {
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -14,6 +14,7 @@
 import org.cardamomthread.configuration.document.Problem;
 import org.cardamomthread.configuration.document.YamlReader;
 import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.daemon.view.QuotaDivision;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -126,9 +127,10 @@
                 fraction("/limits/repeatRatio"),
                 fraction("/limits/repeatExtra"),
                 fraction("/limits/repeatWindowS"),
-                fraction("/limits/quotaWindowS"),
-                fraction("/limits/quotaOvershoot"),
-                fraction("/limits/quotaSlack"),
+                new QuotaDivision(
+                        fraction("/limits/quotaWindowS"),
+                        fraction("/limits/quotaOvershoot"),
+                        fraction("/limits/quotaSlack")),
                 number("/limits/usageWindowS", 1, Long.MAX_VALUE),
                 number("/limits/usageLateS", 1, Long.MAX_VALUE));
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -191,9 +191,7 @@
                 limits.repeatRatio(),
                 limits.repeatExtra(),
                 limits.repeatWindowS(),
-                limits.quotaWindowS(),
-                limits.quotaOvershoot(),
-                limits.quotaSlack(),
+                limits.quotas(),
                 limits.usageWindowS());
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -57,7 +57,7 @@
         TimeSource timeSource = environment.timeSource();
         EndpointTable table = new EndpointTable();
         loads = new ServiceLoads(timeSource);
-        quotas = new QuotaLedger(timeSource, environment.limits());
+        quotas = new QuotaLedger(timeSource, environment.limits().quotas());
         usage = new UsageCounter(timeSource, environment.limits().usageWindowS());
         ForwardingServices services =
                 new ForwardingServices(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingApi.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingApi.java
@@ -146,19 +146,25 @@
                 .borrow(
                         account.get().id(),
                         amount,
-                        isGranted -> {
-                            if (isGranted) {
+                        grant -> {
+                            if (grant.isGranted()) {
                                 forward.run();
                             } else {
-                                refuseOverQuota(exchange, head, account.get(), amount);
+                                refuseOverQuota(
+                                        exchange, head, account.get(), amount, grant.waitMs());
                             }
                         });
     }
 
     private void refuseOverQuota(
-            HttpExchange exchange, RequestHead head, TrafficAccount account, double amount) {
-        long waitMs = services.quotas().waitMs(account, amount);
-        services.decisions().logQuotaRefusal(head, account.id(), amount, waitMs);
+            HttpExchange exchange,
+            RequestHead head,
+            TrafficAccount account,
+            double amount,
+            OptionalLong lentInMs) {
+        long ownMs = services.quotas().waitMs(account, amount);
+        long waitMs = Math.min(ownMs, lentInMs.orElse(ownMs));
+        services.decisions().logQuotaRefusal(head, account, amount, waitMs);
         long retryMs = Math.min(MAX_QUOTA_RETRY_MS, Math.max(MIN_QUOTA_RETRY_MS, waitMs));
         refuse(
                 exchange,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -1,7 +1,7 @@
 package org.cardamomthread.daemon.forwarding;
 
 import java.util.Collection;
-import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.configuration.traffic.TrafficAccount;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.daemon.dialect.RequestHead;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
@@ -34,15 +34,17 @@
                 lease.ageMs());
     }
 
-    void logQuotaRefusal(RequestHead head, ClientAccountId account, double amount, long waitMs) {
+    void logQuotaRefusal(RequestHead head, TrafficAccount account, double amount, long waitMs) {
         log.write(
                 "quota-refused",
                 "request",
                 head.requestId(),
                 "account",
-                account,
+                account.id(),
                 "amount",
                 amount,
+                "ratePerS",
+                account.ratePerS(),
                 "waitMs",
                 waitMs,
                 "viewAgeMs",
@@ -95,6 +97,10 @@
                 request.route().id(),
                 "service",
                 request.service().id(),
+                "account",
+                request.account().map(account -> account.id().value()).orElse("none"),
+                "amount",
+                request.quotaAmount(),
                 "outcome",
                 outcome,
                 "sends",
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/QuotaLedger.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/QuotaLedger.java
@@ -14,7 +14,8 @@
  * Holds this gateway's shares of the accounts' quotas.
  *
  * <p>Invariant: what all gateways admit is bounded by the quota as long as their shares add up to
- * one; a gateway without a share takes an even one. Used by one thread at a time.
+ * one; a gateway without a share takes an even one, and one that starts begins with nothing, as the
+ * process before it may have used the share up. Used by one thread at a time.
  */
 final class QuotaLedger {
 
@@ -22,13 +23,13 @@
     private static final int ASSUMED_GATEWAYS = 16;
 
     private final TimeSource timeSource;
-    private final ForwardingLimits limits;
+    private final QuotaDivision division;
     private final Map<ClientAccountId, TokenBucket> buckets = new HashMap<>();
     private final Map<ClientAccountId, DemandMeter> demands = new HashMap<>();
 
-    QuotaLedger(TimeSource timeSource, ForwardingLimits limits) {
+    QuotaLedger(TimeSource timeSource, QuotaDivision division) {
         this.timeSource = timeSource;
-        this.limits = limits;
+        this.division = division;
     }
 
     /** Takes the shares of a new view over. */
@@ -77,20 +78,12 @@
         demands.computeIfAbsent(account.id(), id -> new DemandMeter(nowMs));
         int gateways = view.gateways() > 0 ? view.gateways() : ASSUMED_GATEWAYS;
         double share = view.shares().getOrDefault(account.id(), 1.0 / gateways);
-        double ownPart = 1 - QuotaDivision.POOLED_PART;
-        double ratePerS = account.ratePerS() * share * ownPart;
-        double excess =
-                limits.quotaOvershoot()
-                                * (account.ratePerS() * limits.quotaWindowS() + account.burst())
-                        + limits.quotaSlack();
-        double capacity =
-                account.burst() * share * ownPart
-                        + excess * QuotaDivision.TOLERANCE_PART / gateways;
+        QuotaDivision.Limits own = division.shareOf(account, share, gateways);
         TokenBucket bucket = buckets.get(account.id());
         if (bucket == null) {
-            buckets.put(account.id(), new TokenBucket(ratePerS, capacity, capacity, nowMs));
+            buckets.put(account.id(), new TokenBucket(own.ratePerS(), own.capacity(), 0, nowMs));
         } else {
-            bucket.resize(ratePerS, capacity, nowMs);
+            bucket.resize(own.ratePerS(), own.capacity(), nowMs);
         }
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaBorrower.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaBorrower.java
@@ -14,6 +14,8 @@
 import org.cardamomthread.daemon.view.generated.QuotaRequest;
 import org.cardamomthread.daemon.view.generated.QuotaResponse;
 import org.cardamomthread.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Borrows quota from the leader for single requests.
@@ -27,10 +29,13 @@
     /** A leader in reach answers within a few milliseconds; longer waits cost more than a retry. */
     private static final Duration TIMEOUT = Duration.ofMillis(100);
 
-    /** Pause after a refusal, in milliseconds: at most ten questions a second and account. */
-    private static final long REFUSAL_PAUSE_MS = 100;
+    /** Longest pause after a refusal, in milliseconds: shares of other gateways may lapse. */
+    private static final long MAX_PAUSE_MS = 100;
 
-    private static final int MAX_OPEN = 4;
+    /** Open questions for one account: those of 100 ms at 160 requests a second and gateway. */
+    private static final int MAX_OPEN = 16;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(QuotaBorrower.class);
 
     private final PeerTransport transport;
     private final Supplier<Optional<NodeId>> leader;
@@ -42,6 +47,7 @@
     private static final class Account {
         private int open;
         private long pausedUntilMs;
+        private double refusedAmount;
     }
 
     /**
@@ -70,15 +76,16 @@
      * @param amount the quota units of a request
      * @param answer hears whether it was granted, at once or later on the executor
      */
-    public void borrow(ClientAccountId accountId, double amount, Consumer<Boolean> answer) {
+    public void borrow(ClientAccountId accountId, double amount, Consumer<QuotaGrant> answer) {
         Account account = accounts.computeIfAbsent(accountId, id -> new Account());
         Optional<NodeId> target = leader.get();
-        boolean mayAsk =
-                target.isPresent()
-                        && account.open < MAX_OPEN
-                        && timeSource.monotonicMs() >= account.pausedUntilMs;
-        if (!mayAsk) {
-            answer.accept(false);
+        if (target.isEmpty() || account.open >= MAX_OPEN) {
+            answer.accept(QuotaGrant.unknown());
+            return;
+        }
+        long pauseMs = account.pausedUntilMs - timeSource.monotonicMs();
+        if (pauseMs > 0 && amount >= account.refusedAmount) {
+            answer.accept(QuotaGrant.refused(pauseMs));
             return;
         }
         account.open++;
@@ -93,20 +100,31 @@
                 .whenCompleteAsync(
                         (payload, failure) -> {
                             account.open--;
-                            boolean isGranted = failure == null && isGranted(payload);
-                            if (!isGranted) {
-                                account.pausedUntilMs = timeSource.monotonicMs() + REFUSAL_PAUSE_MS;
+                            QuotaGrant grant = decode(payload, failure);
+                            if (!grant.isGranted()) {
+                                account.refusedAmount = amount;
+                                account.pausedUntilMs =
+                                        timeSource.monotonicMs()
+                                                + Math.min(MAX_PAUSE_MS, grant.waitMs().orElse(0));
                             }
-                            answer.accept(isGranted);
+                            answer.accept(grant);
                         },
                         executor);
     }
 
-    private static boolean isGranted(byte[] payload) {
+    private static QuotaGrant decode(byte[] payload, Throwable failure) {
+        if (failure != null) {
+            LOGGER.atDebug().setCause(failure).log("no quota was borrowed");
+            return QuotaGrant.unknown();
+        }
         try {
-            return QuotaResponse.parseFrom(payload).getGranted();
+            QuotaResponse response = QuotaResponse.parseFrom(payload);
+            return response.getGranted()
+                    ? QuotaGrant.granted()
+                    : QuotaGrant.refused(response.getWaitMs());
         } catch (InvalidProtocolBufferException e) {
-            return false;
+            LOGGER.atWarn().setCause(e).log("an answer about quota cannot be read");
+            return QuotaGrant.unknown();
         }
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaDivision.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaDivision.java
@@ -1,13 +1,75 @@
 package org.cardamomthread.daemon.view;
 
-/** Says how a quota is divided between the gateways' own shares and the leader's pool. */
-public final class QuotaDivision {
+import org.cardamomthread.configuration.traffic.TrafficAccount;
 
-    /** Part of each quota that the leader lends on demand; the rest is shared out in advance. */
-    public static final double POOLED_PART = 0.5;
+/**
+ * Divides each quota between the gateways' own shares and the leader's pool. Immutable.
+ *
+ * <p>Invariant: in any window, what the own shares and the pool admit adds up to no more than the
+ * quota with its allowed excess.
+ *
+ * @param windowS the window over which quotas are judged, in seconds
+ * @param overshoot part of a quota by which all gateways together may exceed it
+ * @param slack quota units by which they may exceed it besides, for accounts that count tokens
+ */
+public record QuotaDivision(double windowS, double overshoot, double slack) {
 
-    /** Part of the allowed excess that is used, so that bursts at one gateway pass. */
-    public static final double TOLERANCE_PART = 0.5;
+    /** Part of each quota that the leader lends; the rest serves while no leader is in reach. */
+    private static final double POOLED_PART = 0.8;
 
-    private QuotaDivision() {}
+    /** Part of a window's allowed excess by which the pool refills faster than the quota. */
+    private static final double RATE_EXCESS = 0.5;
+
+    /** Part of the allowed excess that the pool holds, so that bursts pass. */
+    private static final double POOLED_EXCESS = 0.25;
+
+    /** Part of the allowed excess that the gateways hold together. */
+    private static final double OWN_EXCESS = 0.05;
+
+    /** Part of the allowed excess by which one request may overdraw the pool. */
+    private static final double DEBT_EXCESS = 0.1;
+
+    /**
+     * Holds the limits of one bucket.
+     *
+     * @param ratePerS quota units a second
+     * @param capacity the most quota units it holds
+     * @param debt quota units by which a request may overdraw it
+     */
+    public record Limits(double ratePerS, double capacity, double debt) {}
+
+    /**
+     * Returns the limits of the leader's pool.
+     *
+     * @param account the account
+     * @return the part of its quota that is lent
+     */
+    public Limits poolOf(TrafficAccount account) {
+        double excess = excessOf(account);
+        return new Limits(
+                account.ratePerS() * POOLED_PART + excess * RATE_EXCESS / windowS,
+                account.burst() * POOLED_PART + excess * POOLED_EXCESS,
+                excess * DEBT_EXCESS);
+    }
+
+    /**
+     * Returns the limits of a gateway's own share.
+     *
+     * @param account the account
+     * @param share the gateway's share, from 0 to 1
+     * @param gateways how many gateways hold shares
+     * @return the part of its quota that the gateway admits by itself
+     */
+    public Limits shareOf(TrafficAccount account, double share, int gateways) {
+        double ownPart = 1 - POOLED_PART;
+        return new Limits(
+                account.ratePerS() * share * ownPart,
+                account.burst() * share * ownPart + excessOf(account) * OWN_EXCESS / gateways,
+                0);
+    }
+
+    private double excessOf(TrafficAccount account) {
+        double window = account.ratePerS() * windowS + account.burst();
+        return overshoot * window + (account.countsTokens() ? slack : 0);
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaPool.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaPool.java
@@ -32,6 +32,7 @@
 
     private final Supplier<Optional<RouteTable>> routes;
     private final BooleanSupplier leads;
+    private final QuotaDivision division;
     private final ControlThread control;
     private final TimeSource timeSource;
     private final Map<String, TokenBucket> buckets = new HashMap<>();
@@ -41,16 +42,19 @@
      *
      * @param routes the accounts in force
      * @param leads tells whether this node may lend
+     * @param division tells how much is lent
      * @param control runs everything
      * @param timeSource the clock
      */
     public QuotaPool(
             Supplier<Optional<RouteTable>> routes,
             BooleanSupplier leads,
+            QuotaDivision division,
             ControlThread control,
             TimeSource timeSource) {
         this.routes = routes;
         this.leads = leads;
+        this.division = division;
         this.control = control;
         this.timeSource = timeSource;
     }
@@ -80,14 +84,16 @@
             return QuotaResponse.getDefaultInstance();
         }
         long nowMs = timeSource.monotonicMs();
-        double ratePerS = account.get().ratePerS() * QuotaDivision.POOLED_PART;
-        double capacity = account.get().burst() * QuotaDivision.POOLED_PART;
+        QuotaDivision.Limits limits = division.poolOf(account.get());
         TokenBucket bucket =
                 buckets.computeIfAbsent(
                         request.getAccount(),
-                        name -> new TokenBucket(ratePerS, capacity, 0, nowMs));
-        bucket.resize(ratePerS, capacity, nowMs);
-        boolean isGranted = bucket.tryTake(request.getAmount(), nowMs);
-        return QuotaResponse.newBuilder().setGranted(isGranted).build();
+                        name -> new TokenBucket(limits.ratePerS(), limits.capacity(), 0, nowMs));
+        bucket.resize(limits.ratePerS(), limits.capacity(), nowMs);
+        boolean isGranted = bucket.tryOverdraw(request.getAmount(), limits.debt(), nowMs);
+        return QuotaResponse.newBuilder()
+                .setGranted(isGranted)
+                .setWaitMs(isGranted ? 0 : bucket.waitMs(request.getAmount(), nowMs))
+                .build();
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -42,6 +42,7 @@
 import org.cardamomthread.daemon.testing.TestDialect;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.QuotaBorrower;
+import org.cardamomthread.daemon.view.QuotaDivision;
 import org.cardamomthread.daemon.view.ViewLease;
 import org.cardamomthread.daemon.view.ViewedEndpoint;
 import org.testng.annotations.BeforeMethod;
@@ -74,7 +75,8 @@
                                 time,
                                 lease,
                                 new QuotaBorrower(null, Optional::empty, Runnable::run, time),
-                                new ForwardingLimits(0.2, 54, 10, 8, 0.1, 1_000, 5),
+                                new ForwardingLimits(
+                                        0.2, 54, 10, new QuotaDivision(8, 0.1, 1_000), 5),
                                 new DecisionLog(time),
                                 new DefaultForwardingMetrics(new NodeMetrics()),
                                 new SplittableRandom(1)));
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LimitsTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LimitsTests.java
@@ -17,6 +17,7 @@
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.ManualTimeSource;
 import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.daemon.view.QuotaDivision;
 import org.cardamomthread.policy.admission.TokenBucket;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -25,7 +26,8 @@
 public class LimitsTests {
 
     private static final ForwardingLimits LIMITS =
-            new ForwardingLimits(0.2, 54, 10, 8, 0.1, 140_000, 5);
+            new ForwardingLimits(0.2, 54, 10, new QuotaDivision(8, 0.1, 140_000), 5);
+    private static final QuotaDivision QUOTAS = LIMITS.quotas();
     private static final double RATE = 20_000;
     private static final double BURST = 20_000;
     private static final ServiceId CHAT = new ServiceId("chat");
@@ -48,7 +50,7 @@
         TrafficAccount account = account();
         QuotaLedger[] ledgers = new QuotaLedger[gateways];
         for (int i = 0; i < gateways; i++) {
-            ledgers[i] = new QuotaLedger(time, LIMITS);
+            ledgers[i] = new QuotaLedger(time, QUOTAS);
             ledgers[i].follow(view(account, gateways));
         }
         double[] admitted = new double[300];
@@ -62,9 +64,8 @@
             time.advanceMs(100);
         }
         double allowed =
-                (RATE * LIMITS.quotaWindowS() + BURST) * (1 + LIMITS.quotaOvershoot())
-                        + LIMITS.quotaSlack();
-        int window = (int) (LIMITS.quotaWindowS() * 10);
+                (RATE * QUOTAS.windowS() + BURST) * (1 + QUOTAS.overshoot()) + QUOTAS.slack();
+        int window = (int) (QUOTAS.windowS() * 10);
         for (int start = 0; start + window <= admitted.length; start++) {
             double sum = 0;
             for (int i = start; i < start + window; i++) {
@@ -76,14 +77,14 @@
 
     @Test
     public void admitsNothingOfAnAccountWithoutAView() {
-        QuotaLedger ledger = new QuotaLedger(new ManualTimeSource(), LIMITS);
+        QuotaLedger ledger = new QuotaLedger(new ManualTimeSource(), QUOTAS);
         assertFalse(ledger.tryTake(account(), 1));
     }
 
     @Test
     public void givesBackWhatNeverRan() {
         ManualTimeSource time = new ManualTimeSource();
-        QuotaLedger ledger = new QuotaLedger(time, LIMITS);
+        QuotaLedger ledger = new QuotaLedger(time, QUOTAS);
         TrafficAccount account = account();
         ledger.follow(view(account, 1));
         double taken = 0;
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaSharingTests.java
@@ -0,0 +1,202 @@
+package org.cardamomthread.daemon.forwarding;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import org.cardamomthread.configuration.traffic.RouteTable;
+import org.cardamomthread.configuration.traffic.TrafficAccount;
+import org.cardamomthread.configuration.traffic.TrafficDocument;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.daemon.view.QuotaDivision;
+import org.cardamomthread.daemon.view.QuotaPool;
+import org.cardamomthread.daemon.view.generated.QuotaRequest;
+import org.cardamomthread.daemon.view.generated.QuotaResponse;
+import org.cardamomthread.policy.admission.TokenBucket;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests the gateways' {@link QuotaLedger shares} together with the leader's {@link QuotaPool}. */
+public class QuotaSharingTests {
+
+    private static final QuotaDivision QUOTAS = new QuotaDivision(8, 0.1, 140_000);
+    private static final double RATE = 277_358;
+    private static final NodeId GATEWAY = new NodeId("gateway");
+    private static final int STEP_MS = 10;
+    private static final int STEPS = 4_000;
+
+    private ManualTimeSource time;
+    private ControlThread control;
+    private TrafficAccount account;
+    private QuotaPool pool;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new ManualTimeSource();
+        control = new ControlThread("quota-tests");
+        account = account(true);
+        pool = createPool(account);
+    }
+
+    @AfterMethod
+    public void tearDown() {
+        control.close();
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        Object[][] seeds = new Object[10][];
+        for (int i = 0; i < seeds.length; i++) {
+            seeds[i] = new Object[] {(long) i};
+        }
+        return seeds;
+    }
+
+    /** Requests as large as a tenth of a second's quota, spread unevenly, against one bucket. */
+    @Test(dataProvider = "seeds")
+    public void refusesNothingBelowTheQuota(long seed) throws Exception {
+        Random random = new Random(seed);
+        List<QuotaLedger> ledgers = createLedgers(6);
+        time.advanceMs(10_000);
+        TokenBucket whole = new TokenBucket(RATE, RATE, RATE, time.monotonicMs());
+        int admitted = 0;
+        int refused = 0;
+        for (int step = 0; step < STEPS; step++) {
+            double size = 1_000 + random.nextInt(27_000);
+            if (random.nextDouble() < 0.9 * RATE * STEP_MS / 1_000 / 14_500) {
+                int chosen = (int) (ledgers.size() * random.nextDouble() * random.nextDouble());
+                if (whole.tryTake(size, time.monotonicMs())) {
+                    admitted++;
+                    refused += take(ledgers.get(chosen), size) ? 0 : 1;
+                }
+            }
+            time.advanceMs(STEP_MS);
+        }
+        assertTrue(refused <= admitted / 100, refused + " of " + admitted + " refused");
+    }
+
+    @Test(dataProvider = "seeds")
+    public void keepsTheQuotaInAnyWindow(long seed) throws Exception {
+        Random random = new Random(seed);
+        List<QuotaLedger> ledgers = createLedgers(1 + random.nextInt(12));
+        double[] admitted = new double[STEPS];
+        for (int step = 0; step < STEPS; step++) {
+            QuotaLedger ledger = ledgers.get(random.nextInt(ledgers.size()));
+            double size = 1_000 + random.nextInt(27_000);
+            admitted[step] = take(ledger, size) ? size : 0;
+            time.advanceMs(STEP_MS);
+        }
+        double allowed = (RATE * 8 + RATE) * 1.1 + 140_000;
+        int window = 8_000 / STEP_MS;
+        double sum = 0;
+        for (int step = 0; step < STEPS; step++) {
+            sum += admitted[step] - (step >= window ? admitted[step - window] : 0);
+            assertTrue(sum <= allowed, sum + " admitted, " + allowed + " allowed");
+        }
+    }
+
+    /** A new leader does not know what the one before has lent. */
+    @Test
+    public void lendsNothingRightAfterTheLeaderChanges() throws Exception {
+        assertFalse(borrow(1_000).getGranted());
+        time.advanceMs(1_000);
+        assertTrue(borrow(1_000).getGranted());
+    }
+
+    @Test
+    public void saysWhenQuotaIsThereAgain() throws Exception {
+        borrow(1);
+        QuotaResponse refused = borrow(27_000);
+        assertFalse(refused.getGranted());
+        time.advanceMs(refused.getWaitMs());
+        assertTrue(borrow(27_000).getGranted());
+    }
+
+    /** Otherwise small requests would take what comes in, and large ones would never run. */
+    @Test
+    public void admitsLargeRequestsBesideSmallOnes() throws Exception {
+        borrow(1);
+        Random random = new Random(1);
+        int large = 0;
+        for (int step = 0; step < 400; step++) {
+            time.advanceMs(STEP_MS);
+            int position = random.nextInt(5);
+            for (int i = 0; i < 5; i++) {
+                double amount = i == position ? 20_000 : 1_000;
+                large += borrow(amount).getGranted() && i == position ? 1 : 0;
+            }
+        }
+        assertTrue(large >= 10, large + " large requests admitted");
+    }
+
+    @Test
+    public void allowsNoTokensOfExcessToAnAccountThatCountsRequests() {
+        QuotaDivision.Limits limits = QUOTAS.poolOf(account(false));
+        assertTrue(limits.capacity() < RATE * 2, "capacity " + limits.capacity());
+    }
+
+    private boolean take(QuotaLedger ledger, double size) throws Exception {
+        return ledger.tryTake(account, size) || borrow(size).getGranted();
+    }
+
+    private QuotaResponse borrow(double amount) throws Exception {
+        byte[] request =
+                QuotaRequest.newBuilder()
+                        .setAccount(account.id().value())
+                        .setAmount(amount)
+                        .build()
+                        .toByteArray();
+        return QuotaResponse.parseFrom(pool.handle(GATEWAY, request).toCompletableFuture().get());
+    }
+
+    private List<QuotaLedger> createLedgers(int count) throws Exception {
+        borrow(1);
+        List<QuotaLedger> ledgers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            QuotaLedger ledger = new QuotaLedger(time, QUOTAS);
+            ledger.follow(
+                    new GatewayView(
+                            1,
+                            Optional.of(createTable(account)),
+                            Set.of(),
+                            Map.of(),
+                            Map.of(),
+                            count,
+                            Map.of(account.id(), 1.0 / count)));
+            ledgers.add(ledger);
+        }
+        return ledgers;
+    }
+
+    private QuotaPool createPool(TrafficAccount known) {
+        RouteTable table = createTable(known);
+        return new QuotaPool(() -> Optional.of(table), () -> true, QUOTAS, control, time);
+    }
+
+    private static RouteTable createTable(TrafficAccount known) {
+        return new RouteTable(new TrafficDocument(1, List.of(), List.of(), List.of(known)));
+    }
+
+    private static TrafficAccount account(boolean countsTokens) {
+        return new TrafficAccount(
+                new ClientAccountId("bars"),
+                List.of("k"),
+                OptionalInt.empty(),
+                countsTokens,
+                200,
+                RATE,
+                RATE);
+    }
+}
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/TokenBucket.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/TokenBucket.java
@@ -59,6 +59,24 @@
         return true;
     }
 
+    /**
+     * Takes an amount if any is there and what is missing stays within a limit; later takings wait
+     * until it has been made up for.
+     *
+     * @param amount the units to take
+     * @param debt the units by which the level may fall below 0
+     * @param nowMs monotonic time, in milliseconds
+     * @return false if it is not there; then nothing was taken
+     */
+    public boolean tryOverdraw(double amount, double debt, long nowMs) {
+        refill(nowMs);
+        if (level <= 0 || level + debt < amount) {
+            return tryTake(amount, nowMs);
+        }
+        level -= amount;
+        return true;
+    }
+
     /**
      * Adds units, up to the capacity.
      *
