Name ended endpoints to gateways that follow a new leader

Cause: a gateway that asks a leader for the first time got the present endpoints only, and kept others for 4 s as not yet reported. One that had ended between its last question to the leader before and the change thus stayed open for up to 4 s, although its end was confirmed. Test: ViewServerTests.dropsAnEndpointThatEndedWhileTheLeaderChanged, failed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
@@ -2,7 +2,6 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -147,9 +146,8 @@
     private void addEndpoints(ViewRequest request, ViewResponse.Builder response) {
         boolean isKnown = request.getRegisterSource().equals(registerSource);
         response.setRegisterComplete(!isKnown);
-        Collection<RegisteredEndpoint> entries =
-                isKnown ? register.changedSince(request.getRegisterRevision()) : register.present();
-        for (RegisteredEndpoint entry : entries) {
+        long since = isKnown ? request.getRegisterRevision() : 0;
+        for (RegisteredEndpoint entry : register.changedSince(since)) {
             if (entry.isPresent()) {
                 response.addEndpoints(encode(entry));
             } else {
