Choose model endpoints by the expected time to the first token

Requests went to the endpoint of their shared prompt part until it held four requests more than the mean, whatever these had to read: four long prompts are half a second. Change: each gateway counts the prompt tokens that wait at an endpoint, remembers which parts it sent there, learns the time of a token and how much later than expected the last first token came, and takes the least expected time, with reading shared parts again counted double more. Gateways that know nothing begin at the same endpoints. The log of an answer names expected and measured time; gateways log when they begin or cease to choose an endpoint.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
@@ -13,21 +13,37 @@
 final class EndpointTable {
 
     private final Map<EndpointId, EndpointState> states = new HashMap<>();
+    private final ForwardingLog log;
+
+    EndpointTable(ForwardingLog log) {
+        this.log = log;
+    }
 
     void follow(GatewayView view) {
-        states.keySet().removeIf(id -> !view.endpoints().containsKey(id));
-        for (ViewedEndpoint endpoint : view.endpoints().values()) {
-            EndpointId id = endpoint.report().id();
-            EndpointState known = states.get(id);
-            boolean isSameStart =
-                    known != null
-                            && known.endpoint().report().bornMs() == endpoint.report().bornMs();
-            if (isSameStart) {
-                known.update(endpoint);
-            } else {
-                states.put(id, new EndpointState(endpoint));
+        for (EndpointState state : List.copyOf(states.values())) {
+            if (!view.endpoints().containsKey(state.id())) {
+                states.remove(state.id());
+                log.logEndpoint(state.endpoint(), false);
             }
         }
+        view.endpoints().values().forEach(this::follow);
+    }
+
+    private void follow(ViewedEndpoint endpoint) {
+        EndpointId id = endpoint.report().id();
+        EndpointState known = states.get(id);
+        boolean isSameStart =
+                known != null && known.endpoint().report().bornMs() == endpoint.report().bornMs();
+        boolean wasOpen = isSameStart && !known.endpoint().report().isLeaving();
+        if (isSameStart) {
+            known.update(endpoint);
+        } else {
+            states.put(id, new EndpointState(endpoint));
+        }
+        boolean isOpen = !endpoint.report().isLeaving();
+        if (wasOpen != isOpen) {
+            log.logEndpoint(endpoint, isOpen);
+        }
     }
 
     List<EndpointState> of(ServiceId service) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -55,7 +55,9 @@
      */
     public Forwarder(Environment environment) {
         TimeSource timeSource = environment.timeSource();
-        EndpointTable table = new EndpointTable();
+        ForwardingLog decisions = new ForwardingLog(environment.log(), environment.lease());
+        EndpointTable table = new EndpointTable(decisions);
+        PromptSpeeds speeds = new PromptSpeeds();
         loads = new ServiceLoads(timeSource);
         quotas = new QuotaLedger(timeSource, environment.limits().quotas());
         usage = new UsageCounter(timeSource, environment.limits().usageWindowS());
@@ -67,14 +69,15 @@
                         timeSource,
                         environment.lease(),
                         table,
-                        new EndpointChooser(table, timeSource, environment.random()),
+                        speeds,
+                        new EndpointChooser(table, speeds, timeSource, environment.random()),
                         quotas,
                         environment.borrower(),
                         new RepeatBudget(timeSource, environment.limits()),
                         usage,
                         results,
                         loads,
-                        new ForwardingLog(environment.log(), environment.lease()),
+                        decisions,
                         environment.metrics());
         api = new ForwardingApi(services, table, environment.random());
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -3,10 +3,12 @@
 import java.util.Collection;
 import org.cardamomthread.configuration.traffic.TrafficAccount;
 import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.daemon.dialect.EndpointReport;
 import org.cardamomthread.daemon.dialect.RequestHead;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.ViewLease;
+import org.cardamomthread.daemon.view.ViewedEndpoint;
 
 /** Writes the decisions on requests to the log, with what they were based on. */
 final class ForwardingLog {
@@ -68,6 +70,26 @@
                 view.gateways());
     }
 
+    void logEndpoint(ViewedEndpoint endpoint, boolean isOpen) {
+        EndpointReport report = endpoint.report();
+        log.write(
+                isOpen ? "endpoint-opened" : "endpoint-closed",
+                "endpoint",
+                report.id(),
+                "service",
+                report.service(),
+                "address",
+                report.address(),
+                "bornMs",
+                report.bornMs(),
+                "reportSequence",
+                report.sequence(),
+                "leaving",
+                report.isLeaving(),
+                "viewAgeMs",
+                lease.ageMs());
+    }
+
     void logAttempt(AdmittedRequest request, EndpointId endpoint, String result, String detail) {
         log.write(
                 "attempt-failed",
@@ -88,6 +110,8 @@
             String outcome,
             int sends,
             Collection<EndpointId> endpoints,
+            long expectedMs,
+            long firstTokenMs,
             long elapsedMs) {
         log.write(
                 "answered".equals(outcome) ? "request-answered" : "request-failed",
@@ -107,6 +131,10 @@
                 sends,
                 "endpoints",
                 endpoints,
+                "expectedMs",
+                expectedMs,
+                "firstTokenMs",
+                firstTokenMs,
                 "elapsedMs",
                 elapsedMs,
                 "viewRevision",
