--- a/cardamomthread-command/src/main/java/org/cardamomthread/command/CommandArguments.java
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/CommandArguments.java
@@ -1,8 +1,11 @@
 package org.cardamomthread.command;
 
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -22,6 +25,7 @@
     static final String BASE = "base";
     static final String BY = "by";
     static final String HELP = "help";
+    static final String LOGS = "logs";
     static final String OPERATION_ID = "operation-id";
     static final String OUTPUT = "output";
     static final String SERVER = "server";
@@ -53,6 +57,7 @@
         add(options, "o", OUTPUT, "json|text", "form of the output, text unless given");
         add(options, null, SERVER, "host:port", "operators' address of a node, may be repeated");
         add(options, null, TOKEN_FILE, "file", "file that holds the operator's token");
+        add(options, null, LOGS, "file", "log of a node, may be repeated");
         add(options, null, SETTINGS, "file", "settings file to validate");
         add(options, null, BASE, "revision", "revision the change was made against");
         add(options, null, OPERATION_ID, "id", "repeats the change with this id");
@@ -118,6 +123,16 @@
         return servers;
     }
 
+    /** Returns the files that an option names, which may be repeated; none if it is not given. */
+    List<Path> files(String option) throws CommandException {
+        String[] values = line.getOptionValues(option);
+        try {
+            return values == null ? List.of() : Stream.of(values).map(Path::of).toList();
+        } catch (InvalidPathException e) {
+            throw usage("--" + option + " names no file: " + e.getMessage());
+        }
+    }
+
     boolean isJson() throws CommandException {
         String form = find(OUTPUT).orElse("text");
         if (!form.equals("json") && !form.equals("text")) {
--- a/cardamomthread-command/src/test/java/org/cardamomthread/command/CommandRunnerTests.java
+++ b/cardamomthread-command/src/test/java/org/cardamomthread/command/CommandRunnerTests.java
@@ -65,6 +65,31 @@
         assertTrue(errors().contains("node.yaml:1:1: \"listeners\""), errors());
     }
 
+    @Test
+    public void explainsARequestFromLogs() throws IOException {
+        Path log = folder.resolve("edge-1.log");
+        Files.writeString(
+                log,
+                """
+                {"timestamp":1780000000123,"kvpList": [{"event":"quota-refused"},{"request":"r1"},\
+                {"account":"bars"}],"formattedMessage":"quota-refused"}
+                """);
+        assertEquals(run("explain", "r1", "--logs", log.toString()), ExitCode.OK);
+        assertEquals(
+                output(),
+                "request r1\n  2026-05-28T20:26:40.123Z edge-1.log quota-refused request=r1"
+                        + " account=bars\n");
+        assertEquals(run("explain", "r2", "--logs", log.toString()), ExitCode.REJECTED);
+        assertTrue(errors().contains("no line of the logs names request \"r2\""), errors());
+    }
+
+    @Test
+    public void namesALogThatCannotBeRead() {
+        String missing = folder.resolve("missing.log").toString();
+        assertEquals(run("explain", "r1", "--logs", missing), ExitCode.USAGE);
+        assertTrue(errors().contains("missing.log"), errors());
+    }
+
     @Test
     public void plansAgainstWhatIsInForce() {
         transport.answer(200, IN_FORCE);
