Keep a reserve of each quota at the gateways for the time without a leader

Change: gateways hold 0.7 of each burst and 0.3 of the allowed excess, keep 0.6 of that while the leader lends, and use it when no leader answers or lends; they start with 0.1 of the excess; the pool is not overdrawn any more. admitsLargeRequestsBesideSmallOnes demanded the overdraft, which was wrong: it is replaced by a test of both sizes (small ones pass, large ones get nine tenths of the rest). Tests: QuotaSharingTests.goesOnFromTheReserveWhileNoLeaderIsInReach, failed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingApi.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingApi.java
@@ -138,7 +138,7 @@
         }
         double amount = account.map(known -> countQuota(known, head)).orElse(0.0);
         Runnable forward = () -> forward(exchange, head, route, service.get(), account, amount);
-        if (account.isEmpty() || services.quotas().tryTake(account.get(), amount)) {
+        if (account.isEmpty() || services.quotas().tryTakeSurplus(account.get(), amount)) {
             forward.run();
             return;
         }
@@ -147,7 +147,8 @@
                         account.get().id(),
                         amount,
                         grant -> {
-                            if (grant.isGranted()) {
+                            if (grant.isGranted()
+                                    || services.quotas().tryTake(account.get(), amount)) {
                                 forward.run();
                             } else {
                                 refuseOverQuota(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/QuotaLedger.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/QuotaLedger.java
@@ -14,7 +14,7 @@
  * Holds this gateway's shares of the accounts' quotas.
  *
  * <p>Invariant: what all gateways admit is bounded by the quota as long as their shares add up to
- * one; a gateway without a share takes an even one, and one that starts begins with nothing, as the
+ * one; a gateway without a share takes an even one, and one that starts begins with little, as the
  * process before it may have used the share up. Used by one thread at a time.
  */
 final class QuotaLedger {
@@ -22,6 +22,9 @@
     /** Gateways assumed until the control nodes have told how many share the limits. */
     private static final int ASSUMED_GATEWAYS = 16;
 
+    /** Part of a share that is kept while the leader lends: about a second of it. */
+    private static final double RESERVE = 0.6;
+
     private final TimeSource timeSource;
     private final QuotaDivision division;
     private final Map<ClientAccountId, TokenBucket> buckets = new HashMap<>();
@@ -42,15 +45,27 @@
                                         .forEach(account -> resize(account, view)));
     }
 
-    /** Takes the amount of a request from its account's share, if it is there. */
-    boolean tryTake(TrafficAccount account, double amount) {
+    /**
+     * Takes the amount of a new request from its account's share, if a reserve stays for the time
+     * in which no leader is in reach.
+     */
+    boolean tryTakeSurplus(TrafficAccount account, double amount) {
         if (account.ratePerS() <= 0) {
             return true;
         }
         long nowMs = timeSource.monotonicMs();
         demands.computeIfAbsent(account.id(), id -> new DemandMeter(nowMs)).add(amount, nowMs);
         TokenBucket bucket = buckets.get(account.id());
-        return bucket != null && bucket.tryTake(amount, nowMs);
+        return bucket != null
+                && bucket.level(nowMs) - amount >= RESERVE * bucket.capacity()
+                && bucket.tryTake(amount, nowMs);
+    }
+
+    /** Takes the amount of a request from its account's share, if it is there. */
+    boolean tryTake(TrafficAccount account, double amount) {
+        TokenBucket bucket = buckets.get(account.id());
+        return account.ratePerS() <= 0
+                || bucket != null && bucket.tryTake(amount, timeSource.monotonicMs());
     }
 
     /** Gives back what a request took that will never run. */
@@ -81,7 +96,9 @@
         QuotaDivision.Limits own = division.shareOf(account, share, gateways);
         TokenBucket bucket = buckets.get(account.id());
         if (bucket == null) {
-            buckets.put(account.id(), new TokenBucket(own.ratePerS(), own.capacity(), 0, nowMs));
+            buckets.put(
+                    account.id(),
+                    new TokenBucket(own.ratePerS(), own.capacity(), own.start(), nowMs));
         } else {
             bucket.resize(own.ratePerS(), own.capacity(), nowMs);
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaDivision.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaDivision.java
@@ -6,7 +6,7 @@
  * Divides each quota between the gateways' own shares and the leader's pool. Immutable.
  *
  * <p>Invariant: in any window, what the own shares and the pool admit adds up to no more than the
- * quota with its allowed excess.
+ * quota with its allowed excess, also if each gateway starts anew in it.
  *
  * @param windowS the window over which quotas are judged, in seconds
  * @param overshoot part of a quota by which all gateways together may exceed it
@@ -15,28 +15,31 @@
 public record QuotaDivision(double windowS, double overshoot, double slack) {
 
     /** Part of each quota that the leader lends; the rest serves while no leader is in reach. */
-    private static final double POOLED_PART = 0.8;
+    private static final double POOLED_RATE = 0.8;
+
+    /** Part of each burst that the leader lends; the gateways hold the rest in reserve. */
+    private static final double POOLED_BURST = 0.3;
 
     /** Part of a window's allowed excess by which the pool refills faster than the quota. */
-    private static final double RATE_EXCESS = 0.5;
+    private static final double RATE_EXCESS = 0.3;
 
     /** Part of the allowed excess that the pool holds, so that bursts pass. */
     private static final double POOLED_EXCESS = 0.25;
 
     /** Part of the allowed excess that the gateways hold together. */
-    private static final double OWN_EXCESS = 0.05;
+    private static final double OWN_EXCESS = 0.3;
 
-    /** Part of the allowed excess by which one request may overdraw the pool. */
-    private static final double DEBT_EXCESS = 0.1;
+    /** Part of the allowed excess with which gateways start, all of them together. */
+    private static final double START_EXCESS = 0.1;
 
     /**
      * Holds the limits of one bucket.
      *
      * @param ratePerS quota units a second
      * @param capacity the most quota units it holds
-     * @param debt quota units by which a request may overdraw it
+     * @param start the quota units in it when its process starts
      */
-    public record Limits(double ratePerS, double capacity, double debt) {}
+    public record Limits(double ratePerS, double capacity, double start) {}
 
     /**
      * Returns the limits of the leader's pool.
@@ -47,9 +50,9 @@
     public Limits poolOf(TrafficAccount account) {
         double excess = excessOf(account);
         return new Limits(
-                account.ratePerS() * POOLED_PART + excess * RATE_EXCESS / windowS,
-                account.burst() * POOLED_PART + excess * POOLED_EXCESS,
-                excess * DEBT_EXCESS);
+                account.ratePerS() * POOLED_RATE + excess * RATE_EXCESS / windowS,
+                account.burst() * POOLED_BURST + excess * POOLED_EXCESS,
+                0);
     }
 
     /**
@@ -61,11 +64,11 @@
      * @return the part of its quota that the gateway admits by itself
      */
     public Limits shareOf(TrafficAccount account, double share, int gateways) {
-        double ownPart = 1 - POOLED_PART;
+        double excess = excessOf(account) / gateways;
         return new Limits(
-                account.ratePerS() * share * ownPart,
-                account.burst() * share * ownPart + excessOf(account) * OWN_EXCESS / gateways,
-                0);
+                account.ratePerS() * share * (1 - POOLED_RATE),
+                account.burst() * share * (1 - POOLED_BURST) + excess * OWN_EXCESS,
+                excess * START_EXCESS);
     }
 
     private double excessOf(TrafficAccount account) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaPool.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaPool.java
@@ -88,9 +88,14 @@
         TokenBucket bucket =
                 buckets.computeIfAbsent(
                         request.getAccount(),
-                        name -> new TokenBucket(limits.ratePerS(), limits.capacity(), 0, nowMs));
+                        name ->
+                                new TokenBucket(
+                                        limits.ratePerS(),
+                                        limits.capacity(),
+                                        limits.start(),
+                                        nowMs));
         bucket.resize(limits.ratePerS(), limits.capacity(), nowMs);
-        boolean isGranted = bucket.tryOverdraw(request.getAmount(), limits.debt(), nowMs);
+        boolean isGranted = bucket.tryTake(request.getAmount(), nowMs);
         return QuotaResponse.newBuilder()
                 .setGranted(isGranted)
                 .setWaitMs(isGranted ? 0 : bucket.waitMs(request.getAmount(), nowMs))
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/TokenBucket.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/TokenBucket.java
@@ -60,21 +60,23 @@
     }
 
     /**
-     * Takes an amount if any is there and what is missing stays within a limit; later takings wait
-     * until it has been made up for.
+     * Returns what is in the bucket.
      *
-     * @param amount the units to take
-     * @param debt the units by which the level may fall below 0
      * @param nowMs monotonic time, in milliseconds
-     * @return false if it is not there; then nothing was taken
+     * @return units, below 0 after a request larger than the capacity
      */
-    public boolean tryOverdraw(double amount, double debt, long nowMs) {
+    public double level(long nowMs) {
         refill(nowMs);
-        if (level <= 0 || level + debt < amount) {
-            return tryTake(amount, nowMs);
-        }
-        level -= amount;
-        return true;
+        return level;
+    }
+
+    /**
+     * Returns the most units that it holds.
+     *
+     * @return units
+     */
+    public double capacity() {
+        return capacity;
     }
 
     /**
