Take the choice by expected time back

Conclusion: what is gained in time is paid for by reading shared parts again, since six gateways do not know each other's queues; taken back. A gateway would have to learn what others have sent.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointChooser.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointChooser.java
@@ -1,9 +1,8 @@
 package org.cardamomthread.daemon.forwarding;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -12,53 +11,34 @@
 import org.cardamomthread.core.hash.RendezvousHash;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.time.TimeSource;
-import org.cardamomthread.daemon.dialect.PromptPart;
 import org.cardamomthread.daemon.view.GatewayView;
 
 /**
  * Chooses the endpoint of an attempt.
  *
- * <p>Requests with prompts go where the first token is expected soonest: by the prompt tokens that
- * wait there, the part of the prompt that was sent there before, and the latest unexpected waits.
- * Others go to the less loaded of two. Used by one thread at a time.
+ * <p>Requests whose prompts share parts go to the same endpoint, chosen by rendezvous hashing,
+ * unless it holds clearly more than the others; requests without such parts go to the less loaded
+ * of two. Used by one thread at a time.
  */
 final class EndpointChooser {
 
     /** Share of requests that a version on trial gets; half of the usual bound for bad versions. */
     private static final double TRIAL_SHARE = 0.05;
 
-    /**
-     * Share of the common parts of a prompt that the first endpoint in their order is taken to hold
-     * from other gateways, which begin there too; the next one holds this share of it, and so on.
-     */
-    private static final double SHARED_BY_OTHERS = 0.7;
+    /** Load beyond the mean at which the next endpoint in the order of a prompt is taken. */
+    private static final double LOAD_FACTOR = 1.25;
 
-    /** Endpoints in the order of a prompt to which gateways turn first. */
-    private static final int PREFERRED = 3;
+    private static final double LOAD_ALLOWANCE = 4;
 
-    /**
-     * Weight of reading common parts again: it holds up the prompts behind, and drives out others.
-     */
-    private static final double READ_AGAIN_WEIGHT = 2.0;
-
-    /** Time that each running request adds to a first token, in milliseconds: part of a step. */
-    private static final double RUNNING_MS = 1.0;
-
-    /** Costs that differ by less count as alike, in milliseconds. */
-    private static final double ALIKE_MS = 5;
+    /** Endpoints in the order of a prompt that are tried before the least loaded of all. */
+    private static final int PREFERRED = 3;
 
     private final EndpointTable table;
-    private final PromptSpeeds speeds;
     private final TimeSource timeSource;
     private final RandomGenerator random;
 
-    EndpointChooser(
-            EndpointTable table,
-            PromptSpeeds speeds,
-            TimeSource timeSource,
-            RandomGenerator random) {
+    EndpointChooser(EndpointTable table, TimeSource timeSource, RandomGenerator random) {
         this.table = table;
-        this.speeds = speeds;
         this.timeSource = timeSource;
         this.random = random;
     }
@@ -66,13 +46,17 @@
     /**
      * Chooses an endpoint.
      *
-     * @param request the request
+     * @param view the view in force
+     * @param service the service
+     * @param affinity names the shared part of the prompt, or empty
      * @param tried endpoints that must not be taken again
      */
-    Optional<EndpointChoice> choose(AdmittedRequest request, Set<EndpointId> tried) {
+    Optional<EndpointState> choose(
+            GatewayView view,
+            TrafficService service,
+            Optional<String> affinity,
+            Set<EndpointId> tried) {
         long nowMs = timeSource.monotonicMs();
-        GatewayView view = request.view();
-        TrafficService service = request.service();
         List<EndpointState> usable = new ArrayList<>();
         List<EndpointState> avoided = new ArrayList<>();
         for (EndpointState state : selectVersion(view, service, listOpen(view, service, tried))) {
@@ -80,12 +64,11 @@
         }
         List<EndpointState> candidates = usable.isEmpty() ? avoided : usable;
         while (!candidates.isEmpty()) {
-            EndpointChoice chosen = pick(candidates, request, nowMs);
-            EndpointState state = chosen.state();
-            if (!state.isCold(nowMs) || mayUseCold(state, service, view, nowMs)) {
+            EndpointState chosen = pick(candidates, affinity, view.gateways(), nowMs);
+            if (!chosen.isCold(nowMs) || mayUseCold(chosen, service, view, nowMs)) {
                 return Optional.of(chosen);
             }
-            candidates.remove(state);
+            candidates.remove(chosen);
         }
         return Optional.empty();
     }
@@ -143,72 +126,30 @@
                 .toList();
     }
 
-    private EndpointChoice pick(
-            List<EndpointState> candidates, AdmittedRequest request, long nowMs) {
-        Optional<String> affinity = request.affinity();
-        int gateways = request.view().gateways();
+    private EndpointState pick(
+            List<EndpointState> candidates, Optional<String> affinity, int gateways, long nowMs) {
         if (affinity.isEmpty()) {
-            return EndpointChoice.ofPlain(pickOfTwo(candidates, gateways, nowMs));
-        }
-        Map<EndpointState, Double> heldByOthers = rank(affinity.get(), candidates);
-        List<EndpointChoice> choices = new ArrayList<>(candidates.size());
-        double leastCostMs = Double.MAX_VALUE;
-        for (EndpointState state : candidates) {
-            EndpointChoice choice =
-                    forecast(state, heldByOthers.getOrDefault(state, 0.0), request, nowMs);
-            choices.add(choice);
-            leastCostMs = Math.min(leastCostMs, choice.costMs());
+            return pickOfTwo(candidates, gateways, nowMs);
         }
-        double mostMs = leastCostMs + ALIKE_MS;
-        List<EndpointChoice> alike =
-                choices.stream().filter(choice -> choice.costMs() <= mostMs).toList();
-        return alike.get(random.nextInt(alike.size()));
-    }
-
-    /** Returns the share of the common parts that the first endpoints in their order hold. */
-    private static Map<EndpointState, Double> rank(
-            String affinity, List<EndpointState> candidates) {
-        Map<EndpointState, Double> shares = new HashMap<>();
+        double mean =
+                candidates.stream()
+                        .mapToDouble(state -> state.estimateLoad(gateways, nowMs))
+                        .average()
+                        .orElse(0);
+        double bound = mean * LOAD_FACTOR + LOAD_ALLOWANCE;
         List<EndpointState> rest = new ArrayList<>(candidates);
-        double share = SHARED_BY_OTHERS;
         for (int i = 0; i < PREFERRED && !rest.isEmpty(); i++) {
-            EndpointState next =
-                    RendezvousHash.choose(affinity, rest, state -> state.id().value())
+            EndpointState preferred =
+                    RendezvousHash.choose(affinity.get(), rest, state -> state.id().value())
                             .orElseThrow();
-            shares.put(next, share);
-            rest.remove(next);
-            share *= SHARED_BY_OTHERS;
-        }
-        return shares;
-    }
-
-    private EndpointChoice forecast(
-            EndpointState state, double heldByOthers, AdmittedRequest request, long nowMs) {
-        List<PromptPart> prompt = request.head().prompt();
-        double held = state.cache().countHeld(prompt, nowMs);
-        boolean isKnown = held > 0;
-        if (!isKnown) {
-            held = heldByOthers * countShared(prompt);
+            if (preferred.estimateLoad(gateways, nowMs) <= bound) {
+                return preferred;
+            }
+            rest.remove(preferred);
         }
-        double tokens = Math.max(0, request.head().promptTokens() - held);
-        double msPerToken = speeds.msPerToken(request.service().id());
-        double delayMs = state.delayMs(nowMs);
-        double expectedMs =
-                (state.tokensToRead() + tokens) * msPerToken
-                        + delayMs
-                        + RUNNING_MS * state.estimateLoad(request.view().gateways(), nowMs);
-        double readAgainMs = Math.max(0, countShared(prompt) - held) * msPerToken;
-        return new EndpointChoice(
-                state,
-                tokens,
-                expectedMs,
-                delayMs,
-                expectedMs + READ_AGAIN_WEIGHT * readAgainMs,
-                isKnown);
-    }
-
-    private static int countShared(List<PromptPart> prompt) {
-        return prompt.stream().limit(prompt.size() - 1).mapToInt(PromptPart::tokens).sum();
+        return candidates.stream()
+                .min(Comparator.comparingDouble(state -> state.estimateLoad(gateways, nowMs)))
+                .orElseThrow();
     }
 
     private EndpointState pickOfTwo(List<EndpointState> candidates, int gateways, long nowMs) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointState.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointState.java
@@ -34,13 +34,6 @@
     /** Time after which an endpoint that failed too often is tried again. */
     private static final long FAILING_PAUSE_MS = 2_000;
 
-    /** Weight of the latest unexpected wait: two in a row make up most of the figure. */
-    private static final double DELAY_WEIGHT = 0.5;
-
-    /** Time in which an unexpected wait fades, in milliseconds: about one long prompt. */
-    private static final double DELAY_FADING_MS = 500;
-
-    private final PromptCache cache = new PromptCache();
     private ViewedEndpoint endpoint;
     private TokenBucket coldShare;
     private int inFlight;
@@ -51,9 +44,6 @@
     private int failures;
     private double failureShare;
     private int results;
-    private double tokensToRead;
-    private double delayMs;
-    private long delayedMs;
 
     EndpointState(ViewedEndpoint endpoint) {
         this.endpoint = endpoint;
@@ -71,35 +61,9 @@
         endpoint = newEndpoint;
     }
 
-    PromptCache cache() {
-        return cache;
-    }
-
-    void begin(double newTokensToRead) {
+    void begin() {
         inFlight++;
         startedSinceReport++;
-        tokensToRead += newTokensToRead;
-    }
-
-    /** Takes a prompt out that has been read, or never will be. */
-    void finishPrompt(double finishedTokens) {
-        tokensToRead = Math.max(0, tokensToRead - finishedTokens);
-    }
-
-    /** Returns the prompt tokens of this gateway's requests that wait for a first token. */
-    double tokensToRead() {
-        return tokensToRead;
-    }
-
-    /** Takes in by how much a first token came later than expected: others' prompts, or faults. */
-    void recordDelay(double unexpectedMs, long nowMs) {
-        delayMs = delayMs(nowMs) * (1 - DELAY_WEIGHT) + Math.max(0, unexpectedMs) * DELAY_WEIGHT;
-        delayedMs = nowMs;
-    }
-
-    /** Returns the wait that others' requests probably cause now, in milliseconds. */
-    double delayMs(long nowMs) {
-        return delayMs * Math.exp(-Math.max(0, nowMs - delayedMs) / DELAY_FADING_MS);
     }
 
     void end() {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -53,8 +53,7 @@
     private boolean mayHaveRun;
     private boolean hasCountedUsage;
     private boolean ended;
-    private long expectedMs;
-    private long firstTokenMs;
+    private long firstByteMs;
 
     ForwardedCall(ForwardingServices services, HttpExchange exchange, AdmittedRequest request) {
         this.services = services;
@@ -79,7 +78,9 @@
             expire();
             return;
         }
-        Optional<EndpointChoice> chosen = services.chooser().choose(request, tried);
+        Optional<EndpointState> chosen =
+                services.chooser()
+                        .choose(request.view(), request.service(), request.affinity(), tried);
         if (chosen.isEmpty()) {
             giveUp("no-endpoint", "no endpoint of the service can take it: send it again later");
             return;
@@ -91,9 +92,9 @@
         send(chosen.get(), remainingMs);
     }
 
-    private void send(EndpointChoice choice, long remainingMs) {
-        EndpointState state = choice.state();
+    private void send(EndpointState state, long remainingMs) {
         tried.add(state.id());
+        state.begin();
         HttpCall call = exchange.getCall();
         AttemptHead head =
                 new AttemptHead(
@@ -117,7 +118,7 @@
                         remainingMs,
                         this::maySend,
                         new AnswerForm(services.dialect().correlationHeader(), true, true));
-        Attempt listener = new Attempt(choice);
+        Attempt listener = new Attempt(state);
         EndpointAttempt started = services.client().start(attempt, listener);
         if (!listener.done) {
             current = started;
@@ -182,8 +183,7 @@
     private void report(String outcome) {
         long elapsedMs = services.timeSource().monotonicMs() - request.receivedMs();
         services.metrics().end(request.service().id(), outcome, elapsedMs);
-        services.decisions()
-                .logEnd(request, outcome, sends, tried, expectedMs, firstTokenMs, elapsedMs);
+        services.decisions().logEnd(request, outcome, sends, tried, firstByteMs, elapsedMs);
     }
 
     private boolean mayRepeat() {
@@ -202,20 +202,15 @@
     /** Follows one attempt; its events may come from the timer's thread. */
     private final class Attempt implements EndpointResponseListener {
 
-        private final EndpointChoice choice;
         private final EndpointState state;
         private final long startedMs = services.timeSource().monotonicMs();
         private int status;
         private HttpHeaders headers;
         private AnswerHead head;
-        private boolean hasReadPrompt;
         private boolean done;
 
-        Attempt(EndpointChoice choice) {
-            this.choice = choice;
-            this.state = choice.state();
-            state.begin(choice.tokensToRead());
-            state.cache().use(request.head().prompt(), startedMs);
+        Attempt(EndpointState state) {
+            this.state = state;
         }
 
         @Override
@@ -265,15 +260,12 @@
         private void takeHead() {
             long nowMs = services.timeSource().monotonicMs();
             head.load().ifPresent(load -> state.reportLoad(load, nowMs));
+            firstByteMs = nowMs - request.receivedMs();
             head.coldMs().ifPresent(coldMs -> state.becomeCold(nowMs + coldMs));
             countSend();
             if (!head.isNotRun()) {
                 mayHaveRun = true;
             }
-            finishPrompt();
-            if (isGood()) {
-                learn(nowMs);
-            }
             if (isGood() && !hasCountedUsage) {
                 hasCountedUsage = true;
                 services.loads()
@@ -285,25 +277,6 @@
             }
         }
 
-        private void finishPrompt() {
-            if (!hasReadPrompt) {
-                hasReadPrompt = true;
-                state.finishPrompt(choice.tokensToRead());
-            }
-        }
-
-        private void learn(long nowMs) {
-            long elapsedMs = nowMs - startedMs;
-            firstTokenMs = elapsedMs;
-            expectedMs = (long) choice.expectedMs();
-            if (choice.tokensToRead() > 0) {
-                state.recordDelay(elapsedMs - choice.expectedMs() + choice.delayMs(), nowMs);
-            }
-            if (choice.isCacheKnown()) {
-                services.speeds().record(request.service().id(), choice.tokensToRead(), elapsedMs);
-            }
-        }
-
         private void countSend() {
             if (sends == 0) {
                 services.repeats().countFirstSend(request.service().id());
@@ -314,7 +287,6 @@
         private void close() {
             if (!done) {
                 done = true;
-                finishPrompt();
                 state.end();
             }
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -57,7 +57,6 @@
         TimeSource timeSource = environment.timeSource();
         ForwardingLog decisions = new ForwardingLog(environment.log(), environment.lease());
         EndpointTable table = new EndpointTable(decisions);
-        PromptSpeeds speeds = new PromptSpeeds();
         loads = new ServiceLoads(timeSource);
         quotas = new QuotaLedger(timeSource, environment.limits().quotas());
         usage = new UsageCounter(timeSource, environment.limits().usageWindowS());
@@ -69,8 +68,7 @@
                         timeSource,
                         environment.lease(),
                         table,
-                        speeds,
-                        new EndpointChooser(table, speeds, timeSource, environment.random()),
+                        new EndpointChooser(table, timeSource, environment.random()),
                         quotas,
                         environment.borrower(),
                         new RepeatBudget(timeSource, environment.limits()),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -110,8 +110,7 @@
             String outcome,
             int sends,
             Collection<EndpointId> endpoints,
-            long expectedMs,
-            long firstTokenMs,
+            long firstByteMs,
             long elapsedMs) {
         log.write(
                 "answered".equals(outcome) ? "request-answered" : "request-failed",
@@ -131,10 +130,8 @@
                 sends,
                 "endpoints",
                 endpoints,
-                "expectedMs",
-                expectedMs,
-                "firstTokenMs",
-                firstTokenMs,
+                "firstByteMs",
+                firstByteMs,
                 "elapsedMs",
                 elapsedMs,
                 "viewRevision",
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingServices.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingServices.java
@@ -17,7 +17,6 @@
  * @param timeSource the clock
  * @param lease tells whether requests with a key may be admitted
  * @param table what is known of the endpoints
- * @param speeds measures how fast prompts are read
  * @param chooser chooses endpoints
  * @param quotas this gateway's shares of quotas
  * @param borrower borrows quota beyond the own shares
@@ -35,7 +34,6 @@
         TimeSource timeSource,
         ViewLease lease,
         EndpointTable table,
-        PromptSpeeds speeds,
         EndpointChooser chooser,
         QuotaLedger quotas,
         QuotaBorrower borrower,
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/DutyLeaseTests.java
@@ -0,0 +1,66 @@
+package org.cardamomthread.daemon.duty;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.Optional;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.dialect.DutyHolder;
+import org.cardamomthread.daemon.testing.FakeReplicationGroup;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link DutyLease}. */
+public class DutyLeaseTests {
+
+    private static final long LEASE_MS = 3_000;
+
+    private ManualTimeSource time;
+    private FakeReplicationGroup group;
+    private DutyLease lease;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new ManualTimeSource();
+        group = new FakeReplicationGroup();
+        lease = new DutyLease(() -> Optional.of(group), time, "core-1", LEASE_MS);
+    }
+
+    @DataProvider
+    public Object[][] terms() {
+        return new Object[][] {
+            {"the first term", 2, LEASE_MS},
+            {"many changes of the leader", 40, LEASE_MS},
+        };
+    }
+
+    @Test(dataProvider = "terms")
+    public void waitsUntilAFormerHolderHasStopped(String name, long term, long waitMs) {
+        group.lead(term);
+        Optional<DutyHolder> holder = Optional.of(new DutyHolder("core-1", term));
+        assertEquals(lease.current(), Optional.empty(), name);
+        time.advanceMs(waitMs - 1);
+        assertEquals(lease.current(), Optional.empty(), name);
+        time.advanceMs(1);
+        assertEquals(lease.current(), holder, name);
+    }
+
+    @Test
+    public void isNotHeldWithoutTheLogsLease() {
+        group.lead(2);
+        lease.current();
+        group.loseLease();
+        assertEquals(lease.current(), Optional.empty());
+    }
+
+    /** The node may have lost the lead to another that has performed the duty meanwhile. */
+    @Test
+    public void waitsAgainInAnotherTerm() {
+        group.lead(5);
+        lease.current();
+        time.advanceMs(LEASE_MS);
+        assertEquals(lease.current().isPresent(), true);
+        group.lead(7);
+        assertEquals(lease.current(), Optional.empty());
+    }
+}
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
@@ -6,7 +6,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
@@ -18,14 +17,10 @@
 import org.cardamomthread.daemon.control.TrafficReplica;
 import org.cardamomthread.daemon.dialect.EndpointReport;
 import org.cardamomthread.daemon.registry.EndpointRegister;
+import org.cardamomthread.daemon.testing.FakeReplicationGroup;
 import org.cardamomthread.daemon.testing.TestDialect;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 import org.cardamomthread.daemon.view.generated.ViewResponse;
-import org.cardamomthread.replication.GroupId;
-import org.cardamomthread.replication.ReplicaRole;
-import org.cardamomthread.replication.ReplicationGroup;
-import org.cardamomthread.replication.ReplicationStatus;
-import org.cardamomthread.replication.VoterId;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -117,7 +112,7 @@
         ViewServer server =
                 new ViewServer(
                         new TrafficReplica(),
-                        () -> Optional.of(new LeadingGroup()),
+                        () -> Optional.of(new FakeReplicationGroup()),
                         register,
                         new GatewayReports(time, 2_000),
                         List::of,
@@ -141,60 +136,4 @@
                 0,
                 false);
     }
-
-    /** Leads without asking anybody. */
-    private static final class LeadingGroup implements ReplicationGroup {
-
-        @Override
-        public void start() {}
-
-        @Override
-        public void receive(NodeId from, byte[] message) {}
-
-        @Override
-        public CompletableFuture<byte[]> propose(byte[] command) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Long> readBarrier() {
-            return CompletableFuture.completedFuture(1L);
-        }
-
-        @Override
-        public ReplicationStatus status() {
-            return new ReplicationStatus(
-                    new GroupId("traffic"),
-                    new NodeId("leader"),
-                    new VoterId("leader"),
-                    ReplicaRole.LEADER,
-                    1,
-                    Optional.empty(),
-                    1_000,
-                    1,
-                    1,
-                    1,
-                    0,
-                    List.of(),
-                    Optional.empty());
-        }
-
-        @Override
-        public CompletableFuture<Void> addLearner(VoterId voterId, NodeId nodeId) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Void> promote(VoterId voterId) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Void> remove(VoterId voterId) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void close() {}
-    }
 }
