--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/EndpointChooserTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/EndpointChooserTests.java
@@ -10,24 +10,20 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.configuration.traffic.Repeatability;
 import org.cardamomthread.configuration.traffic.RouteTable;
 import org.cardamomthread.configuration.traffic.TrafficDocument;
 import org.cardamomthread.configuration.traffic.TrafficRoute;
 import org.cardamomthread.configuration.traffic.TrafficService;
 import org.cardamomthread.configuration.traffic.WeightedService;
-import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.RouteId;
 import org.cardamomthread.core.id.ServiceId;
-import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.core.time.ManualTimeSource;
-import org.cardamomthread.daemon.dialect.EndpointReport;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
+import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.ViewLease;
-import org.cardamomthread.daemon.view.ViewedEndpoint;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -119,23 +115,6 @@
     }
 
     private static GatewayView view(boolean isLeaving) {
-        Map<EndpointId, ViewedEndpoint> endpoints = new HashMap<>();
-        for (int i = 1; i <= ENDPOINTS; i++) {
-            EndpointReport report =
-                    new EndpointReport(
-                            new EndpointId("e" + i),
-                            1,
-                            1,
-                            CHAT,
-                            NetworkAddress.parse("10.0.0." + i + ":80"),
-                            new DataCentreId("perth-a"),
-                            new VersionId("v1"),
-                            64,
-                            isLeaving,
-                            0,
-                            false);
-            endpoints.put(report.id(), new ViewedEndpoint(report, 0));
-        }
         TrafficDocument document =
                 new TrafficDocument(1, List.of(route()), List.of(service()), List.of());
         return new GatewayView(
@@ -143,7 +122,7 @@
                 Optional.of(new RouteTable(document)),
                 Set.of(),
                 Map.of(),
-                endpoints,
+                TestEndpoints.view(CHAT, ENDPOINTS, isLeaving),
                 1,
                 Map.of());
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,7 +15,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.configuration.traffic.Repeatability;
 import org.cardamomthread.configuration.traffic.RouteTable;
 import org.cardamomthread.configuration.traffic.TrafficAccount;
@@ -25,13 +23,9 @@
 import org.cardamomthread.configuration.traffic.TrafficService;
 import org.cardamomthread.configuration.traffic.WeightedService;
 import org.cardamomthread.core.id.ClientAccountId;
-import org.cardamomthread.core.id.DataCentreId;
-import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.RouteId;
 import org.cardamomthread.core.id.ServiceId;
-import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.core.time.ManualTimeSource;
-import org.cardamomthread.daemon.dialect.EndpointReport;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
@@ -40,11 +34,11 @@
 import org.cardamomthread.daemon.testing.FakeEndpointClient;
 import org.cardamomthread.daemon.testing.RecordedExchange;
 import org.cardamomthread.daemon.testing.TestDialect;
+import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.QuotaBorrower;
 import org.cardamomthread.daemon.view.QuotaDivision;
 import org.cardamomthread.daemon.view.ViewLease;
-import org.cardamomthread.daemon.view.ViewedEndpoint;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -265,36 +259,16 @@
                                         0,
                                         0,
                                         0)));
-        Map<EndpointId, ViewedEndpoint> endpoints = new HashMap<>();
-        for (int i = 1; i <= 4; i++) {
-            EndpointReport report = report("e" + i, "10.0.0." + i + ":80");
-            endpoints.put(report.id(), new ViewedEndpoint(report, 0));
-        }
         return new GatewayView(
                 1,
                 Optional.of(new RouteTable(document)),
                 Set.of(),
                 Map.of(),
-                endpoints,
+                TestEndpoints.view(CHAT, 4, false),
                 1,
                 Map.of());
     }
 
-    private static EndpointReport report(String id, String address) {
-        return new EndpointReport(
-                new EndpointId(id),
-                1,
-                1,
-                CHAT,
-                NetworkAddress.parse(address),
-                new DataCentreId("perth-a"),
-                new VersionId("v1"),
-                8,
-                false,
-                0,
-                false);
-    }
-
     private static HttpHeaders signed() {
         return new DefaultHttpHeaders().set(TestDialect.SIGNATURE, "s");
     }
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/TestEndpoints.java
@@ -0,0 +1,47 @@
+package org.cardamomthread.daemon.testing;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.daemon.dialect.EndpointReport;
+import org.cardamomthread.daemon.view.ViewedEndpoint;
+
+/** Makes endpoints of one data centre and version, in their first start. */
+public final class TestEndpoints {
+
+    private static final int SLOTS = 8;
+
+    private TestEndpoints() {}
+
+    /** Makes a report. */
+    public static EndpointReport report(
+            String id, ServiceId service, String address, boolean isLeaving) {
+        return new EndpointReport(
+                new EndpointId(id),
+                1,
+                1,
+                service,
+                NetworkAddress.parse(address),
+                new DataCentreId("perth-a"),
+                new VersionId("v1"),
+                SLOTS,
+                isLeaving,
+                0,
+                false);
+    }
+
+    /** Makes warm endpoints e1, e2 and so on. */
+    public static Map<EndpointId, ViewedEndpoint> view(
+            ServiceId service, int count, boolean isLeaving) {
+        Map<EndpointId, ViewedEndpoint> endpoints = new HashMap<>();
+        for (int i = 1; i <= count; i++) {
+            EndpointReport report = report("e" + i, service, "10.0.0." + i + ":80", isLeaving);
+            endpoints.put(report.id(), new ViewedEndpoint(report, 0));
+        }
+        return endpoints;
+    }
+}
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
@@ -6,12 +6,9 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.cardamomthread.configuration.document.NetworkAddress;
-import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.id.ServiceId;
-import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.core.time.ManualTimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.control.TrafficReplica;
@@ -19,6 +16,7 @@
 import org.cardamomthread.daemon.registry.EndpointRegister;
 import org.cardamomthread.daemon.testing.FakeReplicationGroup;
 import org.cardamomthread.daemon.testing.TestDialect;
+import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 import org.cardamomthread.daemon.view.generated.ViewResponse;
 import org.testng.annotations.AfterMethod;
@@ -123,17 +121,7 @@
     }
 
     private static EndpointReport report(EndpointId id) {
-        return new EndpointReport(
-                id,
-                1,
-                1,
-                new ServiceId("chat"),
-                NetworkAddress.parse("10.0.0." + id.value().length() + ":80"),
-                new DataCentreId("perth-a"),
-                new VersionId("v1"),
-                8,
-                false,
-                0,
-                false);
+        String address = "10.0.0." + id.value().length() + ":80";
+        return TestEndpoints.report(id.value(), new ServiceId("chat"), address, false);
     }
 }
