--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ElectionManager.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ElectionManager.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.replication.consensus;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.replication.ReplicaMember;
@@ -20,10 +21,12 @@
 final class ElectionManager {
 
     private final ReplicaContext context;
+    private final ElectionLog log;
     private final Set<VoterId> grantingVoters = new HashSet<>();
 
-    ElectionManager(ReplicaContext context) {
+    ElectionManager(ReplicaContext context, ElectionLog log) {
         this.context = context;
+        this.log = log;
     }
 
     /**
@@ -52,6 +55,7 @@
                         .setLastTerm(context.log().lastTerm())
                         .setPreliminary(preliminary)
                         .build();
+        log.electionStarted(term, request);
         for (ReplicaMember voter : context.log().membership().voters()) {
             if (!voter.voterId().equals(context.self().voterId())) {
                 Envelope.Builder envelope = context.outbox().newEnvelope(voter.voterId(), term);
@@ -80,18 +84,29 @@
 
     /** Responds to a vote request; unlike for other messages, a later term is adopted only here. */
     void onVoteRequest(VoterId candidate, NodeId candidateNode, Envelope envelope) {
+        VoteRequest request = envelope.getVoteRequest();
         if (!context.mayGrantVote()) {
+            log.voteRefused(
+                    candidateNode, envelope.getTerm(), request, "a leader was heard of recently");
             return;
         }
-        VoteRequest request = envelope.getVoteRequest();
-        boolean isGranted =
-                request.getPreliminary()
-                        ? envelope.getTerm() > context.term() && isUpToDate(request)
-                        : tryGrantVote(candidate, envelope.getTerm(), request);
-        long term = isGranted ? envelope.getTerm() : context.term();
+        if (!request.getPreliminary()) {
+            adoptTermOfCandidate(envelope.getTerm());
+        }
+        Optional<String> refusal = findRefusal(candidate, envelope.getTerm(), request);
+        if (refusal.isPresent()) {
+            log.voteRefused(candidateNode, envelope.getTerm(), request, refusal.get());
+        } else {
+            log.voteGranted(candidateNode, envelope.getTerm(), request);
+            if (!request.getPreliminary()) {
+                context.recordVoteFor(candidate);
+                context.resetElectionDeadline();
+            }
+        }
+        long term = refusal.isEmpty() ? envelope.getTerm() : context.term();
         VoteResponse response =
                 VoteResponse.newBuilder()
-                        .setGranted(isGranted)
+                        .setGranted(refusal.isEmpty())
                         .setPreliminary(request.getPreliminary())
                         .build();
         context.outbox()
@@ -100,17 +115,26 @@
                         context.outbox().newEnvelope(candidate, term).setVoteResponse(response));
     }
 
-    private boolean tryGrantVote(VoterId candidate, long term, VoteRequest request) {
+    private void adoptTermOfCandidate(long term) {
         if (term > context.term()) {
             context.enterTerm(term);
             context.setRole(ReplicaRole.FOLLOWER);
         }
-        if (term < context.term() || !context.mayVoteFor(candidate) || !isUpToDate(request)) {
-            return false;
+    }
+
+    /** Returns the reason why a vote is refused, or empty if it is granted. */
+    private Optional<String> findRefusal(VoterId candidate, long term, VoteRequest request) {
+        boolean isTermAcceptable =
+                request.getPreliminary() ? term > context.term() : term == context.term();
+        if (!isTermAcceptable) {
+            return Optional.of("the term is not current");
         }
-        context.recordVoteFor(candidate);
-        context.resetElectionDeadline();
-        return true;
+        if (!request.getPreliminary() && !context.mayVoteFor(candidate)) {
+            return Optional.of("this voter has voted for another candidate in the term");
+        }
+        return isUpToDate(request)
+                ? Optional.empty()
+                : Optional.of("the candidate's log is behind");
     }
 
     private boolean isUpToDate(VoteRequest request) {
@@ -130,9 +154,12 @@
         ReplicaRole expectedRole =
                 response.getPreliminary() ? ReplicaRole.PRE_CANDIDATE : ReplicaRole.CANDIDATE;
         long expectedTerm = response.getPreliminary() ? context.term() + 1 : context.term();
-        if (!response.getGranted()
-                || context.role() != expectedRole
-                || envelope.getTerm() != expectedTerm) {
+        boolean isCounted =
+                response.getGranted()
+                        && context.role() == expectedRole
+                        && envelope.getTerm() == expectedTerm;
+        log.voteReceived(voter, envelope.getTerm(), response.getGranted(), isCounted);
+        if (!isCounted) {
             return false;
         }
         grantingVoters.add(voter);
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Replica.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Replica.java
@@ -40,6 +40,7 @@
     private static final int MAX_RETAINED_INTERVALS = 8;
 
     private final ReplicaContext context;
+    private final ElectionLog electionLog;
     private final ElectionManager electionManager;
     private final FollowerState followerState;
     private final GroupBootstrapper bootstrapper;
@@ -63,7 +64,8 @@
             RandomGenerator random,
             long nowMs) {
         this.context = new ReplicaContext(self, settings, recovered, random, nowMs);
-        this.electionManager = new ElectionManager(context);
+        this.electionLog = new ElectionLog(context);
+        this.electionManager = new ElectionManager(context, electionLog);
         this.followerState = new FollowerState(context);
         this.bootstrapper = new GroupBootstrapper(context);
         this.deliveredIndex = recovered.snapshotHeader().getIndex();
@@ -77,7 +79,7 @@
     public void tick(long nowMs) {
         context.advanceTimeTo(nowMs);
         if (leaderState != null && !leaderState.mayRemainLeader()) {
-            stepDown();
+            stepDown("no majority responded within the election timeout");
         }
         bootstrapper.tick();
         if (leaderState != null) {
@@ -136,7 +138,7 @@
                         && message.getVoteResponse().getGranted();
         if (message.getTerm() > context.term() && !isPreliminaryGrant) {
             context.enterTerm(message.getTerm());
-            stepDown();
+            stepDown("node " + fromNode + " is in a later term");
         }
         if (message.getTerm() < context.term()) {
             rejectStaleTerm(from, fromNode, message);
@@ -200,12 +202,14 @@
     private void becomeLeader() {
         context.setRole(ReplicaRole.LEADER);
         context.setLeader(context.self().nodeId());
+        electionLog.leaderElected();
         leaderState = new LeaderState(context);
         membershipChanges = new MembershipChanges(context, leaderState);
     }
 
-    private void stepDown() {
+    private void stepDown(String reason) {
         if (leaderState != null) {
+            electionLog.leaderSteppedDown(reason);
             context.setLeader(null);
             context.resetElectionDeadline();
         }
