Draw election timeouts independently on each voter

Callers saw: a valid document without an acknowledgement although a majority of the control nodes was calm and connected; reads and views end with "no known leader" meanwhile.

Cause: a node seeds its generator with the millisecond of its start alone. Voters that start in the same millisecond, as after a power loss of all, draw the same election timeouts. Each election then splits: both grant each other's preliminary vote, both become candidates, both vote for themselves, both wait for the same time and start again. The class: choices that must be independent are not, as they are derived from one source.

That the one failure of keepsNewestDocumentAfterLossOfLeaderAndDisk was this is concluded: its logs fit (both voters answer at once and know no leader), but hold no start time in milliseconds of the seed.

--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ReplicaContext.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ReplicaContext.java
@@ -1,7 +1,9 @@
 package org.cardamomthread.replication.consensus;
 
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import org.cardamomthread.core.hash.RandomSeeds;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.replication.ReplicaRole;
 import org.cardamomthread.replication.ReplicationSettings;
@@ -13,7 +15,8 @@
  * Holds the state that the components of one replica share: term, vote, role, log and timers.
  *
  * <p>Invariants: the term never decreases; within a term at most one candidate gets the vote; the
- * commit index never decreases. Not thread-safe.
+ * commit index never decreases; election timeouts are random independently of those of other
+ * replicas, even if their generators have the same seed. Not thread-safe.
  */
 final class ReplicaContext {
 
@@ -39,7 +42,8 @@
             long nowMs) {
         this.self = self;
         this.settings = settings;
-        this.random = random;
+        this.random =
+                new SplittableRandom(RandomSeeds.derive(self.voterId().value(), random.nextLong()));
         this.log = new ReplicaLog(recovered);
         this.outbox = new Outbox(self);
         this.termState = recovered.termState();
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationScenarioTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationScenarioTests.java
@@ -24,6 +24,24 @@
         return IntStream.rangeClosed(1, 5).mapToObj(i -> new Object[] {i}).toArray(Object[][]::new);
     }
 
+    @DataProvider
+    public Object[][] manySeeds() {
+        return IntStream.rangeClosed(1, 100)
+                .mapToObj(i -> new Object[] {i})
+                .toArray(Object[][]::new);
+    }
+
+    /** A majority that is connected needs a few election timeouts of 75 steps each. */
+    @Test(dataProvider = "manySeeds")
+    public void electsALeaderSoonThoughAllNodesStartedWithTheSameSeed(int seed) {
+        SimulatedCluster cluster = SimulatedCluster.withEqualSeeds(seed);
+        cluster.run(ELECTION_STEPS);
+        SimulatedNode first = leader(cluster);
+        first.crash();
+        cluster.run(ELECTION_STEPS);
+        assertTrue(cluster.leader().isPresent(), "no leader after " + ELECTION_STEPS + " steps");
+    }
+
     private static SimulatedCluster clusterWithLeader(long seed) {
         SimulatedCluster cluster = new SimulatedCluster(seed);
         cluster.run(ELECTION_STEPS);
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedCluster.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedCluster.java
@@ -31,6 +31,15 @@
     private int proposalCount;
 
     SimulatedCluster(long seed) {
+        this(seed, false);
+    }
+
+    /** Creates a cluster whose nodes make the same random choices, as if they shared a seed. */
+    static SimulatedCluster withEqualSeeds(long seed) {
+        return new SimulatedCluster(seed, true);
+    }
+
+    private SimulatedCluster(long seed, boolean hasEqualSeeds) {
         random = new SplittableRandom(seed);
         network = new SimulatedNetwork(random.split());
         List<NodeId> voterNodes = new ArrayList<>();
@@ -54,7 +63,7 @@
                     new SimulatedNode(
                             id,
                             settings,
-                            random.split(),
+                            hasEqualSeeds ? new SplittableRandom(seed) : random.split(),
                             invariants,
                             (to, message) -> network.send(nowMs, id, to, message),
                             () -> nowMs);
