Seed random choices by node and start time, in both forms

Looked for the cause of equal election timeouts elsewhere: every component with random choices was seeded with the millisecond of the node's start: control nodes and gateways (NodeComponents: choice of endpoints, versions and weighted services), nodes with homes (ControlComponents: elections; MembershipComponents: gossip partners; ServingComponents: placement and synchronisation). Nodes that start together chose the same partners and endpoints at the same moments.

The seed is now derived from the node's identifier and its start time.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ControlComponents.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ControlComponents.java
@@ -11,6 +11,7 @@
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.state.ConfigurationResult;
 import org.cardamomthread.configuration.state.ConfigurationResultCodec;
+import org.cardamomthread.core.hash.RandomSeeds;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
@@ -77,7 +78,8 @@
                         definitions,
                         transport,
                         timeSource,
-                        new SplittableRandom(incarnation));
+                        new SplittableRandom(
+                                RandomSeeds.derive(settings.nodeId().value(), incarnation)));
     }
 
     private GroupDefinition createExecutionGroup(NodeSettings settings) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipComponents.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipComponents.java
@@ -7,6 +7,7 @@
 import org.cardamomthread.configuration.settings.Listeners;
 import org.cardamomthread.configuration.settings.NodeSettings;
 import org.cardamomthread.configuration.settings.PeerSettings;
+import org.cardamomthread.core.hash.RandomSeeds;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.capacity.ReclaimNoticeRegistry;
@@ -65,7 +66,7 @@
                         createSeeds(settings),
                         NodeDirectorySettings.defaults(),
                         timeSource,
-                        new Random(incarnation));
+                        new Random(RandomSeeds.derive(settings.nodeId().value(), incarnation)));
         concurrencyLimits =
                 new SlowStartConcurrencyLimits(
                         configuration,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingComponents.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingComponents.java
@@ -4,6 +4,7 @@
 import java.util.Random;
 import java.util.function.BooleanSupplier;
 import org.cardamomthread.configuration.settings.NodeSettings;
+import org.cardamomthread.core.hash.RandomSeeds;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.configuration.ConfigurationHolder;
@@ -42,7 +43,7 @@
      * Holds what the components depend on. Immutable.
      *
      * @param settings the node's settings
-     * @param incarnation the node's incarnation, used as the seed of random choices
+     * @param incarnation the node's incarnation, part of the seed of random choices
      * @param transport the transport to other nodes
      * @param controlThread runs the control decisions
      * @param membership the nodes, endpoints and credits
@@ -75,7 +76,7 @@
                         dependencies.membership().getDirectory(),
                         dependencies.transport(),
                         dependencies.controlThread(),
-                        new Random(dependencies.incarnation()));
+                        createRandom(dependencies));
         rollout =
                 new RolloutService(
                         dependencies.membership().getDirectory(),
@@ -121,6 +122,12 @@
         jobDispatcher.start();
     }
 
+    private static Random createRandom(Dependencies dependencies) {
+        return new Random(
+                RandomSeeds.derive(
+                        dependencies.settings().nodeId().value(), dependencies.incarnation()));
+    }
+
     private Gateway createGateway(Dependencies dependencies) {
         TimeSource timeSource = dependencies.telemetry().timeSource();
         return new Gateway(
@@ -142,6 +149,6 @@
                                         new VersionMoveObserver(rollout, timeSource),
                                         dependencies.membership().getObservationPublisher())),
                         dependencies.telemetry(),
-                        new Random(dependencies.incarnation())));
+                        createRandom(dependencies)));
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/NodeComponents.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/NodeComponents.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.cardamomthread.configuration.document.NetworkAddress;
+import org.cardamomthread.core.hash.RandomSeeds;
 import org.cardamomthread.core.time.SuspendAwareTimeSource;
 import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.core.time.TimeSource;
@@ -50,7 +51,7 @@
     private final FleetSettings settings;
     private final TimeSource timeSource = new SuspendAwareTimeSource(new SystemTimeSource());
     private final long incarnation = timeSource.millis();
-    private final SplittableRandom random = new SplittableRandom(incarnation);
+    private final SplittableRandom random;
     private final NodeMetrics metrics = new NodeMetrics();
     private final DecisionLog log = new DecisionLog(timeSource);
     private final EventLoopGroup eventLoops;
@@ -59,6 +60,7 @@
     @SuppressWarnings("deprecation")
     NodeComponents(FleetSettings settings) {
         this.settings = settings;
+        random = new SplittableRandom(RandomSeeds.derive(settings.nodeId().value(), incarnation));
         eventLoops = new NioEventLoopGroup(EVENT_LOOP_THREADS);
         transport =
                 new NettyPeerTransport(
