Judge version moves by enough results; keep only a version that is known to be good

Callers saw: a version that answers several times slower was kept, also where the move was ordered to be taken back by its deadline.

Cause: no data was read as good. A move was promoted after 0.6 of its time on a single answer; with fewer than ten it was not compared at all, and a request that the client gave up before the first byte was never counted, so the slower a version, the less was known of it. Means over requests of very different length were compared. A promoted version was not watched: between 0.6 and 0.9 of the time it got all traffic and could not be taken back.

- Gateways send a version on trial its first requests soon, by the platform's allowance, then the allowed share; so it is judged in time also on a service with little traffic.
Both bounds come from the settings.
- Gateways count a response as slow if it takes several times as long as is usual on its route, and a request in progress as soon as it has; cold endpoints are not timed.
- The versions are compared over every period that ends now, by the probability of that many bad results, so that a version that turns bad late is not hidden by its good start.
- New stage PROMOTED: all new requests go to the target version, and it can still be taken back.
It is reported as completed only once DONE is in the log.
A version with fewer than ten results is taken back.
- Logs: why a move stays in its stage, and each change with its counts.

--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/traffic/TrafficStateMachine.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/traffic/TrafficStateMachine.java
@@ -137,11 +137,10 @@
             return;
         }
         VersionMoveState move = state.getMoves(position);
-        boolean endsRunningMove =
+        boolean isAllowed =
                 move.getTarget().equals(command.getTarget())
-                        && move.getStage() == MoveStage.RUNNING
-                        && command.getStage() != MoveStage.RUNNING;
-        if (endsRunningMove) {
+                        && isSuccessor(command.getStage(), move.getStage());
+        if (isAllowed) {
             VersionMoveState ended =
                     move.toBuilder()
                             .setStage(command.getStage())
@@ -151,6 +150,14 @@
         }
     }
 
+    private static boolean isSuccessor(MoveStage next, MoveStage current) {
+        return switch (current) {
+            case RUNNING -> next != MoveStage.RUNNING;
+            case PROMOTED -> next == MoveStage.DONE || next == MoveStage.TAKEN_BACK;
+            default -> false;
+        };
+    }
+
     private void closeWindow(UsageWindow window) {
         boolean isEvicted =
                 state.getWindowsCount() >= MAX_USAGE_WINDOWS
--- a/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/traffic/TrafficStateMachineTests.java
+++ b/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/traffic/TrafficStateMachineTests.java
@@ -89,6 +89,20 @@
         assertEquals(machine.state().getWindows(0).getWindow(), 1);
     }
 
+    @Test
+    public void takesAPromotedVersionBackOnlyUntilItsMoveIsDone() throws Exception {
+        apply(beginMove("v2"));
+        apply(endMove("v2", MoveStage.PROMOTED));
+        assertEquals(machine.state().getMoves(0).getStage(), MoveStage.PROMOTED);
+        apply(endMove("v2", MoveStage.TAKEN_BACK));
+        assertEquals(machine.state().getMoves(0).getStage(), MoveStage.TAKEN_BACK);
+        apply(beginMove("v3"));
+        apply(endMove("v3", MoveStage.PROMOTED));
+        apply(endMove("v3", MoveStage.DONE));
+        apply(endMove("v3", MoveStage.TAKEN_BACK));
+        assertEquals(machine.state().getMoves(0).getStage(), MoveStage.DONE);
+    }
+
     @Test
     public void endsAMoveOnceAndIgnoresRepeatedCommands() throws Exception {
         apply(beginMove("v2"));
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/CanaryEvaluator.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/CanaryEvaluator.java
@@ -1,30 +1,36 @@
 package org.cardamomthread.daemon.duty;
 
+import java.util.Optional;
 import org.cardamomthread.daemon.view.generated.VersionCounts;
 
 /**
  * Determines whether a canary version performs worse than the other versions. Stateless and
  * thread-safe.
  */
-public final class CanaryEvaluator {
+final class CanaryEvaluator {
 
-    /** Minimum number of failures; with fewer, chance is a likely explanation. */
-    private static final long MIN_FAILURES = 5;
+    /** Minimum number of bad results; with fewer, chance is a likely explanation. */
+    private static final long MIN_BAD_RESULTS = 5;
 
     /**
-     * Number of standard deviations by which the failures may exceed the expected ones; gives about
-     * one false alarm in 700.
+     * Maximum probability of that many bad results from a version as good as the others. A move is
+     * evaluated over many periods, so the rate of false alarms of a move is higher.
      */
-    private static final double MAX_FAILURE_DEVIATIONS = 3.0;
-
-    /** Minimum number of responses on both sides for a comparison of mean response times. */
-    private static final long MIN_TIMED_RESPONSES = 10;
+    private static final double MAX_FALSE_ALARM_PROBABILITY = 1e-4;
 
     /**
-     * Maximum ratio of the mean response times; bad versions are several times slower, and the mean
-     * over requests of one service varies by less.
+     * Increase of the rate of slow responses that is acceptable, as the prompt caches of new
+     * endpoints are empty.
      */
-    private static final double MAX_SLOWDOWN_FACTOR = 2.2;
+    private static final double SLOW_TOLERANCE = 0.05;
+
+    /** The ways in which a version can be worse. */
+    enum Regression {
+        /** It fails more often. */
+        MORE_FAILURES,
+        /** More of its responses take several times as long as is usual on their route. */
+        MORE_SLOW_RESPONSES
+    }
 
     private CanaryEvaluator() {}
 
@@ -32,27 +38,53 @@
      * Compares the results of a canary version with those of the other versions.
      *
      * @param canary the results of the canary version
-     * @param former the results of the other versions in the same period
-     * @return true if the canary version fails more often or is slower
+     * @param former the results of the other versions
+     * @return how the canary version is worse, or empty if it is not known to be
      */
-    public static boolean isRegression(VersionCounts canary, VersionCounts former) {
-        return hasExcessFailures(canary, former) || isSlower(canary, former);
+    static Optional<Regression> findRegression(VersionCounts canary, VersionCounts former) {
+        boolean failsMore =
+                isExcessive(
+                        canary.getFailures(),
+                        canary.getAnswers(),
+                        former.getFailures(),
+                        former.getAnswers(),
+                        0);
+        if (failsMore) {
+            return Optional.of(Regression.MORE_FAILURES);
+        }
+        return isExcessive(
+                        canary.getSlow(),
+                        canary.getTimed(),
+                        former.getSlow(),
+                        former.getTimed(),
+                        SLOW_TOLERANCE)
+                ? Optional.of(Regression.MORE_SLOW_RESPONSES)
+                : Optional.empty();
     }
 
-    private static boolean hasExcessFailures(VersionCounts canary, VersionCounts former) {
-        double formerFailureRate = (former.getFailures() + 1.0) / (former.getAnswers() + 2.0);
-        double expectedFailures = canary.getAnswers() * formerFailureRate;
-        double deviation = Math.sqrt(expectedFailures * (1 - formerFailureRate)) + 1;
-        return canary.getFailures() >= MIN_FAILURES
-                && canary.getFailures() > expectedFailures + MAX_FAILURE_DEVIATIONS * deviation;
+    private static boolean isExcessive(
+            long canaryBad,
+            long canaryResults,
+            long formerBad,
+            long formerResults,
+            double tolerance) {
+        if (canaryBad < MIN_BAD_RESULTS) {
+            return false;
+        }
+        double acceptableRate = (formerBad + 1.0) / (formerResults + 2.0) + tolerance;
+        return acceptableRate < 1
+                && upperTailProbability(canaryBad, canaryResults, acceptableRate)
+                        < MAX_FALSE_ALARM_PROBABILITY;
     }
 
-    private static boolean isSlower(VersionCounts canary, VersionCounts former) {
-        boolean canCompare =
-                canary.getAnswers() >= MIN_TIMED_RESPONSES
-                        && former.getAnswers() >= MIN_TIMED_RESPONSES;
-        return canCompare
-                && (double) canary.getTotalMs() / canary.getAnswers()
-                        > MAX_SLOWDOWN_FACTOR * former.getTotalMs() / former.getAnswers();
+    /** Returns the probability of at least {@code count} events in {@code trials}. */
+    private static double upperTailProbability(long count, long trials, double rate) {
+        double probability = Math.pow(1 - rate, trials);
+        double below = 0;
+        for (long events = 0; events < count; events++) {
+            below += probability;
+            probability *= (double) (trials - events) / (events + 1) * rate / (1 - rate);
+        }
+        return Math.max(0, 1 - below);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/VersionMoveController.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/VersionMoveController.java
@@ -4,6 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.cardamomthread.configuration.traffic.generated.EndMove;
 import org.cardamomthread.configuration.traffic.generated.MoveStage;
 import org.cardamomthread.configuration.traffic.generated.TrafficCommand;
@@ -19,22 +22,25 @@
 import org.cardamomthread.daemon.view.generated.VersionCounts;
 
 /**
- * Ends version moves: rolls a bad target version back immediately, and moves all traffic to a
- * target that showed no regression during its canary phase. Runs on the control thread of the
+ * Ends version moves: rolls a target version back as soon as it shows a regression, moves all
+ * traffic to one that showed none during its canary phase, and then reports it as done.
+ *
+ * <p>A target version on which too little is known by then is rolled back, since the other versions
+ * cannot be returned to once the move is reported as done. Runs on the control thread of the
  * leader.
  */
 public final class VersionMoveController {
 
-    /**
-     * Fraction of a move's duration used for the canary phase; the rest is for requests on the old
-     * version to finish.
-     */
+    /** Fraction of a move's duration after which a target version may be promoted. */
     private static final double CANARY_FRACTION = 0.6;
 
     /**
-     * Fraction of a move's duration after which a completed move is reported as done, when requests
-     * on the old version have finished.
+     * Fraction of a move's duration after which a target version is no longer promoted, as requests
+     * on the other versions could not finish in time.
      */
+    private static final double LATEST_PROMOTION_FRACTION = 0.8;
+
+    /** Fraction of a move's duration after which a promoted version is reported as done. */
     private static final double COMPLETION_FRACTION = 0.9;
 
     private static final Duration RUN_INTERVAL = Duration.ofMillis(250);
@@ -47,9 +53,15 @@
     private final ProposalClient proposals;
     private final TimeSource timeSource;
     private final DecisionLog log;
+    private final Map<MoveKey, CanaryEvidence> evidence = new HashMap<>();
+    private final Map<MoveKey, String> undecidedReasons = new HashMap<>();
 
-    /** Results of the other versions when each move was first evaluated. */
-    private final Map<String, VersionCounts> baselines = new HashMap<>();
+    /** Identifies a version move. */
+    private record MoveKey(String service, String target, long startedAtMs) {
+        static MoveKey of(VersionMoveState move) {
+            return new MoveKey(move.getService(), move.getTarget(), move.getStartedAtMs());
+        }
+    }
 
     /**
      * Creates the controller; {@link #start} schedules it.
@@ -60,7 +72,7 @@
      * @param replica supplies the version moves
      * @param proposals proposes commands to the replicated log
      * @param timeSource supplies the wall clock time
-     * @param log receives an entry for each move that ends
+     * @param log receives an entry for each decision on a move
      */
     public VersionMoveController(
             ControllerLease lease,
@@ -88,93 +100,145 @@
         controlThread.scheduleWithFixedDelay(RUN_INTERVAL.toMillis(), this::run);
     }
 
-    /**
-     * Returns whether a completed move may be reported as done, because no requests are left on the
-     * old version.
-     *
-     * @param move a move whose stage is {@code DONE}
-     * @param nowMs the wall clock time, in milliseconds since 1970
-     * @return true once the old version may be stopped
-     */
-    public static boolean mayReportDone(VersionMoveState move, long nowMs) {
-        long reportableFromMs =
-                move.getStartedAtMs() + (long) (COMPLETION_FRACTION * move.getDurationMs());
-        return nowMs >= reportableFromMs;
-    }
-
     private void run() {
-        List<VersionMoveState> moves = replica.getState().getMovesList();
-        if (moves.isEmpty() || lease.currentHolder().isEmpty() || !viewServer.isSettled()) {
+        List<VersionMoveState> moves =
+                replica.getState().getMovesList().stream()
+                        .filter(VersionMoveController::isInProgress)
+                        .toList();
+        Set<MoveKey> keys = moves.stream().map(MoveKey::of).collect(Collectors.toSet());
+        evidence.keySet().retainAll(keys);
+        undecidedReasons.keySet().retainAll(keys);
+        if (lease.currentHolder().isEmpty() || !viewServer.isSettled()) {
+            evidence.clear();
             return;
         }
-        for (VersionMoveState move : moves) {
-            if (move.getStage() == MoveStage.RUNNING) {
-                evaluate(move);
-            }
-        }
+        moves.forEach(this::evaluate);
+    }
+
+    private static boolean isInProgress(VersionMoveState move) {
+        return move.getStage() == MoveStage.RUNNING || move.getStage() == MoveStage.PROMOTED;
     }
 
     private void evaluate(VersionMoveState move) {
-        VersionCounts canary =
-                gatewayReports.sumVersionResults(move.getService(), move.getTarget());
-        VersionCounts former =
-                gatewayReports.sumOtherVersionResults(move.getService(), move.getTarget());
-        VersionCounts baseline =
-                baselines.computeIfAbsent(
-                        move.getService() + " " + move.getTarget() + " " + move.getStartedAtMs(),
-                        key -> former);
-        VersionCounts formerDuringMove =
-                former.getAnswers() >= baseline.getAnswers() ? subtract(former, baseline) : former;
-        if (CanaryEvaluator.isRegression(canary, formerDuringMove)) {
-            endVersionMove(move, MoveStage.TAKEN_BACK, canary, formerDuringMove);
-            return;
+        CanaryEvidence collected =
+                evidence.computeIfAbsent(MoveKey.of(move), key -> new CanaryEvidence());
+        collected.update(
+                gatewayReports.sumVersionResults(move.getService(), move.getTarget()),
+                gatewayReports.sumOtherVersionResults(move.getService(), move.getTarget()));
+        decide(move, collected, timeSource.millis())
+                .ifPresentOrElse(
+                        decision -> endStage(move, decision, collected),
+                        () -> logUndecided(move, collected));
+    }
+
+    /** Holds the next stage of a move and the reason for it. */
+    record Decision(MoveStage stage, String reason) {}
+
+    /** Returns the next stage of a move, or empty if it remains in its stage. */
+    static Optional<Decision> decide(
+            VersionMoveState move, CanaryEvidence collected, long wallClockMs) {
+        Optional<CanaryEvaluator.Regression> regression = collected.findRegression();
+        if (regression.isPresent()) {
+            return Optional.of(new Decision(MoveStage.TAKEN_BACK, regression.get().name()));
         }
-        long elapsedMs = timeSource.millis() - move.getStartedAtMs();
-        if (elapsedMs >= CANARY_FRACTION * move.getDurationMs() && canary.getAnswers() > 0) {
-            endVersionMove(move, MoveStage.DONE, canary, formerDuringMove);
+        double elapsedFraction =
+                (double) (wallClockMs - move.getStartedAtMs()) / move.getDurationMs();
+        if (move.getStage() == MoveStage.PROMOTED) {
+            return elapsedFraction >= COMPLETION_FRACTION
+                    ? Optional.of(new Decision(MoveStage.DONE, "no regression was found"))
+                    : Optional.empty();
         }
+        if (elapsedFraction >= LATEST_PROMOTION_FRACTION) {
+            return Optional.of(
+                    new Decision(MoveStage.TAKEN_BACK, "not promoted in time for the deadline"));
+        }
+        return elapsedFraction >= CANARY_FRACTION && collected.isSufficient()
+                ? Optional.of(new Decision(MoveStage.PROMOTED, "no regression was found"))
+                : Optional.empty();
     }
 
-    private void endVersionMove(
-            VersionMoveState move, MoveStage stage, VersionCounts canary, VersionCounts former) {
+    private void logUndecided(VersionMoveState move, CanaryEvidence collected) {
+        String reason =
+                collected.isSufficient()
+                        ? "the stage is not over"
+                        : "fewer than " + CanaryEvidence.MIN_RESULTS + " results";
+        String previous = undecidedReasons.put(MoveKey.of(move), move.getStage() + reason);
+        if (!(move.getStage() + reason).equals(previous)) {
+            logMove("move-undecided", move, move.getStage(), reason, collected);
+        }
+    }
+
+    private void endStage(VersionMoveState move, Decision decision, CanaryEvidence collected) {
+        logMove(
+                decision.stage() == MoveStage.PROMOTED ? "move-promoted" : "move-ended",
+                move,
+                decision.stage(),
+                decision.reason(),
+                collected);
+        EndMove command =
+                EndMove.newBuilder()
+                        .setService(move.getService())
+                        .setTarget(move.getTarget())
+                        .setStage(decision.stage())
+                        .setEndedAtMs(timeSource.millis())
+                        .build();
+        proposals
+                .propose(
+                        GroupDefinition.TRAFFIC,
+                        TrafficCommand.newBuilder().setEndMove(command).build().toByteArray(),
+                        PROPOSAL_TIMEOUT)
+                .whenComplete(
+                        (result, failure) -> {
+                            if (failure != null) {
+                                log.log(
+                                        "move-not-committed",
+                                        "service",
+                                        move.getService(),
+                                        "stage",
+                                        decision.stage(),
+                                        "reason",
+                                        failure.getMessage());
+                            }
+                        });
+    }
+
+    private void logMove(
+            String event,
+            VersionMoveState move,
+            MoveStage stage,
+            String reason,
+            CanaryEvidence collected) {
+        VersionCounts canary = collected.canary();
+        VersionCounts former = collected.former();
         log.log(
-                "move-ended",
+                event,
                 "service",
                 move.getService(),
                 "target",
                 move.getTarget(),
                 "stage",
                 stage,
+                "reason",
+                reason,
+                "elapsedMs",
+                timeSource.millis() - move.getStartedAtMs(),
+                "durationMs",
+                move.getDurationMs(),
                 "trialAnswers",
                 canary.getAnswers(),
                 "trialFailures",
                 canary.getFailures(),
-                "trialTotalMs",
-                canary.getTotalMs(),
+                "trialTimed",
+                canary.getTimed(),
+                "trialSlow",
+                canary.getSlow(),
                 "formerAnswers",
                 former.getAnswers(),
                 "formerFailures",
                 former.getFailures(),
-                "formerTotalMs",
-                former.getTotalMs());
-        EndMove command =
-                EndMove.newBuilder()
-                        .setService(move.getService())
-                        .setTarget(move.getTarget())
-                        .setStage(stage)
-                        .setEndedAtMs(timeSource.millis())
-                        .build();
-        proposals.propose(
-                GroupDefinition.TRAFFIC,
-                TrafficCommand.newBuilder().setEndMove(command).build().toByteArray(),
-                PROPOSAL_TIMEOUT);
-    }
-
-    private static VersionCounts subtract(VersionCounts total, VersionCounts baseline) {
-        return total.toBuilder()
-                .setAnswers(total.getAnswers() - baseline.getAnswers())
-                .setFailures(Math.max(0, total.getFailures() - baseline.getFailures()))
-                .setTotalMs(Math.max(0, total.getTotalMs() - baseline.getTotalMs()))
-                .build();
+                "formerTimed",
+                former.getTimed(),
+                "formerSlow",
+                former.getSlow());
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlHandler.java
@@ -10,7 +10,6 @@
 import org.cardamomthread.configuration.traffic.TrafficDocument;
 import org.cardamomthread.configuration.traffic.TrafficDocumentValidator;
 import org.cardamomthread.configuration.traffic.generated.BeginMove;
-import org.cardamomthread.configuration.traffic.generated.MoveStage;
 import org.cardamomthread.configuration.traffic.generated.ReplaceDocument;
 import org.cardamomthread.configuration.traffic.generated.SetDrained;
 import org.cardamomthread.configuration.traffic.generated.TrafficCommand;
@@ -25,7 +24,6 @@
 import org.cardamomthread.daemon.dialect.MalformedMessageException;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.dialect.VersionMoveStatus;
-import org.cardamomthread.daemon.duty.VersionMoveController;
 import org.cardamomthread.daemon.http.HttpExchange;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.ServerResponse;
@@ -231,14 +229,12 @@
         return ServerResponse.createText(404, "no version move of this service was ordered\n");
     }
 
-    private VersionMoveStatus.State stateOf(VersionMoveState move) {
-        if (move.getStage() == MoveStage.TAKEN_BACK) {
-            return VersionMoveStatus.State.ROLLED_BACK;
-        }
-        boolean isDone =
-                move.getStage() == MoveStage.DONE
-                        && VersionMoveController.mayReportDone(move, timeSource.millis());
-        return isDone ? VersionMoveStatus.State.DONE : VersionMoveStatus.State.RUNNING;
+    private static VersionMoveStatus.State stateOf(VersionMoveState move) {
+        return switch (move.getStage()) {
+            case TAKEN_BACK -> VersionMoveStatus.State.ROLLED_BACK;
+            case DONE -> VersionMoveStatus.State.DONE;
+            default -> VersionMoveStatus.State.RUNNING;
+        };
     }
 
     private void respondUnavailable(HttpExchange exchange, String operation, String reason) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -14,6 +14,7 @@
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.configuration.document.YamlReader;
 import org.cardamomthread.core.id.DataCentreId;
+import org.cardamomthread.daemon.forwarding.TrialAllocation;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.slf4j.Logger;
@@ -42,6 +43,7 @@
                     "dataFolder",
                     "platform",
                     "limits");
+    private static final double DEFAULT_TRIAL_SHARE = 0.05;
     private static final int MAX_PORT = NetworkAddress.MAX_PORT;
 
     private final List<DocumentProblem> problems = new ArrayList<>();
@@ -134,7 +136,10 @@
                         readNonNegativeDouble("/limits/quotaOvershoot"),
                         readNonNegativeDouble("/limits/quotaSlack")),
                 readLong("/limits/usageWindowS", 1, Long.MAX_VALUE),
-                readLong("/limits/usageLateS", 1, Long.MAX_VALUE));
+                readLong("/limits/usageLateS", 1, Long.MAX_VALUE),
+                new TrialAllocation(
+                        readOptionalDouble("/limits/trialShare", DEFAULT_TRIAL_SHARE),
+                        readOptionalDouble("/limits/trialExtra", 0)));
     }
 
     private void validateRole(FleetSettings settings) {
@@ -212,6 +217,12 @@
         return value.asLong();
     }
 
+    private double readOptionalDouble(String pointer, double defaultValue) {
+        return document.root().at(pointer).isMissingNode()
+                ? defaultValue
+                : readNonNegativeDouble(pointer);
+    }
+
     private double readNonNegativeDouble(String pointer) {
         JsonNode value = document.root().at(pointer);
         if (!value.isNumber() || value.asDouble() < 0) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -203,7 +203,8 @@
                 limits.retryAllowance(),
                 limits.retryWindowS(),
                 limits.quotaAllocation(),
-                limits.usageWindowS());
+                limits.usageWindowS(),
+                limits.trialAllocation());
     }
 
     private static NetworkAddress requireAddress(Optional<NetworkAddress> address) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -7,7 +7,10 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.cardamomthread.configuration.traffic.generated.MoveStage;
+import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
 import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.daemon.dialect.AttemptHead;
 import org.cardamomthread.daemon.dialect.EndpointResponseHead;
 import org.cardamomthread.daemon.dispatch.EndpointAttempt;
@@ -212,6 +215,13 @@
                 && (!mayHaveRun || request.route().requestKind().isRetryable());
     }
 
+    private boolean isOnTrial(VersionId version) {
+        VersionMoveState move = request.view().versionMoves().get(request.service().id());
+        return move != null
+                && (move.getStage() == MoveStage.RUNNING || move.getStage() == MoveStage.PROMOTED)
+                && move.getTarget().equals(version.value());
+    }
+
     private void runOnLoop(Runnable task) {
         if (context.loop().inEventLoop()) {
             task.run();
@@ -225,6 +235,7 @@
 
         private final TrackedEndpoint endpoint;
         private final long startedMs = context.timeSource().monotonicMs();
+        private final VersionResultCounter.Attempt measurement;
         private int status;
         private HttpHeaders headers;
         private EndpointResponseHead head;
@@ -232,6 +243,15 @@
 
         AttemptListener(TrackedEndpoint endpoint) {
             this.endpoint = endpoint;
+            VersionId version = endpoint.knownEndpoint().report().version();
+            measurement =
+                    context.versionResults()
+                            .start(
+                                    request.service().id(),
+                                    version,
+                                    request.route().id(),
+                                    !endpoint.isCold(startedMs),
+                                    !isOnTrial(version));
         }
 
         @Override
@@ -285,6 +305,7 @@
             long nowMs = context.timeSource().monotonicMs();
             head.load().ifPresent(load -> endpoint.updateLoad(load, nowMs));
             firstByteMs = nowMs - request.receivedMs();
+            measurement.recordFirstByte();
             head.coldMs().ifPresent(coldMs -> endpoint.extendCold(nowMs + coldMs));
             countAttempt();
             if (!head.isNotRun()) {
@@ -313,6 +334,9 @@
                 done = true;
                 endpoint.recordEnd();
             }
+            if (finished) {
+                measurement.recordNoResult();
+            }
         }
 
         private void handleComplete() {
@@ -354,6 +378,7 @@
         }
 
         private void handleNotRun() {
+            measurement.recordNoResult();
             context.metrics().countAttempt(request.service().id(), "not-run");
             context.forwardingLog()
                     .logFailedAttempt(request, endpoint.id(), "not-run", "status " + status);
@@ -379,6 +404,7 @@
                     .logFailedAttempt(
                             request, endpoint.id(), kind, String.valueOf(failure.getMessage()));
             if (failure.isNotSent()) {
+                measurement.recordNoResult();
                 endpoint.recordConnectionFailure(context.timeSource().monotonicMs());
                 retryAfterUnsentAttempt();
                 return;
@@ -418,13 +444,7 @@
             long nowMs = context.timeSource().monotonicMs();
             double medianRate = context.endpoints().medianFailureRate(request.service().id());
             endpoint.recordResult(isFailure, medianRate, nowMs);
-            long elapsedMs = nowMs - startedMs;
-            context.versionResults()
-                    .count(
-                            request.service().id(),
-                            endpoint.knownEndpoint().report().version(),
-                            isFailure,
-                            elapsedMs);
+            measurement.recordResult(isFailure);
         }
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -21,7 +21,7 @@
 
     private final LocalQuotaShares quotaShares;
     private final UsageCounter usage;
-    private final VersionResultCounter versionResults = new VersionResultCounter();
+    private final VersionResultCounter versionResults;
     private final ServiceLoadTracker serviceLoads;
     private final ForwardingHandler handler;
 
@@ -65,6 +65,7 @@
         EndpointTable endpoints = new EndpointTable(forwardingLog);
         serviceLoads = new ServiceLoadTracker(timeSource);
         quotaShares = new LocalQuotaShares(timeSource, dependencies.limits().quotaAllocation());
+        versionResults = new VersionResultCounter(timeSource);
         usage = new UsageCounter(timeSource, dependencies.limits().usageWindowS());
         ForwardingContext context =
                 new ForwardingContext(
@@ -75,7 +76,12 @@
                         dependencies.viewLease(),
                         endpoints,
                         new ForwardingEndpointSelector(
-                                endpoints, timeSource, dependencies.random()),
+                                endpoints,
+                                new VersionSelector(
+                                        dependencies.limits().trialAllocation(),
+                                        dependencies.random()),
+                                timeSource,
+                                dependencies.random()),
                         quotaShares,
                         dependencies.quotaPoolClient(),
                         new ServiceRetryBudget(timeSource, dependencies.limits()),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cardamomthread.configuration.traffic.TrafficService;
-import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
 import org.cardamomthread.core.hash.RendezvousHash;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.time.TimeSource;
@@ -22,12 +21,6 @@
  */
 final class ForwardingEndpointSelector {
 
-    /**
-     * Fraction of requests sent to a canary version: half of the share of 0.1 of the traffic that
-     * platforms allow a bad version to receive.
-     */
-    private static final double CANARY_TRAFFIC_FRACTION = 0.05;
-
     /**
      * Factor on the mean load, to which {@link #AFFINITY_LOAD_ALLOWANCE} is added; above the
      * result, the next endpoint in hash order is tried.
@@ -43,12 +36,17 @@
     private static final int MAX_AFFINITY_CANDIDATES = 3;
 
     private final EndpointTable endpoints;
+    private final VersionSelector versionSelector;
     private final TimeSource timeSource;
     private final RandomGenerator random;
 
     ForwardingEndpointSelector(
-            EndpointTable endpoints, TimeSource timeSource, RandomGenerator random) {
+            EndpointTable endpoints,
+            VersionSelector versionSelector,
+            TimeSource timeSource,
+            RandomGenerator random) {
         this.endpoints = endpoints;
+        this.versionSelector = versionSelector;
         this.timeSource = timeSource;
         this.random = random;
     }
@@ -70,7 +68,11 @@
         List<TrackedEndpoint> usable = new ArrayList<>();
         List<TrackedEndpoint> inBackoff = new ArrayList<>();
         for (TrackedEndpoint endpoint :
-                selectVersion(view, service, listEligible(view, service, triedEndpoints))) {
+                versionSelector.select(
+                        service.id(),
+                        view.versionMoves().get(service.id()),
+                        view.gatewayCount(),
+                        listEligible(view, service, triedEndpoints))) {
             (endpoint.isInBackoff(nowMs) ? inBackoff : usable).add(endpoint);
         }
         List<TrackedEndpoint> candidates = usable.isEmpty() ? inBackoff : usable;
@@ -107,42 +109,6 @@
                 .toList();
     }
 
-    private List<TrackedEndpoint> selectVersion(
-            GatewayView view, TrafficService service, List<TrackedEndpoint> eligible) {
-        VersionMoveState move = view.versionMoves().get(service.id());
-        if (move == null) {
-            return eligible;
-        }
-        List<TrackedEndpoint> onTarget = filterByTargetVersion(eligible, move, true);
-        List<TrackedEndpoint> onOtherVersions = filterByTargetVersion(eligible, move, false);
-        return switch (move.getStage()) {
-            case DONE -> onTarget.isEmpty() ? onOtherVersions : onTarget;
-            case RUNNING -> {
-                boolean isCanary =
-                        !onTarget.isEmpty()
-                                && (onOtherVersions.isEmpty()
-                                        || random.nextDouble() < CANARY_TRAFFIC_FRACTION);
-                yield isCanary ? onTarget : onOtherVersions;
-            }
-            case TAKEN_BACK -> onOtherVersions;
-            default -> eligible;
-        };
-    }
-
-    private static List<TrackedEndpoint> filterByTargetVersion(
-            List<TrackedEndpoint> eligible, VersionMoveState move, boolean isTarget) {
-        return eligible.stream()
-                .filter(
-                        endpoint ->
-                                isTarget
-                                        == endpoint.knownEndpoint()
-                                                .report()
-                                                .version()
-                                                .value()
-                                                .equals(move.getTarget()))
-                .toList();
-    }
-
     private TrackedEndpoint selectFrom(
             List<TrackedEndpoint> candidates,
             Optional<String> affinityKey,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLimits.java
@@ -3,17 +3,20 @@
 import org.cardamomthread.daemon.view.QuotaAllocation;
 
 /**
- * Holds the limits that the platform sets for retries, quotas and usage accounting. Immutable.
+ * Holds the limits that the platform sets for retries, quotas, usage accounting and versions on
+ * trial. Immutable.
  *
  * @param retryRatio retries allowed for each first attempt
  * @param retryAllowance retries allowed in addition, for all gateways together in one window
  * @param retryWindowS the length of the window for the allowance, in seconds
  * @param quotaAllocation the division of quotas between the gateways and the leader's pool
  * @param usageWindowS the length of an accounting window, in seconds
+ * @param trialAllocation what a version on trial may receive
  */
 public record ForwardingLimits(
         double retryRatio,
         double retryAllowance,
         double retryWindowS,
         QuotaAllocation quotaAllocation,
-        long usageWindowS) {}
+        long usageWindowS,
+        TrialAllocation trialAllocation) {}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayReports.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayReports.java
@@ -174,6 +174,8 @@
                     sum.setAnswers(sum.getAnswers() + counts.getAnswers());
                     sum.setFailures(sum.getFailures() + counts.getFailures());
                     sum.setTotalMs(sum.getTotalMs() + counts.getTotalMs());
+                    sum.setTimed(sum.getTimed() + counts.getTimed());
+                    sum.setSlow(sum.getSlow() + counts.getSlow());
                 }
             }
         }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/CanaryEvaluatorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/CanaryEvaluatorTests.java
@@ -8,29 +8,33 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Tests {@link CanaryEvaluator}. */
+/** Tests {@link CanaryEvaluator} and {@link CanaryEvidence}. */
 public class CanaryEvaluatorTests {
 
     @DataProvider
     public Object[][] comparisons() {
         return new Object[][] {
-            {"no results yet", 0, 0, 0, 0, 0, 0, false},
-            {"equally good", 60, 1, 6_000, 600, 8, 60_000, false},
-            {"fails as often as the former version", 60, 9, 6_000, 600, 84, 60_000, false},
-            {"half of the requests fail", 20, 10, 2_000, 600, 8, 60_000, true},
+            {"no results yet", 0, 0, 0, 0, 0, 0, 0, 0, false},
+            {"equally good", 60, 1, 60, 1, 600, 8, 600, 8, false},
+            {"fails as often as the former version", 60, 9, 51, 0, 600, 84, 516, 0, false},
+            {"half of the requests fail", 20, 10, 10, 0, 600, 8, 592, 0, true},
             {
                 "four in ten fail, one in seven of the former version",
                 40,
                 16,
-                4_000,
+                24,
+                0,
                 600,
                 84,
-                60_000,
+                516,
+                0,
                 true
             },
-            {"several times slower", 20, 0, 10_000, 600, 8, 60_000, true},
-            {"mean response time 1.5 times as long", 20, 0, 3_000, 600, 8, 60_000, false},
-            {"slow, but too few results", 5, 0, 5_000, 600, 8, 60_000, false},
+            {"all responses slow", 20, 0, 20, 20, 600, 8, 592, 8, true},
+            {"half of the responses slow", 20, 0, 20, 10, 600, 8, 592, 8, true},
+            {"as many slow responses as the former version", 20, 0, 20, 3, 600, 8, 592, 80, false},
+            {"slow, but too few results", 4, 0, 4, 4, 600, 8, 592, 8, false},
+            {"slow without any response", 0, 0, 12, 12, 600, 8, 592, 8, true},
         };
     }
 
@@ -39,17 +43,37 @@
             String name,
             long canaryResponses,
             long canaryFailures,
-            long canaryTotalMs,
+            long canaryTimed,
+            long canarySlow,
             long formerResponses,
             long formerFailures,
-            long formerTotalMs,
+            long formerTimed,
+            long formerSlow,
             boolean expected) {
-        assertEquals(
-                CanaryEvaluator.isRegression(
-                        counts(canaryResponses, canaryFailures, canaryTotalMs),
-                        counts(formerResponses, formerFailures, formerTotalMs)),
-                expected,
-                name);
+        CanaryEvidence evidence = new CanaryEvidence();
+        evidence.update(counts(0, 0, 0, 0), counts(0, 0, 0, 0));
+        evidence.update(
+                counts(canaryResponses, canaryFailures, canaryTimed, canarySlow),
+                counts(formerResponses, formerFailures, formerTimed, formerSlow));
+        assertEquals(evidence.findRegression().isPresent(), expected, name);
+    }
+
+    @Test
+    public void detectsAVersionThatTurnsSlowAfterManyGoodResponses() {
+        CanaryEvidence evidence = new CanaryEvidence();
+        evidence.update(counts(0, 0, 0, 0), counts(0, 0, 0, 0));
+        evidence.update(counts(60, 0, 60, 1), counts(600, 0, 600, 12));
+        assertTrue(evidence.findRegression().isEmpty());
+        evidence.update(counts(70, 0, 70, 9), counts(700, 0, 700, 14));
+        assertTrue(evidence.findRegression().isPresent());
+    }
+
+    @Test
+    public void comparesOnlyTheResultsOfTheMove() {
+        CanaryEvidence evidence = new CanaryEvidence();
+        evidence.update(counts(900, 450, 450, 450), counts(900, 0, 900, 9));
+        evidence.update(counts(920, 450, 470, 450), counts(999, 0, 999, 9));
+        assertTrue(evidence.findRegression().isEmpty());
     }
 
     @Test
@@ -60,26 +84,29 @@
             long canaryFailures = 0;
             long formerFailures = 0;
             boolean isFlagged = false;
+            CanaryEvidence evidence = new CanaryEvidence();
+            evidence.update(counts(0, 0, 0, 0), counts(0, 0, 0, 0));
             for (int responses = 1; responses <= 40; responses++) {
                 canaryFailures += random.nextInt(100) < 14 ? 1 : 0;
                 for (int i = 0; i < 12; i++) {
                     formerFailures += random.nextInt(100) < 14 ? 1 : 0;
                 }
-                isFlagged |=
-                        CanaryEvaluator.isRegression(
-                                counts(responses, canaryFailures, responses * 30L),
-                                counts(12L * responses, formerFailures, responses * 360L));
+                evidence.update(
+                        counts(responses, canaryFailures, responses, canaryFailures),
+                        counts(12L * responses, formerFailures, 12L * responses, formerFailures));
+                isFlagged |= evidence.findRegression().isPresent();
             }
             falseAlarms += isFlagged ? 1 : 0;
         }
         assertTrue(falseAlarms <= 10, falseAlarms + " of 1,000 good versions were flagged as bad");
     }
 
-    private static VersionCounts counts(long responses, long failures, long totalMs) {
+    private static VersionCounts counts(long responses, long failures, long timed, long slow) {
         return VersionCounts.newBuilder()
                 .setAnswers(responses)
                 .setFailures(failures)
-                .setTotalMs(totalMs)
+                .setTimed(timed)
+                .setSlow(slow)
                 .build();
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -73,7 +73,12 @@
                                 viewLease,
                                 new QuotaPoolClient(null, Optional::empty, Runnable::run, time),
                                 new ForwardingLimits(
-                                        0.2, 54, 10, new QuotaAllocation(8, 0.1, 1_000), 5),
+                                        0.2,
+                                        54,
+                                        10,
+                                        new QuotaAllocation(8, 0.1, 1_000),
+                                        5,
+                                        new TrialAllocation(0.1, 50)),
                                 new DecisionLog(time),
                                 new NodeForwardingMetrics(new NodeMetrics()),
                                 new SplittableRandom(1)));
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
@@ -97,7 +97,11 @@
     }
 
     private ForwardingEndpointSelector createSelector(EndpointTable endpoints, long seed) {
-        return new ForwardingEndpointSelector(endpoints, time, new SplittableRandom(seed));
+        return new ForwardingEndpointSelector(
+                endpoints,
+                new VersionSelector(new TrialAllocation(0.1, 50), new SplittableRandom(seed)),
+                time,
+                new SplittableRandom(seed));
     }
 
     private static TrafficService service() {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaAndRetryLimitsTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaAndRetryLimitsTests.java
@@ -29,7 +29,13 @@
 public class QuotaAndRetryLimitsTests {
 
     private static final ForwardingLimits LIMITS =
-            new ForwardingLimits(0.2, 54, 10, new QuotaAllocation(8, 0.1, 140_000), 5);
+            new ForwardingLimits(
+                    0.2,
+                    54,
+                    10,
+                    new QuotaAllocation(8, 0.1, 140_000),
+                    5,
+                    new TrialAllocation(0.1, 50));
     private static final QuotaAllocation ALLOCATION = LIMITS.quotaAllocation();
     private static final double RATE = 20_000;
     private static final double BURST = 20_000;
