Release no endpoint while both versions of a move are present

Cause: two controllers work on the same endpoints without knowing of each other. The platform starts the endpoints of the target version beside the others; autoscaling counted them as surplus and, since they are on-demand and thus dear, released them within a second. The move was then judged on one to five answers, completed, and left a service of almost no endpoints.

Ruled out: crashes (the endpoints drain and say so) and reclaims (they are not reclaimable).

The planning moves out of the controller into EndpointPlanner, which knows the version move: while both versions may be present nothing is released, endpoints of the version that does not get the usual traffic do not count as capacity, and are added to each order so that it does not remove them; an order is sent only if there are too few. After the move the surplus is released as before. A failed call and a restart of the control node leave the move in the log, so the next leader plans by it as well.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/AutoscalingController.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/AutoscalingController.java
@@ -1,32 +1,25 @@
 package org.cardamomthread.daemon.duty;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.cardamomthread.configuration.traffic.EndpointScaling;
 import org.cardamomthread.configuration.traffic.RouteTable;
 import org.cardamomthread.configuration.traffic.TrafficService;
-import org.cardamomthread.core.id.EndpointClassId;
+import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.control.TrafficReplica;
 import org.cardamomthread.daemon.dialect.ControllerLeaseHolder;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.dialect.ScalingRequest;
 import org.cardamomthread.daemon.registry.EndpointRegistry;
-import org.cardamomthread.daemon.registry.RegisteredEndpoint;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
 import org.cardamomthread.daemon.view.GatewayReports;
 import org.cardamomthread.daemon.view.ViewServer;
-import org.cardamomthread.daemon.view.generated.ServiceLoad;
-import org.cardamomthread.policy.capacity.EndpointCountEstimator;
-import org.cardamomthread.policy.capacity.EndpointMixPlanner;
-import org.cardamomthread.policy.capacity.HostOffer;
-import org.cardamomthread.policy.capacity.RefusalBackoff;
 import org.cardamomthread.policy.profile.PriceClass;
 
 /**
@@ -39,36 +32,12 @@
 
     private static final Duration RUN_INTERVAL = Duration.ofMillis(500);
 
-    /**
-     * Maximum fraction of the required endpoints that may be reclaimable in one data centre, since
-     * a reclaim takes all of these at once.
-     */
-    private static final double MAX_RECLAIMABLE_FRACTION_PER_DATA_CENTRE = 0.3;
-
-    private static final long INITIAL_REFUSAL_BACKOFF_MS = 2_000;
-    private static final long MAX_REFUSAL_BACKOFF_MS = 8_000;
-
-    /**
-     * Time in addition to the start-up time within which a requested endpoint is expected to
-     * report.
-     */
-    private static final long REGISTRATION_MARGIN_MS = 4_000;
-
     private static final int STATUS_SUCCESS_END = 300;
     private static final int STATUS_CONFLICT = 409;
 
     private final Dependencies dependencies;
-    private final RefusalBackoff refusals =
-            new RefusalBackoff(INITIAL_REFUSAL_BACKOFF_MS, MAX_REFUSAL_BACKOFF_MS);
-    private final EndpointMixPlanner planner =
-            new EndpointMixPlanner(MAX_RECLAIMABLE_FRACTION_PER_DATA_CENTRE, refusals);
-    private final Map<HostOffer.Kind, LastRequest> lastRequests = new HashMap<>();
-
-    /** Number of endpoints when a service was first scaled, the minimum of the desired number. */
-    private final Map<ServiceId, Integer> initialCounts = new HashMap<>();
-
-    /** Holds the last request for one kind of endpoint. */
-    private record LastRequest(int count, long updatedMs, boolean isInFlight) {}
+    private final EndpointPlanner planner = new EndpointPlanner();
+    private final Map<ServiceId, EndpointPlanner.Plan> lastPlans = new HashMap<>();
 
     /**
      * Groups the collaborators of the controller. Immutable.
@@ -78,6 +47,7 @@
      * @param gatewayReports supplies the load of each service
      * @param routes supplies the current traffic document
      * @param registry supplies the registered endpoints
+     * @param replica supplies the version moves
      * @param dialect encodes the requests
      * @param platform sends the requests
      * @param timeSource supplies monotonic time
@@ -89,6 +59,7 @@
             GatewayReports gatewayReports,
             Supplier<Optional<RouteTable>> routes,
             EndpointRegistry registry,
+            TrafficReplica replica,
             PlatformDialect dialect,
             FencedPlatformClient platform,
             TimeSource timeSource,
@@ -113,13 +84,24 @@
     }
 
     private void run(ControlThread controlThread) {
-        Optional<ControllerLeaseHolder> holder = dependencies.lease().currentHolder();
         Optional<RouteTable> routes = dependencies.routes().get();
-        if (holder.isEmpty() || !dependencies.viewServer().isSettled() || routes.isEmpty()) {
+        if (routes.isEmpty()) {
             return;
         }
+        boolean mayAct =
+                dependencies.lease().currentHolder().isPresent()
+                        && dependencies.viewServer().isSettled();
         for (TrafficService service : routes.get().document().services()) {
-            if (service.scaling().isPresent()) {
+            if (service.scaling().isEmpty()) {
+                continue;
+            }
+            planner.observe(
+                    service,
+                    dependencies.registry().listPresent(),
+                    findMove(service),
+                    dependencies.timeSource().monotonicMs(),
+                    dependencies.timeSource().millis());
+            if (mayAct) {
                 scale(service, service.scaling().get(), controlThread);
             }
         }
@@ -127,130 +109,68 @@
 
     private void scale(
             TrafficService service, EndpointScaling scaling, ControlThread controlThread) {
-        long nowMs = dependencies.timeSource().monotonicMs();
-        List<HostOffer> offers = createOffers(service, scaling);
-        Map<HostOffer.Kind, Integer> present = new HashMap<>();
-        Map<HostOffer.Kind, Integer> warm = new HashMap<>();
-        int slots = countEndpoints(service, present, warm, nowMs);
-        if (slots == 0) {
-            return;
-        }
-        int total = present.values().stream().mapToInt(Integer::intValue).sum();
-        initialCounts.putIfAbsent(service.id(), total);
-        ServiceLoad load = dependencies.gatewayReports().sumServiceLoad(service.id().value());
-        int estimatedNeed =
-                EndpointCountEstimator.estimate(
-                        load.getInFlight(),
-                        slots,
-                        load.getPromptTokensPerS(),
-                        load.getMsPerPromptToken());
-        int desired = Math.max(initialCounts.get(service.id()), estimatedNeed);
-        EndpointMixPlanner.PlanningInput input =
-                new EndpointMixPlanner.PlanningInput(
-                        desired,
-                        load.getInFlight() > 0 ? estimatedNeed : desired,
-                        applyRecentRequests(present, scaling, nowMs),
-                        warm,
-                        scaling.minPerDataCentre(),
-                        scaling.maxPerDataCentre());
-        planner.plan(input, offers, nowMs)
-                .forEach(
-                        (kind, count) ->
-                                sendRequest(service, kind, count, estimatedNeed, controlThread));
-    }
-
-    /**
-     * Counts the endpoints by kind and returns the largest number of slots of an endpoint, or 0 if
-     * there are none.
-     */
-    private int countEndpoints(
-            TrafficService service,
-            Map<HostOffer.Kind, Integer> present,
-            Map<HostOffer.Kind, Integer> warm,
-            long nowMs) {
-        int slots = 0;
-        for (RegisteredEndpoint entry : dependencies.registry().listPresent()) {
-            boolean isOfService = entry.report().service().equals(service.id());
-            if (!isOfService || entry.report().isDraining()) {
-                continue;
-            }
-            HostOffer.Kind kind =
-                    new HostOffer.Kind(
-                            endpointClassOf(service),
-                            entry.report().dataCentre(),
-                            entry.report().isReclaimable()
-                                    ? PriceClass.RECLAIMABLE
-                                    : PriceClass.ON_DEMAND);
-            present.merge(kind, 1, Integer::sum);
-            if (nowMs >= entry.coldUntilMs()) {
-                warm.merge(kind, 1, Integer::sum);
-            }
-            slots = Math.max(slots, entry.report().slots());
+        EndpointPlanner.Plan plan =
+                planner.plan(
+                        service,
+                        scaling,
+                        dependencies.registry().listPresent(),
+                        findMove(service),
+                        dependencies.gatewayReports().sumServiceLoad(service.id().value()),
+                        dependencies.timeSource().monotonicMs(),
+                        dependencies.timeSource().millis());
+        logChange(service, plan);
+        for (EndpointPlanner.Request request : plan.requests()) {
+            sendRequest(service, request, plan.needed(), controlThread);
         }
-        return slots;
     }
 
-    /**
-     * Returns the endpoints by kind, with the requested number instead of the present one while
-     * requested endpoints may still be starting.
-     */
-    private Map<HostOffer.Kind, Integer> applyRecentRequests(
-            Map<HostOffer.Kind, Integer> present, EndpointScaling scaling, long nowMs) {
-        Map<HostOffer.Kind, Integer> expected = new HashMap<>(present);
-        long registrationTimeoutMs = scaling.startupMs() + REGISTRATION_MARGIN_MS;
-        lastRequests.forEach(
-                (kind, request) -> {
-                    if (nowMs - request.updatedMs() < registrationTimeoutMs) {
-                        expected.put(kind, request.count());
-                    }
-                });
-        return expected;
+    private Optional<VersionMoveState> findMove(TrafficService service) {
+        return dependencies.replica().getState().getMovesList().stream()
+                .filter(move -> move.getService().equals(service.id().value()))
+                .findFirst();
     }
 
-    private List<HostOffer> createOffers(TrafficService service, EndpointScaling scaling) {
-        List<HostOffer> offers = new ArrayList<>();
-        scaling.prices()
-                .forEach(
-                        (dataCentre, price) -> {
-                            for (PriceClass priceClass : PriceClass.values()) {
-                                double share =
-                                        priceClass == PriceClass.RECLAIMABLE
-                                                ? scaling.reclaimablePriceShare()
-                                                : 1;
-                                offers.add(
-                                        new HostOffer(
-                                                new HostOffer.Kind(
-                                                        endpointClassOf(service),
-                                                        dataCentre,
-                                                        priceClass),
-                                                price * share,
-                                                1,
-                                                scaling.startupMs(),
-                                                0));
-                            }
-                        });
-        return offers;
+    private void logChange(TrafficService service, EndpointPlanner.Plan plan) {
+        EndpointPlanner.Plan previous = lastPlans.put(service.id(), plan);
+        boolean isChange =
+                previous == null
+                        || previous.usable() != plan.usable()
+                        || previous.desired() != plan.desired()
+                        || previous.isMoving() != plan.isMoving();
+        if (isChange) {
+            dependencies.log().log(
+                    "endpoints-planned",
+                    "service",
+                    service.id(),
+                    "usable",
+                    plan.usable(),
+                    "desired",
+                    plan.desired(),
+                    "needed",
+                    plan.needed(),
+                    "moving",
+                    plan.isMoving(),
+                    "requests",
+                    plan.requests().size());
+        }
     }
 
     private void sendRequest(
             TrafficService service,
-            HostOffer.Kind kind,
-            int count,
-            int estimatedNeed,
+            EndpointPlanner.Request planned,
+            int needed,
             ControlThread controlThread) {
-        LastRequest lastRequest = lastRequests.get(kind);
         Optional<ControllerLeaseHolder> holder = dependencies.lease().currentHolder();
-        if (lastRequest != null && lastRequest.isInFlight() || holder.isEmpty()) {
+        if (holder.isEmpty()) {
             return;
         }
-        long nowMs = dependencies.timeSource().monotonicMs();
-        lastRequests.put(kind, new LastRequest(count, nowMs, true));
+        planner.recordSent(planned, dependencies.timeSource().monotonicMs());
         ScalingRequest request =
                 new ScalingRequest(
                         service.id(),
-                        kind.dataCentre(),
-                        count,
-                        kind.priceClass() == PriceClass.RECLAIMABLE);
+                        planned.kind().dataCentre(),
+                        planned.count(),
+                        planned.kind().priceClass() == PriceClass.RECLAIMABLE);
         dependencies
                 .platform()
                 .send(dependencies.dialect().encodeScalingRequest(request, holder.get()))
@@ -259,29 +179,22 @@
                                 controlThread.execute(
                                         () ->
                                                 handleResult(
-                                                        kind,
-                                                        request,
-                                                        estimatedNeed,
-                                                        status,
+                                                        planned, request, needed, status,
                                                         failure)));
     }
 
     private void handleResult(
-            HostOffer.Kind kind,
+            EndpointPlanner.Request planned,
             ScalingRequest request,
-            int estimatedNeed,
+            int needed,
             Integer status,
             Throwable failure) {
         long nowMs = dependencies.timeSource().monotonicMs();
         boolean isAccepted = failure == null && status < STATUS_SUCCESS_END;
         if (isAccepted) {
-            refusals.onAccepted(kind);
-            lastRequests.put(kind, new LastRequest(request.desiredCount(), nowMs, false));
+            planner.recordAccepted(planned, nowMs);
         } else {
-            lastRequests.remove(kind);
-            if (failure != null || status == STATUS_CONFLICT) {
-                refusals.onRefused(kind, nowMs);
-            }
+            planner.recordFailed(planned, failure != null || status == STATUS_CONFLICT, nowMs);
         }
         dependencies.log().log(
                 isAccepted ? "endpoints-ordered" : "endpoints-not-ordered",
@@ -294,13 +207,8 @@
                 "count",
                 request.desiredCount(),
                 "needed",
-                estimatedNeed,
+                needed,
                 "result",
                 failure == null ? status : failure.getMessage());
     }
-
-    /** Returns the endpoint class of a service; all endpoints of a service belong to one class. */
-    private static EndpointClassId endpointClassOf(TrafficService service) {
-        return new EndpointClassId(service.id().value());
-    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -264,6 +264,7 @@
                                 gatewayReports,
                                 documentCache::currentRoutes,
                                 registry,
+                                trafficReplica,
                                 dialect,
                                 client,
                                 components.timeSource(),
