Request endpoints for a service that has none left

Cause: autoscaling returned without an order, and without a line, when it saw no endpoint. The class: a controller that does nothing when it has nothing to go by, where what it controls cannot recover by itself.

- A service without endpoints is planned by what was last seen of it: the slots of its endpoints and its usual number; before any was seen, by the minimum of each data centre.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/EndpointPlanner.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/EndpointPlanner.java
@@ -22,9 +22,10 @@
 /**
  * Plans how many endpoints of each kind to request for the services with autoscaling.
  *
- * <p>Invariant: while a version move is in progress no endpoint is released, since the platform
- * starts the endpoints of the target version beside the others and does not tell the two apart when
- * endpoints are released. Not thread-safe.
+ * <p>Invariants: a service without endpoints is planned for like any other, by what was last seen
+ * of it. While a version move is in progress no endpoint is released, since the platform starts the
+ * endpoints of the target version beside the others and does not tell the two apart when endpoints
+ * are released. Not thread-safe.
  */
 final class EndpointPlanner {
 
@@ -151,9 +152,6 @@
         ServiceHistory history = historyOf(service);
         MovePhase phase = MovePhase.of(move, wallClockMs);
         EndpointCounts counts = count(service, present, phase, history, nowMs);
-        if (counts.usableTotal() == 0) {
-            return new Plan(List.of(), 0, 0, 0, phase.isMoving());
-        }
         if (history.initialCount.isEmpty() && history.peak > 0) {
             history.initialCount = Optional.of(history.peak);
         }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/EndpointPlannerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/EndpointPlannerTests.java
@@ -47,6 +47,44 @@
         nowMs = 100_000;
     }
 
+    @Test
+    public void requestsEndpointsAgainAfterTheLastOneIsLost() {
+        plan(endpoints(6, "v1", true), Optional.empty());
+        nowMs += 10_000;
+        EndpointPlanner.Plan plan = plan(List.of(), Optional.empty());
+        assertEquals(requested(plan), 6, plan.toString());
+    }
+
+    @Test
+    public void requestsEndpointsForAServiceOfWhichNoneWasEverSeen() {
+        EndpointPlanner.Plan plan = plan(List.of(), Optional.empty());
+        assertEquals(requested(plan), 2, "one in each data centre: " + plan);
+    }
+
+    @Test
+    public void restoresTheUsualSizeWhenItBecomesLeaderAfterALoss() {
+        planner.observe(SERVICE, endpoints(6, "v1", true), Optional.empty(), nowMs, nowMs);
+        nowMs += 5_000;
+        EndpointPlanner.Plan plan = plan(endpoints(2, "v1", true), Optional.empty());
+        assertEquals(plan.desired(), 6, plan.toString());
+    }
+
+    @Test
+    public void requestsEndpointsThatWereLostShortlyAfterARequest() {
+        plan(endpoints(6, "v1", true), Optional.empty());
+        EndpointPlanner.Plan first = plan(endpoints(4, "v1", true), Optional.empty());
+        assertEquals(requested(first), 2, first.toString());
+        first.requests()
+                .forEach(
+                        request -> {
+                            planner.recordSent(request, nowMs);
+                            planner.recordAccepted(request, nowMs);
+                        });
+        nowMs += 1_000;
+        EndpointPlanner.Plan plan = plan(List.of(), Optional.empty());
+        assertEquals(requested(plan), 4, "two more are starting: " + plan);
+    }
+
     @DataProvider
     public Object[][] stagesWithBothVersions() {
         return new Object[][] {
