Bound what is held of a response; read no faster than the client does

What callers would have seen: a gateway out of memory. A response that is not a stream was collected whole without a limit, as was an event of a resumable stream; what a slow client did not read piled up in the gateway. In the form with homes: failures and non-stream answers without a limit, and long answers to a slow caller.

Found with survivesEndpointsThatSendBytesWithoutEnd (real processes, 64 KiB parts until disconnected). No limit stands in the code before.

- At most 1 MiB is held of a response or an event.
A signed success that is longer is passed on as it arrives; it cannot be retried any more, so an answer is never continued with that of another attempt.
Anything else ends the attempt as oversized: the connection is closed, and the request is retried where it may be, or answered 502, since it may have run.
- A gateway stops reading from the endpoint while its client has more than 256 KiB unread, instead of holding them.
- The end of an attempt is handled once, also if the gateway ended it.

endsAnAttemptWhoseBytesCompleteNoResponse, passesALongResponseOn, endsAnAttemptWhoseFailureHasAnEndlessBody and their neighbours cover both forms.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
@@ -74,6 +74,14 @@
         fail(Kind.CANCELLED, "the attempt was cancelled", null);
     }
 
+    @Override
+    public void setReading(boolean isReading) {
+        Channel used = channel;
+        if (used != null && !hasEnded()) {
+            used.config().setAutoRead(isReading);
+        }
+    }
+
     @Override
     public void onTcpConnectSuccess(InetSocketAddress address, Channel connected) {
         useChannel(connected);
@@ -166,6 +174,7 @@
         }
         if (phase.getAndSet(Phase.ENDED) != Phase.ENDED) {
             progressTimeout.cancel();
+            channel.config().setAutoRead(true);
             listener.onComplete();
         }
         return null;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointAttempt.java
@@ -9,4 +9,12 @@
      * already ended.
      */
     void cancel();
+
+    /**
+     * Stops or resumes reading the response, so that the endpoint sends no faster than its bytes
+     * can be passed on.
+     *
+     * @param isReading whether the response is read
+     */
+    void setReading(boolean isReading);
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.cardamomthread.configuration.traffic.RequestKind;
 import org.cardamomthread.configuration.traffic.generated.MoveStage;
 import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
 import org.cardamomthread.core.id.EndpointId;
@@ -42,6 +43,12 @@
      */
     private static final long UNAVAILABLE_RETRY_AFTER_MS = 300;
 
+    /** Bytes that a client has not read yet above which no more are read from the endpoint. */
+    private static final long MAX_UNREAD_BYTES = 256 * 1024;
+
+    /** Interval at which it is checked whether a slow client has read on. */
+    private static final long UNREAD_CHECK_INTERVAL_MS = 10;
+
     private static final int STATUS_OK = 200;
     private static final int STATUS_SUCCESS_END = 300;
     private static final int STATUS_SERVER_ERROR = 500;
@@ -134,7 +141,9 @@
                                 context.dialect().correlationHeader(), true, true));
         AttemptListener listener = new AttemptListener(endpoint);
         EndpointAttempt started = context.client().start(attempt, listener);
-        if (!listener.done) {
+        if (listener.done) {
+            started.cancel();
+        } else {
             currentAttempt = started;
         }
     }
@@ -211,7 +220,9 @@
     }
 
     private boolean mayRetry() {
+        boolean isResumable = request.route().requestKind() == RequestKind.RESUMABLE_STREAM;
         return attemptCount < request.route().maxAttempts()
+                && (!relay.hasStarted() || isResumable)
                 && (!mayHaveRun || request.route().requestKind().isRetryable());
     }
 
@@ -240,6 +251,7 @@
         private HttpHeaders headers;
         private EndpointResponseHead head;
         private boolean done;
+        private boolean isPaused;
 
         AttemptListener(TrackedEndpoint endpoint) {
             this.endpoint = endpoint;
@@ -272,14 +284,7 @@
                         if (done || finished) {
                             return;
                         }
-                        if (isStreaming()) {
-                            relay.stream(
-                                    status,
-                                    context.dialect().encodeResponseHeaders(headers),
-                                    chunk);
-                        } else {
-                            relay.buffer(chunk);
-                        }
+                        handleBodyPart(chunk);
                     });
         }
 
@@ -293,8 +298,63 @@
             runOnLoop(() -> handleFailure(failure));
         }
 
-        private boolean isStreaming() {
-            return request.route().requestKind().isStream() && isSuccess();
+        private void handleBodyPart(byte[] chunk) {
+            boolean isStream = request.route().requestKind().isStream() || relay.hasStarted();
+            if (isSuccess() && isStream) {
+                relay.stream(status, context.dialect().encodeResponseHeaders(headers), chunk);
+            } else {
+                relay.buffer(chunk);
+            }
+            if (relay.isFull() && isSuccess() && !isStream) {
+                relay.streamBuffered(status, context.dialect().encodeResponseHeaders(headers));
+            } else if (relay.isFull()) {
+                rejectResponse();
+                return;
+            }
+            pauseIfClientIsSlow();
+        }
+
+        private void rejectResponse() {
+            EndpointAttempt rejected = currentAttempt;
+            handleFailure(
+                    new EndpointFailureException(
+                            Kind.OVERSIZED_ANSWER,
+                            endpoint.knownEndpoint().report().address().toString(),
+                            "more than "
+                                    + ResponseRelay.MAX_BUFFERED_BYTES
+                                    + " bytes arrived that complete no response and no event",
+                            null));
+            if (rejected != null) {
+                rejected.cancel();
+            }
+        }
+
+        private void pauseIfClientIsSlow() {
+            if (!isPaused && currentAttempt != null && relay.pendingBytes() > MAX_UNREAD_BYTES) {
+                isPaused = true;
+                currentAttempt.setReading(false);
+                scheduleResume();
+            }
+        }
+
+        private void scheduleResume() {
+            context.loop()
+                    .schedule(
+                            this::resumeIfClientHasRead,
+                            UNREAD_CHECK_INTERVAL_MS,
+                            TimeUnit.MILLISECONDS);
+        }
+
+        private void resumeIfClientHasRead() {
+            if (done || finished) {
+                return;
+            }
+            if (relay.pendingBytes() > MAX_UNREAD_BYTES) {
+                scheduleResume();
+                return;
+            }
+            isPaused = false;
+            currentAttempt.setReading(true);
         }
 
         private boolean isSuccess() {
@@ -340,6 +400,9 @@
         }
 
         private void handleComplete() {
+            if (done) {
+                return;
+            }
             markDone();
             if (finished) {
                 return;
@@ -394,6 +457,9 @@
         }
 
         private void handleFailure(EndpointFailureException failure) {
+            if (done) {
+                return;
+            }
             markDone();
             if (finished) {
                 return;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
@@ -12,11 +12,15 @@
  * Relays an endpoint's response to the client: streams as they arrive, other responses once they
  * are complete.
  *
- * <p>Invariant: a resumable stream is relayed in complete events only, so that another endpoint can
+ * <p>Invariants: at most {@value #MAX_BUFFERED_BYTES} bytes are held back, plus the last part that
+ * was received. A resumable stream is relayed in complete events only, so that another endpoint can
  * continue after the last one. Must be used on one event loop.
  */
 final class ResponseRelay {
 
+    /** Maximum length of a response, or of an event, that is held back until it is complete. */
+    static final int MAX_BUFFERED_BYTES = 1024 * 1024;
+
     private final HttpExchange exchange;
     private final boolean isResumable;
     private final ServerSentEventSplitter splitter = new ServerSentEventSplitter();
@@ -41,6 +45,7 @@
         return isResumable && hasStarted() ? splitter.lastEventId() : Optional.empty();
     }
 
+    /** Sends a part to the client, in a resumable stream as far as its events are complete. */
     void stream(int status, HttpHeaders headers, byte[] chunk) {
         byte[] deliverable = isResumable ? splitter.append(chunk) : chunk;
         if (deliverable.length == 0) {
@@ -52,10 +57,28 @@
         stream.write(deliverable);
     }
 
+    /** Holds a part back until the response is complete. */
     void buffer(byte[] chunk) {
         buffered.writeBytes(chunk);
     }
 
+    /** Sends what was held back to the client, and all further parts as they arrive. */
+    void streamBuffered(int status, HttpHeaders headers) {
+        stream = exchange.startStream(status, headers);
+        stream.write(buffered.toByteArray());
+        buffered.reset();
+    }
+
+    /** Returns whether more is held back than the maximum. */
+    boolean isFull() {
+        return buffered.size() > MAX_BUFFERED_BYTES || splitter.partialBytes() > MAX_BUFFERED_BYTES;
+    }
+
+    /** Returns the number of bytes that were sent to the client and not yet written. */
+    long pendingBytes() {
+        return stream == null ? 0 : stream.getPendingBytes();
+    }
+
     /** Discards data that has not been sent to the client, before another attempt. */
     void discardUndelivered() {
         buffered.reset();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitter.java
@@ -44,6 +44,10 @@
         return partial;
     }
 
+    int partialBytes() {
+        return partial.length;
+    }
+
     Optional<String> lastEventId() {
         return lastEventId;
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/BufferedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/BufferedCall.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.http.ProblemDetail;
 import org.cardamomthread.daemon.http.ResponseStream;
@@ -20,6 +21,9 @@
 
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
 
+    /** Number of bytes that a caller may leave unread before its response is aborted. */
+    private static final long MAX_UNREAD_BYTES = 1024 * 1024;
+
     private final WorkEstimate workEstimate;
     private final String target;
 
@@ -82,6 +86,7 @@
         private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
         private ResponseHead head;
         private ResponseStream stream;
+        private boolean ended;
 
         @Override
         public void onHead(int status, HttpHeaders headers) {
@@ -91,23 +96,60 @@
 
         @Override
         public void onBodyPart(byte[] part) {
+            if (ended) {
+                return;
+            }
             if (stream != null) {
                 stream.write(part);
+                if (stream.getPendingBytes() > MAX_UNREAD_BYTES) {
+                    abortStream();
+                }
                 return;
             }
             buffer.writeBytes(part);
-            if (buffer.size() > MAX_BUFFERED_BYTES && !head.isRetryable()) {
-                stream =
-                        getContext()
-                                .startStream(
-                                        head.status(),
-                                        AttemptDispatcher.createResponseHeaders(head.headers()));
-                stream.write(buffer.toByteArray());
+            if (buffer.size() <= MAX_BUFFERED_BYTES) {
+                return;
             }
+            if (head.isRetryable()) {
+                ended = true;
+                cancelAttemptAndRetry(
+                        createFailure(
+                                Kind.OVERSIZED_ANSWER,
+                                "the error response is longer than "
+                                        + MAX_BUFFERED_BYTES
+                                        + " bytes"),
+                        timing.createReport(Kind.OVERSIZED_ANSWER));
+                return;
+            }
+            stream =
+                    getContext()
+                            .startStream(
+                                    head.status(),
+                                    AttemptDispatcher.createResponseHeaders(head.headers()));
+            stream.write(buffer.toByteArray());
+            buffer.reset();
+        }
+
+        private void abortStream() {
+            ended = true;
+            AttemptReport report = timing.createReport(Kind.CANCELLED);
+            finishWithoutRetry(report);
+            cancelAttemptAndRetry(
+                    createFailure(Kind.CANCELLED, "the caller reads too slowly"), report);
+            stream.abort();
+            getContext().end(CallOutcome.FAILED, "the caller reads too slowly");
+        }
+
+        private EndpointFailureException createFailure(Kind kind, String detail) {
+            return new EndpointFailureException(
+                    kind, getContext().getTarget().service().value(), detail, null);
         }
 
         @Override
         public void onComplete() {
+            if (ended) {
+                return;
+            }
             if (stream != null) {
                 finishWithoutRetry(timing.createReport());
                 stream.finish();
@@ -116,11 +158,9 @@
             }
             if (head.isRetryable()) {
                 onFailure(
-                        new EndpointFailureException(
+                        createFailure(
                                 head.getFailureKind(),
-                                getContext().getTarget().service().value(),
-                                "the endpoint responded with status " + head.status(),
-                                null));
+                                "the endpoint responded with status " + head.status()));
                 return;
             }
             finishWithoutRetry(timing.createReport());
@@ -129,6 +169,9 @@
 
         @Override
         public void onFailure(EndpointFailureException failure) {
+            if (ended) {
+                return;
+            }
             AttemptReport report = timing.createReport(failure.getKind());
             if (stream != null) {
                 finishWithoutRetry(report);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingResponseListener.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingResponseListener.java
@@ -47,6 +47,11 @@
         }
         if (!head.isEventStream()) {
             nonStreamBody.writeBytes(part);
+            if (nonStreamBody.size() > MAX_EVENT_BYTES) {
+                fail(
+                        Kind.OVERSIZED_ANSWER,
+                        "the response is longer than " + MAX_EVENT_BYTES + " bytes");
+            }
             return;
         }
         try {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -51,6 +51,8 @@
 
     private static final ServiceId CHAT = new ServiceId("chat");
     private static final long LEASE_MS = 3_750;
+    private static final int PART_BYTES = 64 * 1024;
+    private static final int ENDLESS_PARTS = 40;
 
     private ManualTimeSource time;
     private FakeEndpointClient client;
@@ -169,6 +171,57 @@
         assertEquals(client.getAttemptCount(), 1);
     }
 
+    @DataProvider
+    public Object[][] oversizedResponses() {
+        return new Object[][] {
+            {"failure", RequestKind.ONCE_PER_ATTEMPT, 500, true, 1, 502},
+            {"failure, repeatable", RequestKind.REPEATABLE, 500, true, 2, 200},
+            {"unsigned success", RequestKind.ONCE_PER_ATTEMPT, 200, false, 1, 502},
+            {"event without an end", RequestKind.RESUMABLE_STREAM, 200, true, 2, 200},
+        };
+    }
+
+    @Test(dataProvider = "oversizedResponses")
+    public void endsAnAttemptWhoseBytesCompleteNoResponse(
+            String name,
+            RequestKind requestKind,
+            int status,
+            boolean isSigned,
+            int expectedAttempts,
+            int expectedStatus) {
+        client.addScript(endless(status, isSigned));
+        client.addScript(requestKind.isStream() ? completeStream() : respond(200, true, false));
+        RecordedExchange exchange = send(requestKind, 2);
+        assertTrue(client.isCancelled(0), name);
+        assertEquals(client.getAttemptCount(), expectedAttempts, name);
+        assertEquals(exchange.getStatus(), expectedStatus, name);
+    }
+
+    @Test
+    public void passesALongResponseOnWithoutHoldingItBack() {
+        client.addScript(
+                listener -> {
+                    endless(200, true).accept(listener);
+                    listener.onComplete();
+                });
+        RecordedExchange exchange = send(RequestKind.REPEATABLE, 2);
+        assertEquals(exchange.getBody().length(), ENDLESS_PARTS * PART_BYTES);
+        assertTrue(exchange.isComplete());
+    }
+
+    @Test
+    public void neverContinuesALongResponseWithThatOfAnotherAttempt() {
+        client.addScript(
+                listener -> {
+                    endless(200, true).accept(listener);
+                    listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST));
+                });
+        RecordedExchange exchange = send(RequestKind.REPEATABLE, 2);
+        assertTrue(exchange.isAborted());
+        assertFalse(exchange.isComplete());
+        assertEquals(client.getAttemptCount(), 1);
+    }
+
     @Test
     public void setsRetryAfterWhenRequestDidNotRun() {
         client.addScript(respond(503, false, true));
@@ -294,6 +347,15 @@
         };
     }
 
+    private static Consumer<EndpointResponseListener> endless(int status, boolean isSigned) {
+        return listener -> {
+            listener.onHead(status, isSigned ? signed() : new DefaultHttpHeaders());
+            for (int i = 0; i < ENDLESS_PARTS; i++) {
+                listener.onBodyPart(bytes("x".repeat(PART_BYTES)));
+            }
+        };
+    }
+
     private static Consumer<EndpointResponseListener> completeStream() {
         return listener -> {
             listener.onHead(200, signed());
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
@@ -0,0 +1,96 @@
+package org.cardamomthread.daemon.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.opentelemetry.api.trace.Span;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.cardamomthread.core.id.ClientAccountId;
+import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.core.id.RequestId;
+import org.cardamomthread.core.id.RouteId;
+import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
+import org.cardamomthread.daemon.telemetry.NodeMetrics;
+import org.cardamomthread.daemon.telemetry.NodeTracing;
+import org.cardamomthread.daemon.testing.FakeEndpointClient;
+import org.cardamomthread.daemon.testing.RecordedExchange;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests the limits of {@link BufferedCall} with scripted endpoints. */
+public class BufferedCallTests {
+
+    private static final TrafficClass TRAFFIC = new TrafficClass(true, 500, 50, 0.5, 0.5, 1_000);
+    private static final CallTarget TARGET =
+            new CallTarget(new ServiceId("stock"), new RouteId("levels"), true, true, TRAFFIC);
+    private static final int PART_BYTES = 64 * 1024;
+    private static final int PARTS = 40;
+
+    private FakeEndpointClient endpoints;
+    private RecordedExchange caller;
+
+    @BeforeMethod
+    public void reset() {
+        endpoints = new FakeEndpointClient();
+        caller = new RecordedExchange("/stock", "");
+    }
+
+    @Test
+    public void endsAnAttemptWhoseFailureHasAnEndlessBody() {
+        endpoints.addScript(send(500));
+        endpoints.addScript(
+                listener -> {
+                    listener.onHead(200, new DefaultHttpHeaders());
+                    listener.onComplete();
+                });
+        start();
+        assertEquals(endpoints.getAttemptCount(), 2);
+        assertEquals(caller.getStatus(), 200);
+    }
+
+    @Test
+    public void passesALongResponseOn() {
+        endpoints.addScript(send(200).andThen(EndpointResponseListener::onComplete));
+        start();
+        assertEquals(caller.getBody().length(), PARTS * PART_BYTES);
+        assertTrue(caller.isComplete());
+    }
+
+    private static Consumer<EndpointResponseListener> send(int status) {
+        return listener -> {
+            listener.onHead(status, new DefaultHttpHeaders());
+            for (int i = 0; i < PARTS; i++) {
+                listener.onBodyPart(new byte[PART_BYTES]);
+            }
+        };
+    }
+
+    private void start() {
+        NodeTracing tracing = new NodeTracing(new NodeId("node-a"), Optional.empty());
+        Span span = tracing.startServerSpan("test", new DefaultHttpHeaders());
+        ManualTimeSource timeSource = new ManualTimeSource();
+        CallContext context =
+                new CallContext(
+                        caller,
+                        new RequestId("r1"),
+                        new ClientAccountId("bars"),
+                        TARGET,
+                        span,
+                        new CallTelemetry(
+                                new NodeMetrics(),
+                                tracing,
+                                timeSource,
+                                new PlacementHistory(timeSource)));
+        CallDependencies dependencies =
+                new CallDependencies(
+                        new FakePlacement(),
+                        new AttemptDispatcher(endpoints, tracing),
+                        new BudgetRetryPolicy(timeSource),
+                        timeSource);
+        new BufferedCall(context, dependencies, WorkEstimate.PLAIN, "/stock").start();
+    }
+}
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
@@ -146,6 +146,21 @@
         assertEquals(failed == 0, allCallsSucceed, failed + " calls failed");
     }
 
+    @Test
+    public void endsAnAttemptWhoseBytesAreNoStreamWithoutEnd() throws Exception {
+        endpoints.addScript(
+                listener -> {
+                    listener.onHead(200, new DefaultHttpHeaders());
+                    for (int i = 0; i < 40; i++) {
+                        listener.onBodyPart(new byte[64 * 1024]);
+                    }
+                });
+        endpoints.addScript(FakeEndpointClient.streamCompletely("bags"));
+        start();
+        assertEquals(endpoints.getAttemptCount(), 2);
+        assertEquals(caller.getTokens(), List.of("bags"));
+    }
+
     @Test
     public void cancelsTheAttemptIfTheCallerDisconnects() throws Exception {
         endpoints.addScript(FakeEndpointClient::beginStream);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/FakeEndpointClient.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/FakeEndpointClient.java
@@ -67,7 +67,26 @@
         requests.add(request);
         cancelled.add(false);
         scripts.get(attempt).accept(listener);
-        return () -> cancelled.set(attempt, true);
+        return new FakeAttempt(attempt);
+    }
+
+    private final class FakeAttempt implements EndpointAttempt {
+
+        private final int attempt;
+
+        FakeAttempt(int attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void cancel() {
+            cancelled.set(attempt, true);
+        }
+
+        @Override
+        public void setReading(boolean isReading) {
+            // Scripts run synchronously.
+        }
     }
 
     @Override
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/Fleet.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/Fleet.java
@@ -140,13 +140,24 @@
     /** Sends a request with the given API key through a gateway. */
     HttpResponse<String> call(int index, String path, String requestId, String key)
             throws IOException, InterruptedException {
-        return send(
-                HttpRequest.newBuilder(
-                                URI.create("http://" + gatewayIp(index) + ":" + callersPort + path))
-                        .header("X-Cardamomthread-Attempt-Id", requestId)
-                        .header("X-Cardamomthread-Deadline-Ms", "2500")
-                        .header("Authorization", "Bearer " + key)
-                        .POST(HttpRequest.BodyPublishers.ofString("body of " + requestId)));
+        return send(createCall(index, path, requestId, key));
+    }
+
+    /** Sends a request through a gateway, without keeping the body of the response. */
+    HttpResponse<Void> callWithoutBody(int index, String path, String requestId, String key)
+            throws IOException, InterruptedException {
+        return http.send(
+                createCall(index, path, requestId, key).timeout(CALL_TIMEOUT).build(),
+                HttpResponse.BodyHandlers.discarding());
+    }
+
+    private HttpRequest.Builder createCall(int index, String path, String requestId, String key) {
+        return HttpRequest.newBuilder(
+                        URI.create("http://" + gatewayIp(index) + ":" + callersPort + path))
+                .header("X-Cardamomthread-Attempt-Id", requestId)
+                .header("X-Cardamomthread-Deadline-Ms", "2500")
+                .header("Authorization", "Bearer " + key)
+                .POST(HttpRequest.BodyPublishers.ofString("body of " + requestId));
     }
 
     HttpResponse<String> metrics(String ip) throws IOException, InterruptedException {
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/FleetTests.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/FleetTests.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,6 +21,7 @@
 public class FleetTests {
 
     private static final long REVOCATION_MS = 5_000;
+    private static final int NO_RESPONSE = -1;
 
     private Fleet fleet;
     private final List<RunnerStandIn> runners = new ArrayList<>();
@@ -141,6 +143,40 @@
         assertEquals(fleet.gateway(0).awaitExit(10_000), 0);
     }
 
+    @DataProvider
+    public Object[][] endlessResponses() {
+        return new Object[][] {{"/once/endless"}, {"/again/endless"}, {"/stream/once/endless"}};
+    }
+
+    @Test(dataProvider = "endlessResponses")
+    public void survivesEndpointsThatSendBytesWithoutEnd(String path) throws Exception {
+        int calls = 4;
+        List<CompletableFuture<Integer>> outcomes = new ArrayList<>();
+        for (int i = 0; i < calls; i++) {
+            outcomes.add(CompletableFuture.supplyAsync(() -> readStatusOfCompleteResponse(path)));
+        }
+        for (CompletableFuture<Integer> outcome : outcomes) {
+            assertEquals((int) outcome.get(), path.startsWith("/again/") ? 502 : NO_RESPONSE);
+        }
+        Waits.until(
+                5_000,
+                "the end of the connections to the endpoints",
+                () -> runners.stream().mapToInt(RunnerStandIn::disconnects).sum() >= calls);
+        awaitServed(0, Fleet.ACCOUNT_KEY);
+        assertFalse(fleet.gateway(0).log().contains("OutOfMemoryError"));
+    }
+
+    /** Returns the status of a call, or {@link #NO_RESPONSE} if its response is cut off. */
+    private int readStatusOfCompleteResponse(String path) {
+        try {
+            return fleet.callWithoutBody(0, path, newId(), Fleet.ACCOUNT_KEY).statusCode();
+        } catch (IOException cutOff) {
+            return NO_RESPONSE;
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     public void logsValidSettingsReload() throws Exception {
         new ProcessBuilder("kill", "-HUP", Long.toString(fleet.gateway(0).pid())).start().waitFor();
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/RunnerStandIn.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/RunnerStandIn.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cardamomthread.processes.Ports;
 
 /**
@@ -44,6 +45,7 @@
     private final HttpClient http =
             HttpClient.newBuilder().connectTimeout(Duration.ofMillis(500)).build();
     private final Map<String, List<String>> runs = new ConcurrentHashMap<>();
+    private final AtomicInteger disconnects = new AtomicInteger();
     private final long startedAtMs = System.currentTimeMillis();
     private volatile LinkProxy proxy;
     private int sequence;
@@ -70,6 +72,11 @@
         return runs;
     }
 
+    /** Returns how many endless responses were ended by the gateway. */
+    int disconnects() {
+        return disconnects.get();
+    }
+
     LinkProxy proxy() {
         return proxy;
     }
@@ -107,6 +114,10 @@
         runs.computeIfAbsent(requestId, key -> new ArrayList<>()).add(String.valueOf(account));
         exchange.getResponseHeaders().set(ID_HEADER, requestId);
         exchange.getResponseHeaders().set("X-Cardamomthread-Runner-Signature", "signed");
+        if (exchange.getRequestURI().getPath().endsWith("/endless")) {
+            sendUntilDisconnected(exchange);
+            return;
+        }
         if (exchange.getRequestURI().getPath().startsWith("/stream/")) {
             stream(exchange, requestId);
             return;
@@ -118,6 +129,19 @@
         }
     }
 
+    private void sendUntilDisconnected(HttpExchange exchange) throws IOException {
+        int status = exchange.getRequestURI().getPath().startsWith("/again/") ? 500 : 200;
+        exchange.sendResponseHeaders(status, 0);
+        byte[] part = new byte[64 * 1024];
+        try (OutputStream out = exchange.getResponseBody()) {
+            while (true) {
+                out.write(part);
+            }
+        } catch (IOException disconnected) {
+            disconnects.incrementAndGet();
+        }
+    }
+
     /** Streams all events, or those after the event in the Last-Event-Id header. */
     private void stream(HttpExchange exchange, String requestId) throws IOException {
         String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
