Take no pause between the reads of two clocks for a suspension

What callers could have seen: on a loaded host, a document older than the newest, for a moment. A thread that waits for the processor after reading the monotonic clock and before the wall clock took the wait for a suspension of the host and put it on its monotonic time for good. A voter whose clock runs ahead grants a vote while the lease of the leader that it has just heard of is still valid, so two leaders may answer reads. Gateways lost the view lease early, and timeouts of peers came early, each on busy hosts.

The difference of the clocks is now taken only if both were read within 10 ms. The new test fails before: "expected [300] but found [600]".

--- a/cardamomthread-core/src/main/java/org/cardamomthread/core/time/SuspendAwareTimeSource.java
+++ b/cardamomthread-core/src/main/java/org/cardamomthread/core/time/SuspendAwareTimeSource.java
@@ -16,6 +16,12 @@
     /** Maximum difference attributed to ordinary clock adjustment, in milliseconds. */
     static final long TOLERANCE_MS = 50;
 
+    /**
+     * Maximum time in which both clocks must be read for their difference to be known; a thread
+     * that waits for the processor in between is not suspended with its host.
+     */
+    private static final long MAX_READ_MS = 10;
+
     private final TimeSource hostClocks;
     private long suspendedMs;
     private long lastWallClockOffsetMs;
@@ -38,8 +44,17 @@
 
     @Override
     public synchronized long monotonicMs() {
+        long beforeMs = hostClocks.monotonicMs();
+        long wallClockMs = hostClocks.millis();
         long hostMonotonicMs = hostClocks.monotonicMs();
-        long wallClockOffsetMs = hostClocks.millis() - hostMonotonicMs;
+        if (hostMonotonicMs - beforeMs <= MAX_READ_MS) {
+            addSuspension(wallClockMs - hostMonotonicMs);
+        }
+        lastMonotonicMs = Math.max(lastMonotonicMs, hostMonotonicMs + suspendedMs);
+        return lastMonotonicMs;
+    }
+
+    private void addSuspension(long wallClockOffsetMs) {
         long wallClockGainMs = wallClockOffsetMs - lastWallClockOffsetMs;
         if (wallClockGainMs > TOLERANCE_MS) {
             suspendedMs += wallClockGainMs;
@@ -47,7 +62,5 @@
         } else if (wallClockGainMs < 0) {
             lastWallClockOffsetMs = wallClockOffsetMs;
         }
-        lastMonotonicMs = Math.max(lastMonotonicMs, hostMonotonicMs + suspendedMs);
-        return lastMonotonicMs;
     }
 }
--- a/cardamomthread-core/src/test/java/org/cardamomthread/core/time/SuspendAwareTimeSourceTests.java
+++ b/cardamomthread-core/src/test/java/org/cardamomthread/core/time/SuspendAwareTimeSourceTests.java
@@ -12,22 +12,30 @@
 
     private long wallClockMs;
     private long hostMonotonicMs;
+    private long pauseBeforeWallClockMs;
+    private long pauseBeforeMonotonicMs;
     private TimeSource clock;
 
     @BeforeMethod
     public void startClocks() {
         wallClockMs = 1_000_000;
         hostMonotonicMs = 500;
+        pauseBeforeWallClockMs = 0;
+        pauseBeforeMonotonicMs = 0;
         clock =
                 new SuspendAwareTimeSource(
                         new TimeSource() {
                             @Override
                             public Instant instant() {
+                                wallClockMs += pauseBeforeWallClockMs;
+                                hostMonotonicMs += pauseBeforeWallClockMs;
                                 return Instant.ofEpochMilli(wallClockMs);
                             }
 
                             @Override
                             public long monotonicMs() {
+                                wallClockMs += pauseBeforeMonotonicMs;
+                                hostMonotonicMs += pauseBeforeMonotonicMs;
                                 return hostMonotonicMs;
                             }
                         });
@@ -52,6 +60,24 @@
         assertEquals(clock.monotonicMs() - beforeMs, expectedMs, name);
     }
 
+    @DataProvider
+    public Object[][] pauses() {
+        return new Object[][] {{300, 0}, {0, 300}, {300, 300}};
+    }
+
+    @Test(dataProvider = "pauses")
+    public void takesNoPauseBetweenTheReadsOfTwoClocksForASuspension(
+            long beforeWallClockMs, long beforeMonotonicMs) {
+        long beforeMs = clock.monotonicMs();
+        long hostBeforeMs = hostMonotonicMs;
+        pauseBeforeWallClockMs = beforeWallClockMs;
+        pauseBeforeMonotonicMs = beforeMonotonicMs;
+        clock.monotonicMs();
+        pauseBeforeWallClockMs = 0;
+        pauseBeforeMonotonicMs = 0;
+        assertEquals(clock.monotonicMs() - beforeMs, hostMonotonicMs - hostBeforeMs);
+    }
+
     @Test
     public void neverDecreases() {
         long previousMs = clock.monotonicMs();
