--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/EndpointPlanner.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/EndpointPlanner.java
@@ -174,18 +174,23 @@
                 .plan(input, offers, nowMs)
                 .forEach((kind, planned) -> requests.add(createRequest(kind, planned, counts)));
         if (phase.isMoving()) {
-            int expected = provisioned.values().stream().mapToInt(Integer::intValue).sum();
-            requests.removeIf(
-                    request ->
-                            expected >= desired
-                                    || request.planned()
-                                            < provisioned.getOrDefault(request.kind(), 0));
+            retainIncreases(requests, provisioned, desired);
         }
         requests.removeIf(request -> isInFlight(request.kind()));
         return new Plan(
                 List.copyOf(requests), counts.usableTotal(), desired, needed, phase.isMoving());
     }
 
+    /** Removes the requests that would release endpoints, and all if there are enough. */
+    private static void retainIncreases(
+            List<Request> requests, Map<HostOffer.Kind, Integer> provisioned, int desired) {
+        int expected = provisioned.values().stream().mapToInt(Integer::intValue).sum();
+        requests.removeIf(
+                request ->
+                        expected >= desired
+                                || request.planned() < provisioned.getOrDefault(request.kind(), 0));
+    }
+
     /** Records that a request is being sent. */
     void recordSent(Request request, long nowMs) {
         lastRequests.put(request.kind(), createLastRequest(request, nowMs, true));
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
@@ -1,6 +1,6 @@
 package org.cardamomthread.daemon.fleet;
 
-import org.cardamomthread.daemon.forwarding.TrialAllocation;
+import org.cardamomthread.daemon.forwarding.CanaryAllocation;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 
 /**
@@ -18,7 +18,7 @@
  * @param quotaAllocation the division of quotas, including the allowed excess
  * @param usageWindowS the length of an accounting window, in seconds
  * @param usageDeadlineS the time after the end of a window by which it must be reported, in seconds
- * @param trialAllocation what a version on trial may receive
+ * @param canaryAllocation what a canary version may receive
  */
 record FleetLimits(
         long revocationDeadlineMs,
@@ -30,7 +30,7 @@
         QuotaAllocation quotaAllocation,
         long usageWindowS,
         long usageDeadlineS,
-        TrialAllocation trialAllocation) {
+        CanaryAllocation canaryAllocation) {
 
     /** Fraction of the revocation deadline for which a view may be used without confirmation. */
     private static final double VIEW_LEASE_FRACTION = 0.75;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -14,7 +14,7 @@
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.configuration.document.YamlReader;
 import org.cardamomthread.core.id.DataCentreId;
-import org.cardamomthread.daemon.forwarding.TrialAllocation;
+import org.cardamomthread.daemon.forwarding.CanaryAllocation;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.slf4j.Logger;
@@ -43,7 +43,7 @@
                     "dataFolder",
                     "platform",
                     "limits");
-    private static final double DEFAULT_TRIAL_SHARE = 0.05;
+    private static final double DEFAULT_CANARY_SHARE = 0.05;
     private static final int MAX_PORT = NetworkAddress.MAX_PORT;
 
     private final List<DocumentProblem> problems = new ArrayList<>();
@@ -137,9 +137,9 @@
                         readNonNegativeDouble("/limits/quotaSlack")),
                 readLong("/limits/usageWindowS", 1, Long.MAX_VALUE),
                 readLong("/limits/usageLateS", 1, Long.MAX_VALUE),
-                new TrialAllocation(
-                        readOptionalDouble("/limits/trialShare", DEFAULT_TRIAL_SHARE),
-                        readOptionalDouble("/limits/trialExtra", 0)));
+                new CanaryAllocation(
+                        readOptionalDouble("/limits/canaryShare", DEFAULT_CANARY_SHARE),
+                        readOptionalDouble("/limits/canaryExtra", 0)));
     }
 
     private void validateRole(FleetSettings settings) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -204,7 +204,7 @@
                 limits.retryWindowS(),
                 limits.quotaAllocation(),
                 limits.usageWindowS(),
-                limits.trialAllocation());
+                limits.canaryAllocation());
     }
 
     private static NetworkAddress requireAddress(Optional<NetworkAddress> address) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/TrialAllocation.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/CanaryAllocation.java
@@ -1,9 +1,9 @@
 package org.cardamomthread.daemon.forwarding;
 
 /**
- * Holds what the platform allows a version on trial to receive. Immutable.
+ * Holds what the platform allows a canary version to receive. Immutable.
  *
  * @param share maximum fraction of the requests of a service during a version move, from 0 to 1
  * @param allowance requests in addition, for all gateways together in one move
  */
-public record TrialAllocation(double share, double allowance) {}
+public record CanaryAllocation(double share, double allowance) {}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -43,12 +43,6 @@
      */
     private static final long UNAVAILABLE_RETRY_AFTER_MS = 300;
 
-    /** Bytes that a client has not read yet above which no more are read from the endpoint. */
-    private static final long MAX_UNREAD_BYTES = 256 * 1024;
-
-    /** Interval at which it is checked whether a slow client has read on. */
-    private static final long UNREAD_CHECK_INTERVAL_MS = 10;
-
     private static final int STATUS_OK = 200;
     private static final int STATUS_SUCCESS_END = 300;
     private static final int STATUS_SERVER_ERROR = 500;
@@ -57,6 +51,7 @@
     private final HttpExchange exchange;
     private final AdmittedRequest request;
     private final ResponseRelay relay;
+    private final ReadPacer readPacer;
     private final Set<EndpointId> triedEndpoints = new HashSet<>();
     private ScheduledFuture<?> deadline;
     private EndpointAttempt currentAttempt;
@@ -72,6 +67,7 @@
         this.exchange = exchange;
         this.request = request;
         this.relay = new ResponseRelay(exchange, request.route().requestKind());
+        this.readPacer = new ReadPacer(relay, context.loop());
     }
 
     void start() {
@@ -226,7 +222,7 @@
                 && (!mayHaveRun || request.route().requestKind().isRetryable());
     }
 
-    private boolean isOnTrial(VersionId version) {
+    private boolean isCanary(VersionId version) {
         VersionMoveState move = request.view().versionMoves().get(request.service().id());
         return move != null
                 && (move.getStage() == MoveStage.RUNNING || move.getStage() == MoveStage.PROMOTED)
@@ -251,7 +247,6 @@
         private HttpHeaders headers;
         private EndpointResponseHead head;
         private boolean done;
-        private boolean isPaused;
 
         AttemptListener(TrackedEndpoint endpoint) {
             this.endpoint = endpoint;
@@ -263,7 +258,7 @@
                                     version,
                                     request.route().id(),
                                     !endpoint.isCold(startedMs),
-                                    !isOnTrial(version));
+                                    !isCanary(version));
         }
 
         @Override
@@ -311,7 +306,9 @@
                 rejectResponse();
                 return;
             }
-            pauseIfClientIsSlow();
+            if (currentAttempt != null) {
+                readPacer.pauseIfClientIsSlow(currentAttempt);
+            }
         }
 
         private void rejectResponse() {
@@ -329,34 +326,6 @@
             }
         }
 
-        private void pauseIfClientIsSlow() {
-            if (!isPaused && currentAttempt != null && relay.pendingBytes() > MAX_UNREAD_BYTES) {
-                isPaused = true;
-                currentAttempt.setReading(false);
-                scheduleResume();
-            }
-        }
-
-        private void scheduleResume() {
-            context.loop()
-                    .schedule(
-                            this::resumeIfClientHasRead,
-                            UNREAD_CHECK_INTERVAL_MS,
-                            TimeUnit.MILLISECONDS);
-        }
-
-        private void resumeIfClientHasRead() {
-            if (done || finished) {
-                return;
-            }
-            if (relay.pendingBytes() > MAX_UNREAD_BYTES) {
-                scheduleResume();
-                return;
-            }
-            isPaused = false;
-            currentAttempt.setReading(true);
-        }
-
         private boolean isSuccess() {
             return status >= STATUS_OK && status < STATUS_SUCCESS_END && head.isSigned();
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -78,7 +78,7 @@
                         new ForwardingEndpointSelector(
                                 endpoints,
                                 new VersionSelector(
-                                        dependencies.limits().trialAllocation(),
+                                        dependencies.limits().canaryAllocation(),
                                         dependencies.random()),
                                 timeSource,
                                 dependencies.random()),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLimits.java
@@ -3,15 +3,15 @@
 import org.cardamomthread.daemon.view.QuotaAllocation;
 
 /**
- * Holds the limits that the platform sets for retries, quotas, usage accounting and versions on
- * trial. Immutable.
+ * Holds the limits that the platform sets for retries, quotas, usage accounting and canary
+ * versions. Immutable.
  *
  * @param retryRatio retries allowed for each first attempt
  * @param retryAllowance retries allowed in addition, for all gateways together in one window
  * @param retryWindowS the length of the window for the allowance, in seconds
  * @param quotaAllocation the division of quotas between the gateways and the leader's pool
  * @param usageWindowS the length of an accounting window, in seconds
- * @param trialAllocation what a version on trial may receive
+ * @param canaryAllocation what a canary version may receive
  */
 public record ForwardingLimits(
         double retryRatio,
@@ -19,4 +19,4 @@
         double retryWindowS,
         QuotaAllocation quotaAllocation,
         long usageWindowS,
-        TrialAllocation trialAllocation) {}
+        CanaryAllocation canaryAllocation) {}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/VersionResultCounter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/VersionResultCounter.java
@@ -48,7 +48,7 @@
      * @param route the route of the request
      * @param isWarm whether the endpoint is warm; only then is the time of the attempt compared
      * @param isReference whether the attempt shows what is usual on its route, which those to a
-     *     version on trial do not
+     *     canary version do not
      */
     Attempt start(
             ServiceId service,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/VersionSelector.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/VersionSelector.java
@@ -11,8 +11,8 @@
 /**
  * Selects the version of a service that an attempt goes to while its traffic moves to another one.
  *
- * <p>A version on trial first gets a few requests quickly, so that it can be judged in time also on
- * a service with little traffic, and then a share of them. Not thread-safe.
+ * <p>A canary version first gets a few requests quickly, so that it can be judged in time also on a
+ * service with little traffic, and then a share of them. Not thread-safe.
  */
 final class VersionSelector {
 
@@ -22,20 +22,20 @@
     /** Part of the allowance that is used for the first requests. */
     private static final double ALLOWANCE_IN_USE = 0.5;
 
-    /** Fraction of the requests sent to a version on trial until it has got its first ones. */
+    /** Fraction of the requests sent to a canary version until it has got its first ones. */
     private static final double FIRST_REQUESTS_FRACTION = 0.5;
 
-    private final TrialAllocation allocation;
+    private final CanaryAllocation allocation;
     private final RandomGenerator random;
-    private final Map<ServiceId, Trial> trials = new HashMap<>();
+    private final Map<ServiceId, CanaryProgress> progressByService = new HashMap<>();
 
     /** Counts the requests sent to the target version of one move. */
-    private static final class Trial {
+    private static final class CanaryProgress {
         private final String target;
         private final long startedAtMs;
         private int requests;
 
-        Trial(VersionMoveState move) {
+        CanaryProgress(VersionMoveState move) {
             target = move.getTarget();
             startedAtMs = move.getStartedAtMs();
         }
@@ -45,7 +45,7 @@
         }
     }
 
-    VersionSelector(TrialAllocation allocation, RandomGenerator random) {
+    VersionSelector(CanaryAllocation allocation, RandomGenerator random) {
         this.allocation = allocation;
         this.random = random;
     }
@@ -81,32 +81,35 @@
         return switch (move.getStage()) {
             case PROMOTED, DONE -> onTarget.isEmpty() ? onOtherVersions : onTarget;
             case RUNNING -> {
-                boolean isTrial =
+                boolean isCanary =
                         !onTarget.isEmpty()
                                 && (onOtherVersions.isEmpty()
-                                        || takesTrial(service, move, gatewayCount));
-                yield isTrial ? onTarget : onOtherVersions;
+                                        || isForCanary(service, move, gatewayCount));
+                yield isCanary ? onTarget : onOtherVersions;
             }
             case TAKEN_BACK -> onOtherVersions;
             default -> eligible;
         };
     }
 
-    private boolean takesTrial(ServiceId service, VersionMoveState move, int gatewayCount) {
-        Trial trial =
-                trials.compute(
+    private boolean isForCanary(ServiceId service, VersionMoveState move, int gatewayCount) {
+        CanaryProgress progress =
+                progressByService.compute(
                         service,
-                        (id, known) -> known != null && known.isOf(move) ? known : new Trial(move));
+                        (id, known) ->
+                                known != null && known.isOf(move)
+                                        ? known
+                                        : new CanaryProgress(move));
         double firstRequests =
                 gatewayCount > 0 ? allocation.allowance() * ALLOWANCE_IN_USE / gatewayCount : 0;
         double fraction =
-                trial.requests + 1 <= firstRequests
+                progress.requests + 1 <= firstRequests
                         ? FIRST_REQUESTS_FRACTION
                         : allocation.share() * SHARE_IN_USE;
         if (random.nextDouble() >= fraction) {
             return false;
         }
-        trial.requests++;
+        progress.requests++;
         return true;
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/CanaryEvaluatorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/CanaryEvaluatorTests.java
@@ -14,47 +14,40 @@
     @DataProvider
     public Object[][] comparisons() {
         return new Object[][] {
-            {"no results yet", 0, 0, 0, 0, 0, 0, 0, 0, false},
-            {"equally good", 60, 1, 60, 1, 600, 8, 600, 8, false},
-            {"fails as often as the former version", 60, 9, 51, 0, 600, 84, 516, 0, false},
-            {"half of the requests fail", 20, 10, 10, 0, 600, 8, 592, 0, true},
+            {"no results yet", counts(0, 0, 0, 0), counts(0, 0, 0, 0), false},
+            {"equally good", counts(60, 1, 60, 1), counts(600, 8, 600, 8), false},
+            {
+                "fails as often as the former version",
+                counts(60, 9, 51, 0),
+                counts(600, 84, 516, 0),
+                false
+            },
+            {"half of the requests fail", counts(20, 10, 10, 0), counts(600, 8, 592, 0), true},
             {
                 "four in ten fail, one in seven of the former version",
-                40,
-                16,
-                24,
-                0,
-                600,
-                84,
-                516,
-                0,
+                counts(40, 16, 24, 0),
+                counts(600, 84, 516, 0),
                 true
             },
-            {"all responses slow", 20, 0, 20, 20, 600, 8, 592, 8, true},
-            {"half of the responses slow", 20, 0, 20, 10, 600, 8, 592, 8, true},
-            {"as many slow responses as the former version", 20, 0, 20, 3, 600, 8, 592, 80, false},
-            {"slow, but too few results", 4, 0, 4, 4, 600, 8, 592, 8, false},
-            {"slow without any response", 0, 0, 12, 12, 600, 8, 592, 8, true},
+            {"all responses slow", counts(20, 0, 20, 20), counts(600, 8, 592, 8), true},
+            {"half of the responses slow", counts(20, 0, 20, 10), counts(600, 8, 592, 8), true},
+            {
+                "as many slow responses as the former version",
+                counts(20, 0, 20, 3),
+                counts(600, 8, 592, 80),
+                false
+            },
+            {"slow, but too few results", counts(4, 0, 4, 4), counts(600, 8, 592, 8), false},
+            {"slow without any response", counts(0, 0, 12, 12), counts(600, 8, 592, 8), true},
         };
     }
 
     @Test(dataProvider = "comparisons")
     public void detectsRegressions(
-            String name,
-            long canaryResponses,
-            long canaryFailures,
-            long canaryTimed,
-            long canarySlow,
-            long formerResponses,
-            long formerFailures,
-            long formerTimed,
-            long formerSlow,
-            boolean expected) {
+            String name, VersionCounts canary, VersionCounts former, boolean expected) {
         CanaryEvidence evidence = new CanaryEvidence();
         evidence.update(counts(0, 0, 0, 0), counts(0, 0, 0, 0));
-        evidence.update(
-                counts(canaryResponses, canaryFailures, canaryTimed, canarySlow),
-                counts(formerResponses, formerFailures, formerTimed, formerSlow));
+        evidence.update(canary, former);
         assertEquals(evidence.findRegression().isPresent(), expected, name);
     }
 
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/VersionMoveControllerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/VersionMoveControllerTests.java
@@ -20,8 +20,8 @@
         return new Object[][] {
             {"early, good", MoveStage.RUNNING, 5_000, 40, 0, null},
             {"early, slow", MoveStage.RUNNING, 5_000, 20, 12, MoveStage.TAKEN_BACK},
-            {"trial over, good", MoveStage.RUNNING, 9_500, 40, 0, MoveStage.PROMOTED},
-            {"trial over, too little known", MoveStage.RUNNING, 9_500, 4, 0, null},
+            {"canary phase over, good", MoveStage.RUNNING, 9_500, 40, 0, MoveStage.PROMOTED},
+            {"canary phase over, too little known", MoveStage.RUNNING, 9_500, 4, 0, null},
             {"too late, too little known", MoveStage.RUNNING, 12_500, 4, 0, MoveStage.TAKEN_BACK},
             {"too late, nothing known", MoveStage.RUNNING, 12_500, 0, 0, MoveStage.TAKEN_BACK},
             {"too late, good", MoveStage.RUNNING, 16_000, 40, 0, MoveStage.TAKEN_BACK},
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -80,7 +80,7 @@
                                         10,
                                         new QuotaAllocation(8, 0.1, 1_000),
                                         5,
-                                        new TrialAllocation(0.1, 50)),
+                                        new CanaryAllocation(0.1, 50)),
                                 new DecisionLog(time),
                                 new NodeForwardingMetrics(new NodeMetrics()),
                                 new SplittableRandom(1)));
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
@@ -99,7 +99,7 @@
     private ForwardingEndpointSelector createSelector(EndpointTable endpoints, long seed) {
         return new ForwardingEndpointSelector(
                 endpoints,
-                new VersionSelector(new TrialAllocation(0.1, 50), new SplittableRandom(seed)),
+                new VersionSelector(new CanaryAllocation(0.1, 50), new SplittableRandom(seed)),
                 time,
                 new SplittableRandom(seed));
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaAndRetryLimitsTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaAndRetryLimitsTests.java
@@ -35,7 +35,7 @@
                     10,
                     new QuotaAllocation(8, 0.1, 140_000),
                     5,
-                    new TrialAllocation(0.1, 50));
+                    new CanaryAllocation(0.1, 50));
     private static final QuotaAllocation ALLOCATION = LIMITS.quotaAllocation();
     private static final double RATE = 20_000;
     private static final double BURST = 20_000;
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/VersionSelectorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/VersionSelectorTests.java
@@ -40,7 +40,7 @@
     public void selectsTheVersionOfTheStage(
             MoveStage stage, List<String> versions, String expected) {
         VersionSelector selector =
-                new VersionSelector(new TrialAllocation(0.1, 50), new SplittableRandom(1));
+                new VersionSelector(new CanaryAllocation(0.1, 50), new SplittableRandom(1));
         List<TrackedEndpoint> selected =
                 selector.select(CHAT, move(stage), GATEWAYS, endpoints(versions));
         assertEquals(
@@ -54,27 +54,27 @@
     }
 
     @Test(dataProvider = "requestCounts")
-    public void sendsAVersionOnTrialNoMoreThanIsAllowedOverAllGateways(int requests) {
-        int trials = 0;
+    public void sendsACanaryNoMoreThanIsAllowedOverAllGateways(int requests) {
+        int canaryRequests = 0;
         for (int gateway = 0; gateway < GATEWAYS; gateway++) {
-            trials += countTrials(gateway, requests / GATEWAYS);
+            canaryRequests += countCanaryRequests(gateway, requests / GATEWAYS);
         }
-        assertTrue(trials <= 0.1 * requests + 50, trials + " of " + requests);
+        assertTrue(canaryRequests <= 0.1 * requests + 50, canaryRequests + " of " + requests);
     }
 
     @Test
     public void judgesAVersionSoonOnAServiceWithLittleTraffic() {
-        int trials = 0;
+        int canaryRequests = 0;
         for (int gateway = 0; gateway < GATEWAYS; gateway++) {
-            trials += countTrials(gateway, 8);
+            canaryRequests += countCanaryRequests(gateway, 8);
         }
-        assertTrue(trials >= 10, trials + " of 40 requests went to the version on trial");
+        assertTrue(canaryRequests >= 10, canaryRequests + " of 40 requests went to the canary");
     }
 
-    private static int countTrials(int seed, int requests) {
+    private static int countCanaryRequests(int seed, int requests) {
         VersionSelector selector =
-                new VersionSelector(new TrialAllocation(0.1, 50), new SplittableRandom(seed));
-        int trials = 0;
+                new VersionSelector(new CanaryAllocation(0.1, 50), new SplittableRandom(seed));
+        int canaryRequests = 0;
         for (int i = 0; i < requests; i++) {
             List<TrackedEndpoint> selected =
                     selector.select(
@@ -82,9 +82,9 @@
                             move(MoveStage.RUNNING),
                             GATEWAYS,
                             endpoints(List.of("v1", "v2")));
-            trials += versionOf(selected.get(0)).equals("v2") ? 1 : 0;
+            canaryRequests += versionOf(selected.get(0)).equals("v2") ? 1 : 0;
         }
-        return trials;
+        return canaryRequests;
     }
 
     private static VersionMoveState move(MoveStage stage) {
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/Fleet.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/Fleet.java
@@ -253,7 +253,7 @@
                   limits: {revocationMs: 5000, leaseMs: 3000, shutdownMs: 8000, repeatRatio: 0.2,
                     repeatExtra: 50, repeatWindowS: 10, usageWindowS: 5, usageLateS: 10,
                     quotaWindowS: 8, quotaOvershoot: 0.1, quotaSlack: 100000,
-                    trialShare: 0.1, trialExtra: 50}
+                    canaryShare: 0.1, canaryExtra: 50}
                   """;
     }
 
