--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/AutoscalingController.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/AutoscalingController.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.cardamomthread.configuration.traffic.EndpointScaling;
 import org.cardamomthread.configuration.traffic.RouteTable;
 import org.cardamomthread.configuration.traffic.TrafficService;
@@ -17,6 +19,7 @@
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.dialect.ScalingRequest;
 import org.cardamomthread.daemon.registry.EndpointRegistry;
+import org.cardamomthread.daemon.registry.RegisteredEndpoint;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
 import org.cardamomthread.daemon.view.GatewayReports;
 import org.cardamomthread.daemon.view.ViewServer;
@@ -91,29 +94,37 @@
         boolean mayAct =
                 dependencies.lease().currentHolder().isPresent()
                         && dependencies.viewServer().isSettled();
+        Map<ServiceId, List<RegisteredEndpoint>> presentByService =
+                dependencies.registry().listPresent().stream()
+                        .collect(Collectors.groupingBy(entry -> entry.report().service()));
         for (TrafficService service : routes.get().document().services()) {
             if (service.scaling().isEmpty()) {
                 continue;
             }
+            List<RegisteredEndpoint> present =
+                    presentByService.getOrDefault(service.id(), List.of());
             planner.observe(
                     service,
-                    dependencies.registry().listPresent(),
+                    present,
                     findMove(service),
                     dependencies.timeSource().monotonicMs(),
                     dependencies.timeSource().millis());
             if (mayAct) {
-                scale(service, service.scaling().get(), controlThread);
+                scale(service, service.scaling().get(), present, controlThread);
             }
         }
     }
 
     private void scale(
-            TrafficService service, EndpointScaling scaling, ControlThread controlThread) {
+            TrafficService service,
+            EndpointScaling scaling,
+            List<RegisteredEndpoint> present,
+            ControlThread controlThread) {
         EndpointPlanner.Plan plan =
                 planner.plan(
                         service,
                         scaling,
-                        dependencies.registry().listPresent(),
+                        present,
                         findMove(service),
                         dependencies.gatewayReports().sumServiceLoad(service.id().value()),
                         dependencies.timeSource().monotonicMs(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/EndpointPlanner.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/EndpointPlanner.java
@@ -110,7 +110,7 @@
      * times, since it may become the leader at the moment of a failure.
      *
      * @param service the service
-     * @param present the endpoints of all services that are present
+     * @param present its endpoints that are present
      * @param move the latest version move of the service
      * @param nowMs monotonic time, in milliseconds
      * @param wallClockMs wall clock time, in milliseconds since 1970
@@ -135,7 +135,7 @@
      *
      * @param service the service
      * @param scaling its limits and prices
-     * @param present the endpoints of all services that are present
+     * @param present its endpoints that are present
      * @param move the latest version move of the service
      * @param load the load that the gateways send to the service
      * @param nowMs monotonic time, in milliseconds
@@ -172,7 +172,9 @@
         List<Request> requests = new ArrayList<>();
         mixPlanner
                 .plan(input, offers, nowMs)
-                .forEach((kind, planned) -> requests.add(createRequest(kind, planned, counts)));
+                .forEach(
+                        (kind, planned) ->
+                                requests.add(createRequest(kind, planned, counts)));
         if (phase.isMoving()) {
             retainIncreases(requests, provisioned, desired);
         }
@@ -241,8 +243,7 @@
         EndpointCounts counts = new EndpointCounts();
         int slots = 0;
         for (RegisteredEndpoint entry : present) {
-            boolean isOfService = entry.report().service().equals(service.id());
-            if (!isOfService || entry.report().isDraining()) {
+            if (entry.report().isDraining()) {
                 continue;
             }
             HostOffer.Kind kind = kindOf(service, entry);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/VersionResultCounter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/VersionResultCounter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,9 +28,20 @@
     /** Time added to the scaled usual time, so that small delays do not make an attempt slow. */
     private static final double SLOW_MARGIN_MS = 50;
 
+    /** Number of routes whose usual times are kept, since documents add and remove routes. */
+    private static final int MAX_ROUTES = 4_096;
+
     private final TimeSource timeSource;
     private final Map<Version, VersionCounts.Builder> counts = new HashMap<>();
-    private final Map<Route, UsualTimes> usualTimes = new HashMap<>();
+    private final Map<Route, UsualTimes> usualTimes =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Route, UsualTimes> eldest) {
+                    return size() > MAX_ROUTES;
+                }
+            };
     private final Set<Attempt> inProgress = new HashSet<>();
 
     private record Version(ServiceId service, VersionId version) {}
