Order no endpoints beyond the maximum beside those of a rolled-back version

Endpoints of the version that does not get the usual traffic are added to each order, so that it does not remove them. Where only endpoints of a rolled-back version were left, each try would have added to the one before: a service that cannot be served by them, at a growing price. A request now exceeds the maximum of a data centre only by what is present already.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/EndpointPlanner.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/EndpointPlanner.java
@@ -174,7 +174,7 @@
                 .plan(input, offers, nowMs)
                 .forEach(
                         (kind, planned) ->
-                                requests.add(createRequest(kind, planned, counts)));
+                                requests.add(createRequest(kind, planned, counts, scaling)));
         if (phase.isMoving()) {
             retainIncreases(requests, provisioned, desired);
         }
@@ -263,9 +263,12 @@
         return counts;
     }
 
-    private static Request createRequest(HostOffer.Kind kind, int planned, EndpointCounts counts) {
+    private static Request createRequest(
+            HostOffer.Kind kind, int planned, EndpointCounts counts, EndpointScaling scaling) {
+        int usable = counts.usable.getOrDefault(kind, 0);
         int others = counts.others.getOrDefault(kind, 0);
-        return new Request(kind, planned + others, planned, counts.usable.getOrDefault(kind, 0));
+        int maximum = Math.max(scaling.maxPerDataCentre(), usable + others);
+        return new Request(kind, Math.min(planned + others, maximum), planned, usable);
     }
 
     /**
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/EndpointPlannerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/EndpointPlannerTests.java
@@ -111,6 +111,17 @@
         assertTrue(requested(plan) > 0, plan.toString());
     }
 
+    @Test
+    public void neverRequestsMoreThanTheMaximumForEndpointsOfARolledBackVersion() {
+        plan(endpoints(6, "v1", true), Optional.empty());
+        EndpointPlanner.Plan plan =
+                plan(endpoints(14, "v2", true), Optional.of(move(MoveStage.TAKEN_BACK)));
+        assertTrue(
+                plan.requests().stream()
+                        .allMatch(request -> request.count() <= SCALING.maxPerDataCentre()),
+                plan.toString());
+    }
+
     @Test
     public void releasesSurplusEndpointsAfterAMove() {
         plan(endpoints(6, "v1", false), Optional.empty());
