Promote no version that is suspected of a regression

Concluded, not traced: the version was promoted at 0.6 of its time with results between good and proven bad, and was taken back only with all traffic on it.

Cause: the promotion asked only that no regression was proven.

A version whose bad results would come by chance in under 5 of 100 cases is suspected; it stays a canary until the suspicion is gone or it is taken back for lack of time. Of good versions under 5 in 100 wait longer. The new row "canary phase over, suspected" was promoted before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/CanaryEvaluator.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/CanaryEvaluator.java
@@ -18,6 +18,9 @@
      */
     private static final double MAX_FALSE_ALARM_PROBABILITY = 1e-4;
 
+    /** Probability of the bad results below which a version is suspected. */
+    private static final double SUSPICION_PROBABILITY = 0.05;
+
     /**
      * Increase of the rate of slow responses that is acceptable, as the prompt caches of new
      * endpoints are empty.
@@ -42,13 +45,30 @@
      * @return how the canary version is worse, or empty if it is not known to be
      */
     static Optional<Regression> findRegression(VersionCounts canary, VersionCounts former) {
+        return findRegression(canary, former, MAX_FALSE_ALARM_PROBABILITY);
+    }
+
+    /**
+     * Returns whether a canary version seems to be worse, though that may be chance.
+     *
+     * @param canary the results of the canary version
+     * @param former the results of the other versions
+     * @return true if more results are needed to tell
+     */
+    static boolean isSuspected(VersionCounts canary, VersionCounts former) {
+        return findRegression(canary, former, SUSPICION_PROBABILITY).isPresent();
+    }
+
+    private static Optional<Regression> findRegression(
+            VersionCounts canary, VersionCounts former, double maxProbability) {
         boolean failsMore =
                 isExcessive(
                         canary.getFailures(),
                         canary.getAnswers(),
                         former.getFailures(),
                         former.getAnswers(),
-                        0);
+                        0,
+                        maxProbability);
         if (failsMore) {
             return Optional.of(Regression.MORE_FAILURES);
         }
@@ -57,7 +77,8 @@
                         canary.getTimed(),
                         former.getSlow(),
                         former.getTimed(),
-                        SLOW_TOLERANCE)
+                        SLOW_TOLERANCE,
+                        maxProbability)
                 ? Optional.of(Regression.MORE_SLOW_RESPONSES)
                 : Optional.empty();
     }
@@ -67,14 +88,14 @@
             long canaryResults,
             long formerBad,
             long formerResults,
-            double tolerance) {
+            double tolerance,
+            double maxProbability) {
         if (canaryBad < MIN_BAD_RESULTS) {
             return false;
         }
         double acceptableRate = (formerBad + 1.0) / (formerResults + 2.0) + tolerance;
         return acceptableRate < 1
-                && upperTailProbability(canaryBad, canaryResults, acceptableRate)
-                        < MAX_FALSE_ALARM_PROBABILITY;
+                && upperTailProbability(canaryBad, canaryResults, acceptableRate) < maxProbability;
     }
 
     /** Returns the probability of at least {@code count} events in {@code trials}. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/CanaryEvidence.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/CanaryEvidence.java
@@ -83,6 +83,11 @@
         return canary.getAnswers() >= MIN_RESULTS && canary.getTimed() >= MIN_RESULTS;
     }
 
+    /** Returns whether the canary version seems to be worse, though that may be chance. */
+    boolean isSuspected() {
+        return CanaryEvaluator.isSuspected(canary(), former());
+    }
+
     private Period total() {
         return periods.stream().reduce(emptyPeriod(), Period::plus);
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/VersionMoveController.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/VersionMoveController.java
@@ -152,16 +152,19 @@
             return Optional.of(
                     new Decision(MoveStage.TAKEN_BACK, "not promoted in time for the deadline"));
         }
-        return elapsedFraction >= CANARY_FRACTION && collected.isSufficient()
+        boolean mayBePromoted = collected.isSufficient() && !collected.isSuspected();
+        return elapsedFraction >= CANARY_FRACTION && mayBePromoted
                 ? Optional.of(new Decision(MoveStage.PROMOTED, "no regression was found"))
                 : Optional.empty();
     }
 
     private void logUndecided(VersionMoveState move, CanaryEvidence collected) {
-        String reason =
-                collected.isSufficient()
-                        ? "the stage is not over"
-                        : "fewer than " + CanaryEvidence.MIN_RESULTS + " results";
+        String reason = "the stage is not over";
+        if (!collected.isSufficient()) {
+            reason = "fewer than " + CanaryEvidence.MIN_RESULTS + " results";
+        } else if (collected.isSuspected()) {
+            reason = "a regression is suspected";
+        }
         String previous = undecidedReasons.put(MoveKey.of(move), move.getStage() + reason);
         if (!(move.getStage() + reason).equals(previous)) {
             logMove("move-undecided", move, move.getStage(), reason, collected);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/VersionMoveControllerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/VersionMoveControllerTests.java
@@ -25,6 +25,8 @@
             {"too late, too little known", MoveStage.RUNNING, 12_500, 4, 0, MoveStage.TAKEN_BACK},
             {"too late, nothing known", MoveStage.RUNNING, 12_500, 0, 0, MoveStage.TAKEN_BACK},
             {"too late, good", MoveStage.RUNNING, 16_000, 40, 0, MoveStage.TAKEN_BACK},
+            {"canary phase over, suspected", MoveStage.RUNNING, 9_500, 20, 6, null},
+            {"too late, suspected", MoveStage.RUNNING, 12_500, 20, 6, MoveStage.TAKEN_BACK},
             {"promoted, good", MoveStage.PROMOTED, 12_500, 40, 0, null},
             {"promoted, turns slow", MoveStage.PROMOTED, 12_500, 40, 20, MoveStage.TAKEN_BACK},
             {"promoted, good at the end", MoveStage.PROMOTED, 13_600, 40, 0, MoveStage.DONE},
