Break off a stream when the attempt to resume it fails

The rows "failure" and "server error" of neverCompletesABrokenStreamWithAnAttemptThatDoesNotResumeIt failed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -405,6 +405,13 @@
                 failWith("unsigned-answer", "the response of the endpoint is not signed");
                 return;
             }
+            if (relay.hasStarted()) {
+                String detail = "the endpoint answered with status " + status;
+                context.forwardingLog()
+                        .logFailedAttempt(request, endpoint.id(), "not-resumed", detail);
+                failWith("stream-not-resumed", detail);
+                return;
+            }
             relay.finish(status, context.dialect().encodeResponseHeaders(headers));
             finish("endpoint-failure", null);
         }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -171,6 +171,28 @@
         assertEquals(client.getAttemptCount(), 1);
     }
 
+    @DataProvider
+    public Object[][] attemptsAfterABrokenStream() {
+        return new Object[][] {
+            {"failure", respond(404, true, false)},
+            {"server error", respond(500, true, false)},
+            {"unsigned success", respond(200, false, false)},
+            {"not run", respond(503, false, true)},
+        };
+    }
+
+    @Test(dataProvider = "attemptsAfterABrokenStream")
+    public void neverCompletesABrokenStreamWithAnAttemptThatDoesNotResumeIt(
+            String name, Consumer<EndpointResponseListener> secondAttempt) {
+        client.addScript(interruptedStream("id: 1\ndata: a\n\nid: 2\ndat"));
+        client.addScript(secondAttempt);
+        RecordedExchange exchange = send(RequestKind.RESUMABLE_STREAM, 2);
+        assertFalse(exchange.isComplete(), name);
+        assertTrue(exchange.isAborted(), name);
+        assertTrue(exchange.getBody().startsWith("id: 1\ndata: a\n\n"), exchange.getBody());
+        assertFalse(exchange.getBody().contains("body"), exchange.getBody());
+    }
+
     @DataProvider
     public Object[][] oversizedResponses() {
         return new Object[][] {
