Take a stream that ends inside an event, or without one, for broken off

A stream without length or chunks ends with its connection. The relay now follows the events of every event stream and completes it only between events; otherwise the attempt counts as truncated, is resumed where the route allows it, and the client's stream is broken off if it cannot be.

The ends of events are found with all three line ends that event streams may have; with CR alone a resumable stream was held back whole and no event was recognized.

The tables streamsThatEndInsideAnEvent, streamsWithoutAnEvent and lineEnds, and two rows of attemptsAfterABrokenStream, failed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import org.cardamomthread.configuration.traffic.RequestKind;
 import org.cardamomthread.configuration.traffic.generated.MoveStage;
 import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
 import org.cardamomthread.core.id.EndpointId;
@@ -216,9 +215,8 @@
     }
 
     private boolean mayRetry() {
-        boolean isResumable = request.route().requestKind() == RequestKind.RESUMABLE_STREAM;
         return attemptCount < request.route().maxAttempts()
-                && (!relay.hasStarted() || isResumable)
+                && relay.mayResume()
                 && (!mayHaveRun || request.route().requestKind().isRetryable());
     }
 
@@ -340,6 +338,9 @@
             if (!head.isNotRun()) {
                 mayHaveRun = true;
             }
+            if (isSuccess()) {
+                relay.beginSuccess(status, headers);
+            }
             if (isSuccess() && !isUsageCounted) {
                 isUsageCounted = true;
                 context.serviceLoads()
@@ -372,6 +373,15 @@
             if (done) {
                 return;
             }
+            if (!finished && isSuccess() && !relay.isWhole()) {
+                handleFailure(
+                        new EndpointFailureException(
+                                Kind.TRUNCATED_ANSWER,
+                                endpoint.knownEndpoint().report().address().toString(),
+                                "the stream ended inside an event, or without one",
+                                null));
+                return;
+            }
             markDone();
             if (finished) {
                 return;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
@@ -1,7 +1,9 @@
 package org.cardamomthread.daemon.forwarding;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
+import java.util.Locale;
 import java.util.Optional;
 import org.cardamomthread.configuration.traffic.RequestKind;
 import org.cardamomthread.daemon.http.HttpExchange;
@@ -21,15 +23,22 @@
     /** Maximum length of a response, or of an event, that is held back until it is complete. */
     static final int MAX_BUFFERED_BYTES = 1024 * 1024;
 
+    private static final String EVENT_STREAM = "text/event-stream";
+    private static final int STATUS_OK = 200;
+
     private final HttpExchange exchange;
-    private final boolean isResumable;
-    private final ServerSentEventSplitter splitter = new ServerSentEventSplitter();
+    private final RequestKind requestKind;
+    private Optional<String> lastEventId = Optional.empty();
+    private final EventBoundaryScanner scanner = new EventBoundaryScanner();
+    private final ServerSentEventSplitter splitter = new ServerSentEventSplitter(scanner);
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private long eventsOfEarlierAttempts;
+    private boolean isEventStream;
     private ResponseStream stream;
 
     ResponseRelay(HttpExchange exchange, RequestKind requestKind) {
         this.exchange = exchange;
-        this.isResumable = requestKind == RequestKind.RESUMABLE_STREAM;
+        this.requestKind = requestKind;
     }
 
     /** Returns whether the response head has been sent to the client. */
@@ -37,26 +46,56 @@
         return stream != null;
     }
 
+    /** Returns whether another endpoint can continue the response to the client. */
+    boolean mayResume() {
+        return stream == null || isResumable();
+    }
+
     /**
      * Returns the id of the last event that the client has received, after which another endpoint
      * can resume the stream.
      */
     Optional<String> lastEventId() {
-        return isResumable && hasStarted() ? splitter.lastEventId() : Optional.empty();
+        return isResumable() && hasStarted() ? lastEventId : Optional.empty();
+    }
+
+    /** Begins a successful response of an attempt. */
+    void beginSuccess(int status, HttpHeaders headers) {
+        if (!hasStarted()) {
+            isEventStream = hasEvents(status, headers);
+        }
     }
 
     /** Sends a part to the client, in a resumable stream as far as its events are complete. */
     void stream(int status, HttpHeaders headers, byte[] chunk) {
-        byte[] deliverable = isResumable ? splitter.append(chunk) : chunk;
+        byte[] deliverable = chunk;
+        if (isResumable()) {
+            deliverable = splitter.append(chunk);
+        } else if (isEventStream) {
+            scanner.scan(chunk);
+        }
         if (deliverable.length == 0) {
             return;
         }
+        if (isResumable()) {
+            ServerSentEventSplitter.readIds(deliverable)
+                    .forEach(id -> lastEventId = id.isPresent() ? id : lastEventId);
+        }
         if (stream == null) {
             stream = exchange.startStream(status, headers);
         }
         stream.write(deliverable);
     }
 
+    /**
+     * Returns whether the response of the attempt is whole, given that its message has ended. A
+     * stream without an event is not, nor is one that ends inside an event.
+     */
+    boolean isWhole() {
+        return !isEventStream
+                || scanner.eventCount() > eventsOfEarlierAttempts && !scanner.isInsideEvent();
+    }
+
     /** Holds a part back until the response is complete. */
     void buffer(byte[] chunk) {
         buffered.writeBytes(chunk);
@@ -83,11 +122,12 @@
     void discardUndelivered() {
         buffered.reset();
         splitter.discardPartial();
+        eventsOfEarlierAttempts = scanner.eventCount();
     }
 
-    /** Completes the response to the client. */
+    /** Completes the response to the client, which must be whole. */
     void finish(int status, HttpHeaders headers) {
-        byte[] remainder = isResumable ? splitter.remainder() : new byte[0];
+        byte[] remainder = isResumable() ? splitter.remainder() : new byte[0];
         if (stream != null) {
             if (remainder.length > 0) {
                 stream.write(remainder);
@@ -108,4 +148,17 @@
             stream.abort();
         }
     }
+
+    private boolean isResumable() {
+        return isEventStream && requestKind == RequestKind.RESUMABLE_STREAM;
+    }
+
+    private boolean hasEvents(int status, HttpHeaders headers) {
+        if (!requestKind.isStream() || status != STATUS_OK) {
+            return false;
+        }
+        String contentType = headers.get(HttpHeaderNames.CONTENT_TYPE);
+        return contentType == null
+                || contentType.toLowerCase(Locale.ROOT).trim().startsWith(EVENT_STREAM);
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitter.java
@@ -1,22 +1,30 @@
 package org.cardamomthread.daemon.forwarding;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
- * Splits a stream of server-sent events at event boundaries and tracks the id of the last complete
- * event.
+ * Splits a stream of server-sent events at event boundaries and reads the ids of the events.
  *
  * <p>Invariant: the returned bytes always end at an event boundary. Not thread-safe.
  */
 final class ServerSentEventSplitter {
 
     private static final String ID_FIELD = "id:";
+    private static final String COMMENT = ":";
+    private static final Pattern LINE_END = Pattern.compile("\r\n|\r|\n");
     private static final byte[] NO_BYTES = new byte[0];
 
+    private final EventBoundaryScanner scanner;
     private byte[] partial = NO_BYTES;
-    private Optional<String> lastEventId = Optional.empty();
+
+    ServerSentEventSplitter(EventBoundaryScanner scanner) {
+        this.scanner = scanner;
+    }
 
     /**
      * Appends bytes and returns the events that they complete.
@@ -27,16 +35,43 @@
     byte[] append(byte[] bytes) {
         byte[] joined = Arrays.copyOf(partial, partial.length + bytes.length);
         System.arraycopy(bytes, 0, joined, partial.length, bytes.length);
-        int boundary = findEndOfLastEvent(joined);
-        byte[] complete = Arrays.copyOf(joined, boundary);
-        partial = Arrays.copyOfRange(joined, boundary, joined.length);
-        updateLastEventId(complete);
-        return complete;
+        int boundary = scanner.scan(bytes);
+        int completeBytes = boundary == 0 ? 0 : partial.length + boundary;
+        partial = Arrays.copyOfRange(joined, completeBytes, joined.length);
+        return Arrays.copyOf(joined, completeBytes);
+    }
+
+    /**
+     * Reads the ids of events that were returned by {@link #append}.
+     *
+     * @param events complete events
+     * @return for each event its id, or empty if it has none
+     */
+    static List<Optional<String>> readIds(byte[] events) {
+        List<Optional<String>> ids = new ArrayList<>();
+        Optional<String> id = Optional.empty();
+        boolean hasField = false;
+        for (String line : LINE_END.split(new String(events, StandardCharsets.UTF_8), -1)) {
+            if (line.isEmpty()) {
+                if (hasField) {
+                    ids.add(id);
+                }
+                id = Optional.empty();
+                hasField = false;
+            } else if (!line.startsWith(COMMENT)) {
+                hasField = true;
+                if (line.startsWith(ID_FIELD)) {
+                    id = Optional.of(line.substring(ID_FIELD.length()).trim());
+                }
+            }
+        }
+        return ids;
     }
 
     /** Discards the start of an event that will not be completed. */
     void discardPartial() {
         partial = NO_BYTES;
+        scanner.discardPartial();
     }
 
     /** Returns the bytes after the last complete event. */
@@ -47,37 +82,4 @@
     int partialBytes() {
         return partial.length;
     }
-
-    Optional<String> lastEventId() {
-        return lastEventId;
-    }
-
-    private void updateLastEventId(byte[] complete) {
-        String text = new String(complete, StandardCharsets.UTF_8);
-        int start = text.lastIndexOf("\n" + ID_FIELD);
-        int fieldStart = start >= 0 ? start + 1 : text.startsWith(ID_FIELD) ? 0 : -1;
-        if (fieldStart >= 0) {
-            int lineEnd = text.indexOf('\n', fieldStart);
-            lastEventId =
-                    Optional.of(text.substring(fieldStart + ID_FIELD.length(), lineEnd).trim());
-        }
-    }
-
-    /**
-     * Returns the index after the last blank line, which terminates an event, or 0 if there is
-     * none.
-     */
-    private static int findEndOfLastEvent(byte[] bytes) {
-        for (int i = bytes.length - 1; i > 0; i--) {
-            if (bytes[i] != '\n') {
-                continue;
-            }
-            boolean endsLine = bytes[i - 1] == '\n';
-            boolean endsCrLf = bytes[i - 1] == '\r' && i > 1 && bytes[i - 2] == '\n';
-            if (endsLine || endsCrLf) {
-                return i + 1;
-            }
-        }
-        return 0;
-    }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -178,6 +178,8 @@
             {"server error", respond(500, true, false)},
             {"unsigned success", respond(200, false, false)},
             {"not run", respond(503, false, true)},
+            {"ends inside an event", streamOf("id: 2\ndata: b\n\nid: 3\nda")},
+            {"no event", streamOf("")},
         };
     }
 
@@ -193,6 +195,60 @@
         assertFalse(exchange.getBody().contains("body"), exchange.getBody());
     }
 
+    @DataProvider
+    public Object[][] streamsThatEndInsideAnEvent() {
+        return new Object[][] {
+            {"resumable", RequestKind.RESUMABLE_STREAM, "id: 1\ndata: a\n\nid: 2\ndat"},
+            {"not resumable", RequestKind.STREAM, "id: 1\ndata: a\n\nid: 2\ndat"},
+            {"after a line", RequestKind.STREAM, "id: 1\ndata: a\n\nid: 2\n"},
+            {"with CR line ends", RequestKind.STREAM, "id: 1\rdata: a\r\rid: 2\r"},
+            {"with CRLF line ends", RequestKind.STREAM, "id: 1\r\ndata: a\r\n\r\nid: 2\r\n"},
+        };
+    }
+
+    @Test(dataProvider = "streamsThatEndInsideAnEvent")
+    public void neverCompletesAStreamThatEndsInsideAnEvent(
+            String name, RequestKind requestKind, String stream) {
+        client.addScript(streamOf(stream));
+        RecordedExchange exchange = send(requestKind, 1);
+        assertFalse(exchange.isComplete(), name);
+        assertTrue(exchange.isAborted(), name);
+    }
+
+    @DataProvider
+    public Object[][] streamsWithoutAnEvent() {
+        return new Object[][] {
+            {"resumable", RequestKind.RESUMABLE_STREAM, "id: 1\nda"},
+            {"not resumable", RequestKind.STREAM, ""},
+            {"empty, resumable", RequestKind.RESUMABLE_STREAM, ""},
+        };
+    }
+
+    @Test(dataProvider = "streamsWithoutAnEvent")
+    public void failsAStreamThatEndsBeforeItsFirstEvent(
+            String name, RequestKind requestKind, String stream) {
+        client.addScript(streamOf(stream));
+        RecordedExchange exchange = send(requestKind, 1);
+        assertEquals(exchange.getStatus(), 502, name);
+    }
+
+    @DataProvider
+    public Object[][] lineEnds() {
+        return new Object[][] {{"\n"}, {"\r"}, {"\r\n"}};
+    }
+
+    @Test(dataProvider = "lineEnds")
+    public void resumesStreamWithAnyLineEnds(String lineEnd) {
+        String first = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+        String second = "id: 2" + lineEnd + "data: b" + lineEnd + lineEnd;
+        client.addScript(interruptedStream(first + "id: 2" + lineEnd));
+        client.addScript(streamOf(second));
+        RecordedExchange exchange = send(RequestKind.RESUMABLE_STREAM, 2);
+        assertEquals(exchange.getBody(), first + second);
+        assertTrue(exchange.isComplete());
+        assertEquals(client.getRequest(1).headers().get("last-event-id"), "1");
+    }
+
     @DataProvider
     public Object[][] oversizedResponses() {
         return new Object[][] {
@@ -356,6 +412,23 @@
         return new DefaultHttpHeaders().set(TestPlatformDialect.SIGNATURE, "s");
     }
 
+    private static HttpHeaders signed(String contentType) {
+        return signed().set("content-type", contentType);
+    }
+
+    private static Consumer<EndpointResponseListener> streamOf(String stream) {
+        return respondWith(200, signed("text/event-stream"), stream);
+    }
+
+    private static Consumer<EndpointResponseListener> respondWith(
+            int status, HttpHeaders headers, String body) {
+        return listener -> {
+            listener.onHead(status, headers);
+            listener.onBodyPart(bytes(body));
+            listener.onComplete();
+        };
+    }
+
     private static Consumer<EndpointResponseListener> respond(
             int status, boolean isSigned, boolean isStatedNotRun) {
         return listener -> {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitterTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitterTests.java
@@ -1,8 +1,10 @@
 package org.cardamomthread.daemon.forwarding;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -24,7 +26,7 @@
 
     @Test(dataProvider = "chunkSizes")
     public void returnsOnlyCompleteEventsForAnyChunkSize(int chunkSize) {
-        ServerSentEventSplitter splitter = new ServerSentEventSplitter();
+        ServerSentEventSplitter splitter = new ServerSentEventSplitter(new EventBoundaryScanner());
         StringBuilder returned = new StringBuilder();
         for (int start = 0; start < STREAM.length(); start += chunkSize) {
             String chunk = STREAM.substring(start, Math.min(STREAM.length(), start + chunkSize));
@@ -32,26 +34,60 @@
             assertEquals(endsWithEvent(returned.toString()), true, returned.toString());
         }
         assertEquals(returned.toString(), STREAM);
-        assertEquals(splitter.lastEventId(), Optional.of("3"));
+        assertEquals(
+                ServerSentEventSplitter.readIds(bytes(returned.toString())),
+                List.of(Optional.of("1"), Optional.of("2"), Optional.of("3")));
         assertEquals(splitter.remainder().length, 0);
     }
 
     @Test
     public void reportsIdOfLastCompleteEvent() {
-        ServerSentEventSplitter splitter = new ServerSentEventSplitter();
-        splitter.append("id: 1\ndata: a\n\nid: 2\nda".getBytes(StandardCharsets.UTF_8));
-        assertEquals(splitter.lastEventId(), Optional.of("1"));
+        ServerSentEventSplitter splitter = new ServerSentEventSplitter(new EventBoundaryScanner());
+        byte[] first = splitter.append(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        assertEquals(ServerSentEventSplitter.readIds(first), List.of(Optional.of("1")));
         assertEquals(text(splitter.remainder()), "id: 2\nda");
         splitter.discardPartial();
-        assertEquals(
-                text(splitter.append("id: 2\n\n".getBytes(StandardCharsets.UTF_8))), "id: 2\n\n");
-        assertEquals(splitter.lastEventId(), Optional.of("2"));
+        byte[] second = splitter.append(bytes("id: 2\n\n"));
+        assertEquals(text(second), "id: 2\n\n");
+        assertEquals(ServerSentEventSplitter.readIds(second), List.of(Optional.of("2")));
     }
 
     private static boolean endsWithEvent(String text) {
         return text.isEmpty() || text.endsWith("\n\n") || text.endsWith("\r\n\r\n");
     }
 
+    @DataProvider
+    public Object[][] lineEnds() {
+        return new Object[][] {{"\n"}, {"\r"}, {"\r\n"}};
+    }
+
+    @Test(dataProvider = "lineEnds")
+    public void findsEventsWithAnyLineEndsForAnyChunkSize(String lineEnd) {
+        String stream =
+                ": comment\n\nid: 1\ndata: a\n\ndata: b\ndata: c\n\nid: 3\n\n"
+                        .replace("\n", lineEnd);
+        for (int chunkSize = 1; chunkSize <= stream.length(); chunkSize++) {
+            EventBoundaryScanner scanner = new EventBoundaryScanner();
+            ServerSentEventSplitter splitter = new ServerSentEventSplitter(scanner);
+            StringBuilder returned = new StringBuilder();
+            for (int start = 0; start < stream.length(); start += chunkSize) {
+                String chunk =
+                        stream.substring(start, Math.min(stream.length(), start + chunkSize));
+                returned.append(text(splitter.append(bytes(chunk))));
+            }
+            assertEquals(returned.toString(), stream);
+            assertFalse(scanner.isInsideEvent());
+            assertEquals(scanner.eventCount(), 3);
+            assertEquals(
+                    ServerSentEventSplitter.readIds(bytes(stream)),
+                    List.of(Optional.of("1"), Optional.empty(), Optional.of("3")));
+        }
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
     private static String text(byte[] bytes) {
         return new String(bytes, StandardCharsets.UTF_8);
     }
