Complete a resumed stream only if it goes on after the last event

Nothing compared the events of the second run with those that the client had. EventIdSequence now accepts an event only if its id is above the last one and, as the first of another run, at most the largest step above it; a resumed attempt that is no event stream or sends no event does not complete the stream either. Such an attempt counts as failed, so the stream is resumed elsewhere or broken off.

The rows "starts again", "leaves a gap", "goes back later", "no content" and "no event stream" of attemptsAfterABrokenStream failed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointFailureException.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointFailureException.java
@@ -21,6 +21,8 @@
         MISMATCHED_ANSWER,
         /** The response ended without proof that it is complete. */
         TRUNCATED_ANSWER,
+        /** The events of the response do not continue the stream that the caller has received. */
+        BROKEN_SEQUENCE,
         /** The response, or one event of it, is longer than this node accepts. */
         OVERSIZED_ANSWER,
         /** The endpoint responded that it currently accepts no more work. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -294,14 +294,25 @@
         private void handleBodyPart(byte[] chunk) {
             boolean isStream = request.route().requestKind().isStream() || relay.hasStarted();
             if (isSuccess() && isStream) {
-                relay.stream(status, context.dialect().encodeResponseHeaders(headers), chunk);
+                HttpHeaders clientHeaders = context.dialect().encodeResponseHeaders(headers);
+                if (!relay.stream(status, clientHeaders, chunk)) {
+                    rejectResponse(
+                            Kind.BROKEN_SEQUENCE,
+                            "an event does not follow the last one, which has id "
+                                    + relay.lastEventId().orElse("none"));
+                    return;
+                }
             } else {
                 relay.buffer(chunk);
             }
             if (relay.isFull() && isSuccess() && !isStream) {
                 relay.streamBuffered(status, context.dialect().encodeResponseHeaders(headers));
             } else if (relay.isFull()) {
-                rejectResponse();
+                rejectResponse(
+                        Kind.OVERSIZED_ANSWER,
+                        "more than "
+                                + ResponseRelay.MAX_BUFFERED_BYTES
+                                + " bytes arrived that complete no response and no event");
                 return;
             }
             if (currentAttempt != null) {
@@ -309,21 +320,19 @@
             }
         }
 
-        private void rejectResponse() {
+        private void rejectResponse(Kind kind, String detail) {
             EndpointAttempt rejected = currentAttempt;
-            handleFailure(
-                    new EndpointFailureException(
-                            Kind.OVERSIZED_ANSWER,
-                            endpoint.knownEndpoint().report().address().toString(),
-                            "more than "
-                                    + ResponseRelay.MAX_BUFFERED_BYTES
-                                    + " bytes arrived that complete no response and no event",
-                            null));
+            handleFailure(createFailure(kind, detail));
             if (rejected != null) {
                 rejected.cancel();
             }
         }
 
+        private EndpointFailureException createFailure(Kind kind, String detail) {
+            String address = endpoint.knownEndpoint().report().address().toString();
+            return new EndpointFailureException(kind, address, detail, null);
+        }
+
         private boolean isSuccess() {
             return status >= STATUS_OK && status < STATUS_SUCCESS_END && head.isSigned();
         }
@@ -338,8 +347,11 @@
             if (!head.isNotRun()) {
                 mayHaveRun = true;
             }
-            if (isSuccess()) {
-                relay.beginSuccess(status, headers);
+            if (isSuccess() && !relay.beginSuccess(status, headers)) {
+                rejectResponse(
+                        Kind.BROKEN_SEQUENCE,
+                        "the response to a resumed request is no event stream: status " + status);
+                return;
             }
             if (isSuccess() && !isUsageCounted) {
                 isUsageCounted = true;
@@ -375,11 +387,9 @@
             }
             if (!finished && isSuccess() && !relay.isWhole()) {
                 handleFailure(
-                        new EndpointFailureException(
+                        createFailure(
                                 Kind.TRUNCATED_ANSWER,
-                                endpoint.knownEndpoint().report().address().toString(),
-                                "the stream ended inside an event, or without one",
-                                null));
+                                "the stream ended inside an event, or without one"));
                 return;
             }
             markDone();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import org.cardamomthread.configuration.traffic.RequestKind;
@@ -16,7 +17,8 @@
  *
  * <p>Invariants: at most {@value #MAX_BUFFERED_BYTES} bytes are held back, plus the last part that
  * was received. A resumable stream is relayed in complete events only, so that another endpoint can
- * continue after the last one. Must be used on one event loop.
+ * continue after the last one, and an event only if it may follow the one before. Must be used on
+ * one event loop.
  */
 final class ResponseRelay {
 
@@ -28,7 +30,7 @@
 
     private final HttpExchange exchange;
     private final RequestKind requestKind;
-    private Optional<String> lastEventId = Optional.empty();
+    private final EventIdSequence eventIds = new EventIdSequence();
     private final EventBoundaryScanner scanner = new EventBoundaryScanner();
     private final ServerSentEventSplitter splitter = new ServerSentEventSplitter(scanner);
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -56,18 +58,29 @@
      * can resume the stream.
      */
     Optional<String> lastEventId() {
-        return isResumable() && hasStarted() ? lastEventId : Optional.empty();
+        return isResumable() && hasStarted() ? eventIds.lastId() : Optional.empty();
     }
 
-    /** Begins a successful response of an attempt. */
-    void beginSuccess(int status, HttpHeaders headers) {
-        if (!hasStarted()) {
-            isEventStream = hasEvents(status, headers);
+    /**
+     * Begins a successful response of an attempt.
+     *
+     * @return false if it cannot continue the stream that the client has received so far
+     */
+    boolean beginSuccess(int status, HttpHeaders headers) {
+        boolean isEventStreamResponse = hasEvents(status, headers);
+        if (hasStarted()) {
+            return isEventStreamResponse;
         }
+        isEventStream = isEventStreamResponse;
+        return true;
     }
 
-    /** Sends a part to the client, in a resumable stream as far as its events are complete. */
-    void stream(int status, HttpHeaders headers, byte[] chunk) {
+    /**
+     * Sends a part to the client, in a resumable stream as far as its events are complete.
+     *
+     * @return false if an event in it cannot follow the last one, which then is not sent
+     */
+    boolean stream(int status, HttpHeaders headers, byte[] chunk) {
         byte[] deliverable = chunk;
         if (isResumable()) {
             deliverable = splitter.append(chunk);
@@ -75,16 +88,16 @@
             scanner.scan(chunk);
         }
         if (deliverable.length == 0) {
-            return;
+            return true;
         }
-        if (isResumable()) {
-            ServerSentEventSplitter.readIds(deliverable)
-                    .forEach(id -> lastEventId = id.isPresent() ? id : lastEventId);
+        if (isResumable() && !acceptEvents(ServerSentEventSplitter.readIds(deliverable))) {
+            return false;
         }
         if (stream == null) {
             stream = exchange.startStream(status, headers);
         }
         stream.write(deliverable);
+        return true;
     }
 
     /**
@@ -123,6 +136,7 @@
         buffered.reset();
         splitter.discardPartial();
         eventsOfEarlierAttempts = scanner.eventCount();
+        eventIds.beginRun();
     }
 
     /** Completes the response to the client, which must be whole. */
@@ -153,6 +167,15 @@
         return isEventStream && requestKind == RequestKind.RESUMABLE_STREAM;
     }
 
+    private boolean acceptEvents(List<Optional<String>> ids) {
+        for (Optional<String> id : ids) {
+            if (!eventIds.accept(id)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private boolean hasEvents(int status, HttpHeaders headers) {
         if (!requestKind.isStream() || status != STATUS_OK) {
             return false;
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -178,8 +178,13 @@
             {"server error", respond(500, true, false)},
             {"unsigned success", respond(200, false, false)},
             {"not run", respond(503, false, true)},
+            {"starts again", streamOf("id: 1\ndata: a\n\n")},
+            {"leaves a gap", streamOf("id: 5\ndata: e\n\n")},
+            {"goes back later", streamOf("id: 2\ndata: b\n\nid: 1\ndata: a\n\n")},
             {"ends inside an event", streamOf("id: 2\ndata: b\n\nid: 3\nda")},
+            {"no content", respondWith(204, signed(), "")},
             {"no event", streamOf("")},
+            {"no event stream", respondWith(200, signed("application/json"), "{}")},
         };
     }
 
