--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -0,0 +1,282 @@
+package org.cardamomthread.daemon.forwarding;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Locale;
+import java.util.Optional;
+import org.cardamomthread.core.id.VersionId;
+import org.cardamomthread.daemon.dialect.EndpointResponseHead;
+import org.cardamomthread.daemon.dispatch.EndpointAttempt;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
+import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
+
+/**
+ * Handles the response of one attempt of a {@link ForwardedCall}, whose events may arrive on the
+ * timer thread, and tells the call how to go on.
+ *
+ * <p>Invariant: the call is told of one end of the attempt at most. State is confined to the event
+ * loop of the call.
+ */
+final class ForwardedAttempt implements EndpointResponseListener {
+
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_SUCCESS_END = 300;
+    private static final int STATUS_SERVER_ERROR = 500;
+
+    private final ForwardedCall call;
+    private final ForwardingContext context;
+    private final AdmittedRequest request;
+    private final ResponseRelay relay;
+    private final TrackedEndpoint endpoint;
+    private final long startedMs;
+    private final VersionResultCounter.Attempt measurement;
+    private int status;
+    private HttpHeaders headers;
+    private EndpointResponseHead head;
+    private boolean done;
+
+    ForwardedAttempt(
+            ForwardedCall call,
+            ForwardingContext context,
+            AdmittedRequest request,
+            ResponseRelay relay,
+            TrackedEndpoint endpoint) {
+        this.call = call;
+        this.context = context;
+        this.request = request;
+        this.relay = relay;
+        this.endpoint = endpoint;
+        startedMs = context.timeSource().monotonicMs();
+        VersionId version = endpoint.knownEndpoint().report().version();
+        measurement =
+                context.versionResults()
+                        .start(
+                                request.service().id(),
+                                version,
+                                request.route().id(),
+                                !endpoint.isCold(startedMs),
+                                !call.isCanary(version));
+    }
+
+    /** Returns whether the attempt has ended. */
+    boolean isDone() {
+        return done;
+    }
+
+    @Override
+    public void onHead(int receivedStatus, HttpHeaders receivedHeaders) {
+        call.runOnLoop(
+                () -> {
+                    status = receivedStatus;
+                    headers = receivedHeaders;
+                    head = context.dialect().decodeResponseHead(status, headers);
+                    handleHead();
+                });
+    }
+
+    @Override
+    public void onBodyPart(byte[] chunk) {
+        call.runOnLoop(
+                () -> {
+                    if (done || call.isFinished()) {
+                        return;
+                    }
+                    handleBodyPart(chunk);
+                });
+    }
+
+    @Override
+    public void onComplete() {
+        call.runOnLoop(this::handleComplete);
+    }
+
+    @Override
+    public void onFailure(EndpointFailureException failure) {
+        call.runOnLoop(() -> handleFailure(failure));
+    }
+
+    private void handleBodyPart(byte[] chunk) {
+        boolean isStream = request.route().requestKind().isStream() || relay.hasStarted();
+        if (isSuccess() && isStream) {
+            HttpHeaders clientHeaders = context.dialect().encodeResponseHeaders(headers);
+            if (!relay.stream(status, clientHeaders, chunk)) {
+                rejectResponse(
+                        Kind.BROKEN_SEQUENCE,
+                        "an event does not follow the last one, which has id "
+                                + relay.lastEventId().orElse("none"));
+                return;
+            }
+        } else {
+            relay.buffer(chunk);
+        }
+        if (relay.isFull() && isSuccess() && !isStream) {
+            relay.streamBuffered(status, context.dialect().encodeResponseHeaders(headers));
+        } else if (relay.isFull()) {
+            rejectResponse(
+                    Kind.OVERSIZED_ANSWER,
+                    "more than "
+                            + ResponseRelay.MAX_BUFFERED_BYTES
+                            + " bytes arrived that complete no response and no event");
+            return;
+        }
+        call.pauseIfClientIsSlow();
+    }
+
+    private void rejectResponse(Kind kind, String detail) {
+        Optional<EndpointAttempt> rejected = call.currentAttempt();
+        handleFailure(createFailure(kind, detail));
+        rejected.ifPresent(EndpointAttempt::cancel);
+    }
+
+    private EndpointFailureException createFailure(Kind kind, String detail) {
+        String address = endpoint.knownEndpoint().report().address().toString();
+        return new EndpointFailureException(kind, address, detail, null);
+    }
+
+    private boolean isSuccess() {
+        return status >= STATUS_OK && status < STATUS_SUCCESS_END && head.isSigned();
+    }
+
+    private void handleHead() {
+        long nowMs = context.timeSource().monotonicMs();
+        head.load().ifPresent(load -> endpoint.updateLoad(load, nowMs));
+        call.recordFirstByte(nowMs);
+        measurement.recordFirstByte();
+        head.coldMs().ifPresent(coldMs -> endpoint.extendCold(nowMs + coldMs));
+        call.countAttempt();
+        if (!head.isNotRun()) {
+            call.recordMayHaveRun();
+        }
+        if (isSuccess() && !relay.beginSuccess(status, headers)) {
+            rejectResponse(
+                    Kind.BROKEN_SEQUENCE,
+                    "the response to a resumed request is no event stream: status " + status);
+            return;
+        }
+        if (isSuccess()) {
+            call.recordFirstToken(nowMs - startedMs);
+        }
+    }
+
+    private void markDone() {
+        if (!done) {
+            done = true;
+            endpoint.recordEnd();
+        }
+        if (call.isFinished()) {
+            measurement.recordNoResult();
+        }
+    }
+
+    private void handleComplete() {
+        if (done) {
+            return;
+        }
+        if (!call.isFinished() && isSuccess() && !relay.isWhole()) {
+            handleFailure(
+                    createFailure(
+                            Kind.TRUNCATED_ANSWER,
+                            "the stream ended inside an event, or without one"));
+            return;
+        }
+        markDone();
+        if (call.isFinished()) {
+            return;
+        }
+        if (head.isNotRun()) {
+            handleNotRun();
+            return;
+        }
+        recordResult(status >= STATUS_SERVER_ERROR || !head.isSigned());
+        if (isSuccess()) {
+            call.complete("answered", status, headers);
+        } else if (isRetryableFailure()) {
+            relay.discardUndelivered();
+            call.tryNextEndpoint();
+        } else {
+            forwardFailure();
+        }
+    }
+
+    private boolean isRetryableFailure() {
+        boolean isEndpointFailure =
+                status >= STATUS_SERVER_ERROR || status < STATUS_SUCCESS_END;
+        return isEndpointFailure && call.mayRetry();
+    }
+
+    private void forwardFailure() {
+        call.forgetCurrentAttempt();
+        if (status < STATUS_SUCCESS_END) {
+            call.failWith("unsigned-answer", "the response of the endpoint is not signed");
+            return;
+        }
+        if (relay.hasStarted()) {
+            String detail = "the endpoint answered with status " + status;
+            context.forwardingLog()
+                    .logFailedAttempt(request, endpoint.id(), "not-resumed", detail);
+            call.failWith("stream-not-resumed", detail);
+            return;
+        }
+        call.complete("endpoint-failure", status, headers);
+    }
+
+    private void handleNotRun() {
+        measurement.recordNoResult();
+        context.metrics().countAttempt(request.service().id(), "not-run");
+        context.forwardingLog()
+                .logFailedAttempt(request, endpoint.id(), "not-run", "status " + status);
+        relay.discardUndelivered();
+        if (call.mayRetry()) {
+            call.tryNextEndpoint();
+        } else {
+            call.failWith(
+                    "endpoints-full",
+                    "the endpoints accept no more requests at the moment: send the request"
+                            + " again later");
+        }
+    }
+
+    private void handleFailure(EndpointFailureException failure) {
+        if (done) {
+            return;
+        }
+        markDone();
+        if (call.isFinished()) {
+            return;
+        }
+        String kind = failure.getKind().name().toLowerCase(Locale.ROOT);
+        context.metrics().countAttempt(request.service().id(), kind);
+        context.forwardingLog()
+                .logFailedAttempt(
+                        request, endpoint.id(), kind, String.valueOf(failure.getMessage()));
+        if (failure.isNotSent()) {
+            measurement.recordNoResult();
+            endpoint.recordConnectionFailure(context.timeSource().monotonicMs());
+            call.retryAfterUnsentAttempt();
+            return;
+        }
+        if (head == null) {
+            call.countAttempt();
+        }
+        call.recordMayHaveRun();
+        recordResult(true);
+        if (failure.getKind() == Kind.CONNECTION_LOST) {
+            endpoint.recordConnectionFailure(context.timeSource().monotonicMs());
+        }
+        relay.discardUndelivered();
+        if (call.mayRetry() && failure.getKind() != Kind.FIRST_BYTE_TIMEOUT) {
+            call.tryNextEndpoint();
+        } else {
+            call.failWith(
+                    "attempt-failed",
+                    "the response of the endpoint was lost: the request may have run");
+        }
+    }
+
+    private void recordResult(boolean isFailure) {
+        long nowMs = context.timeSource().monotonicMs();
+        double medianRate = context.endpoints().medianFailureRate(request.service().id());
+        endpoint.recordResult(isFailure, medianRate, nowMs);
+        measurement.recordResult(isFailure);
+    }
+}
