Send a change of declarations again as it is in process tests

FailureTests failed twice beside heavy load with 422, "operation id was used for another change". The first request had timed out at the node and was committed later; the test then read the new revision and sent the change again with that base, under the same operation id, which the node rightly refuses. A change without a response is now repeated unchanged, and a new one is created only after a conflict.

--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 
 /**
@@ -24,6 +25,7 @@
     static final long READY_TIMEOUT_MS = 30_000;
     static final long ACTIVATION_TIMEOUT_MS = 5_000;
 
+    private static final int STATUS_CONFLICT = 409;
     private static final String DAEMON = "cardamomthread-daemon";
     private static final String STAND_IN = "cardamomthread-standin";
 
@@ -165,23 +167,27 @@
                 node(node).callers(), path, body, Map.of("Idempotency-Key", key.toString()));
     }
 
-    /** Applies declarations to the current revision and returns the accepted revision. */
+    /**
+     * Applies declarations to the current revision and returns the accepted revision. A change
+     * without a response is sent again as it is, since it may have been committed; a new one is
+     * created only if the revision on which it is based is outdated.
+     */
     long apply(String declarations, long timeoutMs) throws Exception {
-        String operationId = UUID.randomUUID().toString();
+        int port = nodes.values().iterator().next().operators();
+        AtomicReference<String> change = new AtomicReference<>();
         long[] accepted = new long[1];
         Waits.until(
                 timeoutMs,
                 "acceptance of declarations",
                 () -> {
-                    int port = nodes.values().iterator().next().operators();
-                    long base = revision(port);
-                    String change =
-                            String.format(
-                                    "{\"operationId\":\"%s\",\"baseRevision\":%d,"
-                                            + "\"declarations\":%s}",
-                                    operationId, base, declarations);
+                    if (change.get() == null) {
+                        change.set(createChange(revision(port), declarations));
+                    }
                     HttpResponse<String> response =
-                            calls.postAsOperator(port, "/v1/configuration/changes", change);
+                            calls.postAsOperator(port, "/v1/configuration/changes", change.get());
+                    if (response.statusCode() == STATUS_CONFLICT) {
+                        change.set(null);
+                    }
                     if (response.statusCode() != 200) {
                         throw new IOException(response.statusCode() + ": " + response.body());
                     }
@@ -191,6 +197,12 @@
         return accepted[0];
     }
 
+    private static String createChange(long baseRevision, String declarations) {
+        return String.format(
+                "{\"operationId\":\"%s\",\"baseRevision\":%d,\"declarations\":%s}",
+                UUID.randomUUID(), baseRevision, declarations);
+    }
+
     long revision(int operatorPort) throws IOException, InterruptedException {
         JsonNode configuration = calls.get(operatorPort, "/v1/configuration");
         return configuration.path("revision").asLong();
