--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -199,8 +199,7 @@
     }
 
     private boolean isRetryableFailure() {
-        boolean isEndpointFailure =
-                status >= STATUS_SERVER_ERROR || status < STATUS_SUCCESS_END;
+        boolean isEndpointFailure = status >= STATUS_SERVER_ERROR || status < STATUS_SUCCESS_END;
         return isEndpointFailure && call.mayRetry();
     }
 
@@ -212,8 +211,7 @@
         }
         if (relay.hasStarted()) {
             String detail = "the endpoint answered with status " + status;
-            context.forwardingLog()
-                    .logFailedAttempt(request, endpoint.id(), "not-resumed", detail);
+            context.forwardingLog().logFailedAttempt(request, endpoint.id(), "not-resumed", detail);
             call.failWith("stream-not-resumed", detail);
             return;
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -125,8 +125,7 @@
                         this::maySend,
                         new ResponseAcceptancePolicy(
                                 context.dialect().correlationHeader(), true, true));
-        ForwardedAttempt listener =
-                new ForwardedAttempt(this, context, request, relay, endpoint);
+        ForwardedAttempt listener = new ForwardedAttempt(this, context, request, relay, endpoint);
         EndpointAttempt started = context.client().start(attempt, listener);
         if (listener.isDone()) {
             started.cancel();
