Never write a call to the platform long after it was decided on

A process that stands still while it connects to the platform goes on with the write when it wakes, whatever it has missed: its lease is checked before the connection, its timeouts run while it does not. The client now refuses to write a call more than 500 ms after the decision, by the clock that counts suspensions.

neverWritesCallOfProcessThatStoodStillWhileConnecting failed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
@@ -4,8 +4,11 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.asynchttpclient.AsyncCompletionHandlerBase;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
+import org.asynchttpclient.netty.request.NettyRequest;
+import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PlatformCall;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,10 +16,11 @@
 /**
  * Sends calls to the platform's API, each at most once.
  *
- * <p>Invariant: a call that timed out can no longer reach the platform. Its connection is reset,
+ * <p>Invariants: a call that timed out can no longer reach the platform. Its connection is reset,
  * since after an orderly close the host would still deliver data that was delayed by a network
- * failure, and the platform would receive a call of a former leader after those of its successor.
- * Thread-safe.
+ * failure, and the platform would receive a call of a former leader after those of its successor. A
+ * call is written soon after it was decided on, or never: a process that stands still while it
+ * connects may no longer be the leader when it goes on. Thread-safe.
  */
 public final class FencedPlatformClient implements AutoCloseable {
 
@@ -26,6 +30,9 @@
      */
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
 
+    /** Longest time between the decision on a call and the moment at which it is written. */
+    static final long MAX_WRITE_DELAY_MS = 500;
+
     /**
      * A linger time of 0 seconds, with which closing resets the connection and discards unsent
      * data.
@@ -36,6 +43,7 @@
 
     private final AsyncHttpClient client;
     private final String baseUrl;
+    private final TimeSource timeSource;
 
     /**
      * Creates a client with its own connections.
@@ -43,8 +51,10 @@
      * @param address the address of the platform's API as {@code ip:port}
      * @param eventLoops the event loops of its connections, which are not shut down by {@link
      *     #close}
+     * @param timeSource supplies monotonic time, including time for which the host was suspended
      */
-    public FencedPlatformClient(String address, EventLoopGroup eventLoops) {
+    public FencedPlatformClient(String address, EventLoopGroup eventLoops, TimeSource timeSource) {
+        this.timeSource = timeSource;
         baseUrl = "http://" + address;
         client =
                 Dsl.asyncHttpClient(
@@ -60,14 +70,14 @@
      * Sends a call to the platform.
      *
      * @param call the call to send
-     * @return a future that completes with the HTTP status code, or fails if no response was
-     *     received in time
+     * @return a future that completes with the HTTP status code, or fails if the call could not be
+     *     written or no response was received in time
      */
     public CompletableFuture<Integer> send(PlatformCall call) {
         return client.preparePost(baseUrl + call.path())
                 .setHeaders(call.headers())
                 .setBody(call.body())
-                .execute()
+                .execute(new TimelyWriteHandler(call.path(), timeSource))
                 .toCompletableFuture()
                 .thenApply(response -> response.getStatusCode());
     }
@@ -80,4 +90,32 @@
             LOGGER.warn("closing the HTTP client for the platform failed", failure);
         }
     }
+
+    /** Refuses to write a call whose decision is too old. */
+    private static final class TimelyWriteHandler extends AsyncCompletionHandlerBase {
+
+        private final String path;
+        private final TimeSource timeSource;
+        private final long decidedMs;
+
+        TimelyWriteHandler(String path, TimeSource timeSource) {
+            this.path = path;
+            this.timeSource = timeSource;
+            decidedMs = timeSource.monotonicMs();
+        }
+
+        @Override
+        public void onRequestSend(NettyRequest request) {
+            long delayMs = timeSource.monotonicMs() - decidedMs;
+            if (delayMs > MAX_WRITE_DELAY_MS) {
+                LOGGER.atWarn()
+                        .addKeyValue("path", path)
+                        .addKeyValue("delayMs", delayMs)
+                        .addKeyValue("maxDelayMs", MAX_WRITE_DELAY_MS)
+                        .log("call to the platform not written: its decision is too old");
+                throw new IllegalStateException(
+                        "the decision on the call is " + delayMs + " ms old: decide anew");
+            }
+        }
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -109,7 +109,9 @@
                         .map(
                                 address ->
                                         new FencedPlatformClient(
-                                                address.toString(), components.eventLoops()));
+                                                address.toString(),
+                                                components.eventLoops(),
+                                                timeSource));
         addGauges();
     }
 
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/FencedPlatformClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/FencedPlatformClientTests.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.duty;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import io.netty.channel.EventLoopGroup;
@@ -11,9 +12,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PlatformCall;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -25,8 +29,11 @@
     private static final PlatformCall CALL =
             new PlatformCall("/scale", new DefaultHttpHeaders(), new byte[] {1, 2, 3});
 
+    private static final int READ_TIMEOUT_MS = 1_000;
+
     private EventLoopGroup eventLoops;
     private ServerSocket platform;
+    private ManualTimeSource time;
     private FencedPlatformClient client;
 
     @BeforeMethod
@@ -34,7 +41,8 @@
     public void start() throws IOException {
         eventLoops = new NioEventLoopGroup(1);
         platform = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-        client = new FencedPlatformClient("127.0.0.1:" + platform.getLocalPort(), eventLoops);
+        time = new ManualTimeSource();
+        client = createClient(time);
     }
 
     @AfterMethod
@@ -63,4 +71,52 @@
             expectThrows(IOException.class, () -> socket.getInputStream().readAllBytes());
         }
     }
+
+    @Test
+    public void neverWritesCallOfProcessThatStoodStillWhileConnecting() throws Exception {
+        FencedPlatformClient frozen = createClient(new FreezingTimeSource(time));
+        CompletableFuture<Integer> status = frozen.send(CALL);
+        try (Socket socket = platform.accept()) {
+            socket.setSoTimeout(READ_TIMEOUT_MS);
+            assertTrue(readByte(socket) < 0);
+            expectThrows(ExecutionException.class, () -> status.get(10, TimeUnit.SECONDS));
+        } finally {
+            frozen.close();
+        }
+    }
+
+    private FencedPlatformClient createClient(TimeSource timeSource) {
+        return new FencedPlatformClient(
+                "127.0.0.1:" + platform.getLocalPort(), eventLoops, timeSource);
+    }
+
+    /** Returns the first byte received, or -1 if the connection ends or stays silent. */
+    private static int readByte(Socket socket) {
+        try {
+            return socket.getInputStream().read();
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    /** Advances by more than the maximum delay with each reading. */
+    private static final class FreezingTimeSource implements TimeSource {
+
+        private final ManualTimeSource time;
+
+        FreezingTimeSource(ManualTimeSource time) {
+            this.time = time;
+        }
+
+        @Override
+        public long monotonicMs() {
+            time.advanceMs(FencedPlatformClient.MAX_WRITE_DELAY_MS + 1);
+            return time.monotonicMs();
+        }
+
+        @Override
+        public Instant instant() {
+            return time.instant();
+        }
+    }
 }
