End a response at the end of its connection only after an orderly close

A response with neither a length nor chunks ends with its connection. Callers saw one as complete whose connection had failed: the codec ends such a response as soon as the channel is inactive, whatever the reason. Two reasons reach callers: a failed read from which AsyncHttpClient tries to recover (a timeout or an unreachable host, as in a partition), and a failed write. The client's own close did the same.

The guard takes the end of the input, which half-closure reports as an event, as the only proof of an orderly close. After any other end of the connection it passes a failure on in place of the end of the response.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon.dispatch;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.Timer;
@@ -19,7 +20,8 @@
  * Sends attempts through AsyncHttpClient, whose own retries and redirects are disabled.
  *
  * <p>Repeatable calls use pooled connections; every other call uses a new connection. Connections
- * on which bytes arrive that are no response are closed. Thread-safe.
+ * on which bytes arrive that are no response are closed, and only an orderly close by the endpoint
+ * ends a response. Thread-safe.
  */
 public final class AsyncEndpointClient implements EndpointClient {
 
@@ -94,7 +96,7 @@
                 new DefaultAsyncHttpClientConfig.Builder()
                         .setEventLoopGroup(eventLoops)
                         .setNettyTimer(timer)
-                        .setHttpAdditionalChannelInitializer(ResponseByteLimiter::addTo)
+                        .setHttpAdditionalChannelInitializer(AsyncEndpointClient::addHandlers)
                         .setKeepAlive(keepAlive)
                         .setMaxRequestRetry(0)
                         .setFollowRedirect(false)
@@ -109,6 +111,11 @@
                         .build());
     }
 
+    private static void addHandlers(Channel channel) {
+        ResponseByteLimiter.addTo(channel);
+        OrderlyCloseGuard.addTo(channel);
+    }
+
     private static void closeQuietly(AsyncHttpClient client) {
         try {
             client.close();
