--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
@@ -141,6 +141,23 @@
         assertEnd(name, CHUNKED + body, ending, Kind.CONNECTION_LOST);
     }
 
+    @DataProvider
+    public Object[][] interimResponses() {
+        String interim = "HTTP/1.1 103 Early Hints\r\nx-request-id: r1\r\n\r\n";
+        return new Object[][] {
+            {"interim only", interim, Ending.CLOSE, Kind.CONNECTION_LOST},
+            {"interim only, open", interim, Ending.KEEP_OPEN, Kind.FIRST_BYTE_TIMEOUT},
+            {"final", interim + UNFRAMED + "body", Ending.CLOSE, null},
+            {"final, reset", interim + UNFRAMED + "body", Ending.RESET, Kind.CONNECTION_LOST},
+        };
+    }
+
+    @Test(dataProvider = "interimResponses")
+    public void interimResponseIsNoEnd(String name, String response, Ending ending, Kind expected)
+            throws Exception {
+        assertEnd(name, response, ending, expected);
+    }
+
     @Test
     public void resetTogetherWithTheLastBytesIsNoEnd() throws Exception {
         for (int i = 0; i < REPETITIONS; i++) {
