Discard interim responses of endpoints

A response with a status such as 102 or 103 was taken for the final one: the attempt ended as complete while the endpoint went on with the request. Repeatable requests and resumable streams were then sent to a second endpoint, others failed with 502, and one that also stated "not run" would have been sent again. The next request on the connection met the real response. Cause: the HTTP client passes every head on as the response, except 100.

RepeatedRefusalTests.neverTakesAnInterimResponseForTheResponse failed in 4 of 5 rows (102, 103 with the id of the request, without one, and with that of another) and passes now. The handler behind the codec drops them, and still counts their bytes, so that EndlessResponseTests keep their bound.

The tests of the same class on refusals that an endpoint writes again (together with the refusal, before and after the next request, with and without its id, on kept and new connections, and 200 pairs at random moments) passed before this change.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/ResponseByteLimiter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/ResponseByteLimiter.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -19,7 +20,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Closes a connection on which an endpoint sends bytes that belong to no response.
+ * Closes a connection on which an endpoint sends bytes that belong to no response, and discards
+ * interim responses, which AsyncHttpClient would take for the final one.
  *
  * <p>Invariants: no more than {@value #MAX_UNUSED_BYTES} bytes are read without a part of the
  * expected response among them, and none while no response is expected. Confined to the event loop
@@ -104,15 +106,23 @@
             if (message instanceof HttpResponse response) {
                 isInterimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             }
+            if (isInterimResponse && !isInvalid(message)) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
             boolean isContent =
                     message instanceof HttpContent content && content.content().isReadable();
-            if (!isInterimResponse && (message instanceof HttpResponse || isContent)) {
+            if (message instanceof HttpResponse || isContent) {
                 unusedBytes = 0;
             }
-            if (message instanceof LastHttpContent && !isInterimResponse) {
+            if (message instanceof LastHttpContent) {
                 isResponseExpected = false;
             }
             context.fireChannelRead(message);
         }
+
+        private static boolean isInvalid(Object message) {
+            return message instanceof HttpObject part && part.decoderResult().isFailure();
+        }
     }
 }
