Send a retry on a connection that carries no earlier response

In the form with homes all attempts of a call have one request id, and a call goes back to an endpoint on which it failed if no other is left. On a kept connection, a refusal that the endpoint wrote again was then taken for the response of the retry, which the endpoint was running: the id of both is the same. The caller got a 502 for a call that ran to its end, or the retry budget was spent on it.

A retry uses a new connection, on which no response to an earlier attempt can arrive. Calls of the other form never go back to an endpoint that was tried.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
@@ -18,8 +18,8 @@
 /**
  * Sends attempts through AsyncHttpClient, whose own retries and redirects are disabled.
  *
- * <p>Repeatable calls use pooled connections; every other call uses a new connection. Connections
- * on which bytes arrive that are no response are closed. Thread-safe.
+ * <p>Requests that may reuse a connection use pooled ones; every other request uses a new one.
+ * Connections on which bytes arrive that are no response are closed. Thread-safe.
  */
 public final class AsyncEndpointClient implements EndpointClient {
 
@@ -66,7 +66,7 @@
     @Override
     public EndpointAttempt start(EndpointRequest request, EndpointResponseListener listener) {
         AttemptHandler handler = new AttemptHandler(request, listener, timer, timeSource);
-        AsyncHttpClient client = request.isRepeatable() ? pooledClient : singleUseClient;
+        AsyncHttpClient client = request.mayReuseConnection() ? pooledClient : singleUseClient;
         handler.attach(client.executeRequest(createRequest(request), handler));
         return handler;
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
@@ -64,6 +64,7 @@
                                     newReservation,
                                     getRequestTarget(),
                                     createBody(),
+                                    attemptCount > 1,
                                     listener);
             if (reservation == newReservation) {
                 attempt = startedAttempt;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptDispatcher.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptDispatcher.java
@@ -28,12 +28,17 @@
         this.tracing = tracing;
     }
 
-    /** Starts an attempt and a span, which ends with the listener's last event. */
+    /**
+     * Starts an attempt and a span, which ends with the listener's last event. A retry has the id
+     * of the attempts before it, so it uses a new connection, on which none of their responses can
+     * arrive.
+     */
     EndpointAttempt start(
             CallContext context,
             EndpointReservation reservation,
             String target,
             byte[] body,
+            boolean isRetry,
             EndpointResponseListener listener) {
         Span span = tracing.startSpan("endpoint attempt", SpanKind.CLIENT, context.getSpan());
         span.setAttribute("cardamomthread.endpoint", reservation.getEndpoint().value());
@@ -53,7 +58,7 @@
                         headers,
                         body,
                         context.getRequestId(),
-                        context.getTarget().isRepeatable(),
+                        context.getTarget().isRepeatable() && !isRetry,
                         context.getTarget().traffic().getFirstByteTimeoutMs(),
                         context.getTarget().traffic().getGapTimeoutMs(),
                         reservation::maySend,
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -52,6 +53,24 @@
         assertEquals(caller.getStatus(), 200);
     }
 
+    @Test
+    public void retriesWithoutAConnectionThatMayCarryAnEarlierResponseWithTheSameId() {
+        endpoints.addScript(
+                listener -> {
+                    listener.onHead(503, new DefaultHttpHeaders());
+                    listener.onComplete();
+                });
+        endpoints.addScript(
+                listener -> {
+                    listener.onHead(200, new DefaultHttpHeaders());
+                    listener.onComplete();
+                });
+        start();
+        assertEquals(endpoints.getRequest(1).requestId(), endpoints.getRequest(0).requestId());
+        assertTrue(endpoints.getRequest(0).mayReuseConnection());
+        assertFalse(endpoints.getRequest(1).mayReuseConnection());
+    }
+
     @Test
     public void passesALongResponseOn() {
         endpoints.addScript(send(200).andThen(EndpointResponseListener::onComplete));
