--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dialect/EndpointReport.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dialect/EndpointReport.java
@@ -36,13 +36,26 @@
         long coldMs,
         boolean isReclaimable) {
 
-    /** Creates a report; no reference may be null. */
+    /** The highest number of slots of one endpoint. */
+    public static final int MAX_SLOTS = 65_536;
+
+    /** The longest time for which an endpoint may remain cold, in milliseconds. */
+    public static final long MAX_COLD_MS = 86_400_000;
+
+    /** The highest start time and sequence number, which every JSON library can represent. */
+    public static final long MAX_COUNTER = (1L << 53) - 1;
+
+    /** Creates a report; no reference may be null, and each number must be within its bounds. */
     public EndpointReport {
         Objects.requireNonNull(id, "id must not be null");
         Objects.requireNonNull(service, "service must not be null");
         Objects.requireNonNull(address, "address must not be null");
         Objects.requireNonNull(dataCentre, "dataCentre must not be null");
         Objects.requireNonNull(version, "version must not be null");
+        requireBetween("startTimeMs", startTimeMs, 0, MAX_COUNTER);
+        requireBetween("sequence", sequence, 0, MAX_COUNTER);
+        requireBetween("slots", slots, 1, MAX_SLOTS);
+        requireBetween("coldMs", coldMs, 0, MAX_COLD_MS);
     }
 
     /**
@@ -64,4 +77,11 @@
                 coldMs,
                 isReclaimable);
     }
+
+    private static void requireBetween(String name, long value, long min, long max) {
+        if (value < min || value > max) {
+            throw new IllegalArgumentException(
+                    name + " " + value + " must be " + min + " to " + max);
+        }
+    }
 }
