Ignore reports of endpoints that claim to have started far ahead

The start time of an endpoint decides to which of two an address, or an id, belongs: the later one keeps it. A report with a start in the far future therefore removed the endpoint that was there, and all its later reports were ignored while the odd one was repeated. A removal with such a start had the same effect on one id.

The registry takes a start for true up to one hour ahead of the clock of its host, well beyond the difference of any clocks, since a bound that is too tight would refuse sound endpoints on a host whose clock is late. What lies beyond is ignored and logged with the start, the bound and what to check.

EndpointRegistryTests.keepsEndpointWhenReportClaimsToHaveStartedFarAhead failed before, with the same id and with another id at the same address.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointRegistry.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointRegistry.java
@@ -30,6 +30,12 @@
      */
     static final long RETENTION_MS = 120_000;
 
+    /**
+     * Time by which the start of an endpoint may lie ahead of the clock of this host; no clocks
+     * differ by more.
+     */
+    static final long MAX_START_AHEAD_MS = 3_600_000;
+
     /** Difference up to which a new end of the cold time does not count as a change. */
     private static final long COLD_TOLERANCE_MS = 500;
 
@@ -58,9 +64,13 @@
      * Applies a report.
      *
      * @param received the report of an endpoint
-     * @return the resulting entry, or empty if the report is outdated and was ignored
+     * @return the resulting entry, or empty if the report is outdated, or states a start that lies
+     *     too far ahead, and was ignored
      */
     public Optional<RegisteredEndpoint> accept(EndpointReport received) {
+        if (received.startTimeMs() > latestStartTimeMs()) {
+            return Optional.empty();
+        }
         RegisteredEndpoint known = endpoints.get(received.id());
         if (known != null && isOutdated(received, known) || hasTombstone(received)) {
             return Optional.empty();
@@ -88,9 +98,12 @@
      * @param endpoint the endpoint that stops
      * @param startTimeMs the start time of the incarnation to remove, in milliseconds since 1970,
      *     or 0 for the known one
-     * @return the removed entry, or empty if that incarnation is not known
+     * @return the removed entry, or empty if that incarnation is not known, or cannot have started
      */
     public Optional<RegisteredEndpoint> remove(EndpointId endpoint, long startTimeMs) {
+        if (startTimeMs > latestStartTimeMs()) {
+            return Optional.empty();
+        }
         RegisteredEndpoint known = endpoints.get(endpoint);
         boolean matchesKnownStart =
                 known != null && (startTimeMs == 0 || startTimeMs >= known.report().startTimeMs());
@@ -129,6 +142,16 @@
         }
     }
 
+    /**
+     * Returns the latest start time that is taken for true. An endpoint with a later one would keep
+     * its id and its address from all that start after it.
+     *
+     * @return the start time in milliseconds since 1970
+     */
+    public long latestStartTimeMs() {
+        return timeSource.millis() + MAX_START_AHEAD_MS;
+    }
+
     /**
      * Returns the revision of the last change.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointUpdateReplicator.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointUpdateReplicator.java
@@ -126,6 +126,7 @@
     }
 
     private RegisteredEndpoint applyReport(EndpointReport report) {
+        logImplausibleStart(report.id(), report.startTimeMs());
         long previousRevision = registry.revision();
         RegisteredEndpoint entry = registry.accept(report).orElse(null);
         if (registry.revision() != previousRevision) {
@@ -153,7 +154,23 @@
         return entry;
     }
 
+    private void logImplausibleStart(EndpointId endpoint, long startTimeMs) {
+        if (startTimeMs > registry.latestStartTimeMs()) {
+            log.log(
+                    "endpoint-report-ignored",
+                    "endpoint",
+                    endpoint,
+                    "startTimeMs",
+                    startTimeMs,
+                    "latestStartTimeMs",
+                    registry.latestStartTimeMs(),
+                    "reason",
+                    "the start time is ahead of the clock: compare the clocks of both hosts");
+        }
+    }
+
     private RegisteredEndpoint applyRemoval(EndpointId endpoint, long startTimeMs) {
+        logImplausibleStart(endpoint, startTimeMs);
         RegisteredEndpoint entry = registry.remove(endpoint, startTimeMs).orElse(null);
         log.log(
                 "endpoint-gone",
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/registry/EndpointRegistryTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/registry/EndpointRegistryTests.java
@@ -127,6 +127,26 @@
         assertTrue(registry.listChangedSince(0).isEmpty());
     }
 
+    @DataProvider
+    public Object[][] idsAndAddresses() {
+        return new Object[][] {{"other id", "b", ADDRESS}, {"same id", "a", "10.1.0.10:8080"}};
+    }
+
+    @Test(dataProvider = "idsAndAddresses")
+    public void keepsEndpointWhenReportClaimsToHaveStartedFarAhead(
+            String name, String id, String address) {
+        time.advanceMs(10_000);
+        registry.accept(report("a", 9_000, 1, ADDRESS, false));
+        long aheadMs = time.millis() + EndpointRegistry.MAX_START_AHEAD_MS + 1;
+        assertTrue(registry.accept(report(id, aheadMs, 1, address, false)).isEmpty(), name);
+        assertTrue(registry.remove(new EndpointId("a"), aheadMs).isEmpty(), name);
+        assertTrue(registry.accept(report("a", 9_000, 2, ADDRESS, false)).isPresent(), name);
+        assertEquals(registry.listPresent().size(), 1, name);
+        assertTrue(
+                registry.accept(report("a", time.millis() + 1_000, 1, ADDRESS, false)).isPresent(),
+                name);
+    }
+
     private static EndpointReport report(
             String id, long startTimeMs, long sequence, String address, boolean isDraining) {
         return new EndpointReport(
