Apply a view whose entries are not all valid

One entry that cannot be decoded, such as a port out of range, made a gateway drop the whole view: it went on polling, but applied nothing more and let its view lease expire, after which it rejects every request with a key. Control nodes check what endpoints report, so that such an entry has to come from a control node of another release; and a cold time of 2^63 - 1 ms was accepted and overflowed.

EndpointEntryCodec throws the typed exception, the gateway skips the entry with a warning and applies the others, and a control node that receives such an update logs why it ignores it.

ViewServerTests.appliesTheOtherEntriesOfAViewWithAMalformedOne failed before in all 14 rows.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointUpdateReplicator.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointUpdateReplicator.java
@@ -9,11 +9,14 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.Identifiers;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.dialect.EndpointReport;
+import org.cardamomthread.daemon.dialect.MalformedMessageException;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
 import org.cardamomthread.daemon.view.EndpointEntryCodec;
+import org.cardamomthread.daemon.view.generated.EndpointEntry;
 import org.cardamomthread.daemon.view.generated.EndpointNews;
 import org.cardamomthread.daemon.view.generated.EndpointNewsAnswer;
 import org.cardamomthread.transport.PeerTopic;
@@ -226,25 +229,32 @@
     }
 
     private CompletionStage<byte[]> handleUpdate(NodeId from, byte[] payload) {
-        EndpointNews update;
+        Runnable change;
         try {
-            update = EndpointNews.parseFrom(payload);
-        } catch (InvalidProtocolBufferException e) {
+            change = decodeChange(EndpointNews.parseFrom(payload));
+        } catch (InvalidProtocolBufferException | MalformedMessageException e) {
+            log.log("endpoint-update-ignored", "node", from, "reason", e.getMessage());
             return CompletableFuture.failedFuture(e);
         }
         return controlThread.submit(
                 () -> {
-                    if (update.getGone()) {
-                        applyRemoval(
-                                new EndpointId(update.getEntry().getId()),
-                                update.getEntry().getBornMs());
-                    } else {
-                        applyReport(EndpointEntryCodec.decode(update.getEntry()));
-                    }
+                    change.run();
                     return EndpointNewsAnswer.newBuilder()
                             .setLeads(isLeader.getAsBoolean())
                             .build()
                             .toByteArray();
                 });
     }
+
+    private Runnable decodeChange(EndpointNews update) throws MalformedMessageException {
+        EndpointEntry entry = update.getEntry();
+        if (!update.getGone()) {
+            EndpointReport report = EndpointEntryCodec.decode(entry);
+            return () -> applyReport(report);
+        }
+        if (!Identifiers.isValid(entry.getId())) {
+            throw new MalformedMessageException("endpoint id \"" + entry.getId() + "\" is invalid");
+        }
+        return () -> applyRemoval(new EndpointId(entry.getId()), entry.getBornMs());
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/EndpointEntryCodec.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/EndpointEntryCodec.java
@@ -6,6 +6,7 @@
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.daemon.dialect.EndpointReport;
+import org.cardamomthread.daemon.dialect.MalformedMessageException;
 import org.cardamomthread.daemon.view.generated.EndpointEntry;
 
 /** Converts endpoint reports to and from the messages exchanged between nodes. Stateless. */
@@ -41,19 +42,25 @@
      *
      * @param entry the received message
      * @return the decoded report
+     * @throws MalformedMessageException if a field has no valid value
      */
-    public static EndpointReport decode(EndpointEntry entry) {
-        return new EndpointReport(
-                new EndpointId(entry.getId()),
-                entry.getBornMs(),
-                entry.getSequence(),
-                new ServiceId(entry.getService()),
-                NetworkAddress.parse(entry.getAddress()),
-                new DataCentreId(entry.getDataCentre()),
-                new VersionId(entry.getVersion()),
-                entry.getSlots(),
-                entry.getLeaving(),
-                entry.getColdMs(),
-                entry.getReclaimable());
+    public static EndpointReport decode(EndpointEntry entry) throws MalformedMessageException {
+        try {
+            return new EndpointReport(
+                    new EndpointId(entry.getId()),
+                    entry.getBornMs(),
+                    entry.getSequence(),
+                    new ServiceId(entry.getService()),
+                    NetworkAddress.parse(entry.getAddress()),
+                    new DataCentreId(entry.getDataCentre()),
+                    new VersionId(entry.getVersion()),
+                    entry.getSlots(),
+                    entry.getLeaving(),
+                    entry.getColdMs(),
+                    entry.getReclaimable());
+        } catch (IllegalArgumentException e) {
+            throw new MalformedMessageException(
+                    "the entry of endpoint \"" + entry.getId() + "\": " + e.getMessage(), e);
+        }
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewUpdater.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewUpdater.java
@@ -11,13 +11,17 @@
 import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.Identifiers;
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.dialect.EndpointReport;
 import org.cardamomthread.daemon.dialect.MalformedMessageException;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.view.generated.EndpointEntry;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 import org.cardamomthread.daemon.view.generated.ViewResponse;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Maintains a gateway's view from the leader's responses.
@@ -34,6 +38,8 @@
      */
     static final long MERGE_PERIOD_MS = 4_000;
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(ViewUpdater.class);
+
     private final PlatformDialect dialect;
     private final TimeSource timeSource;
     private GatewayView view = GatewayView.EMPTY;
@@ -126,8 +132,11 @@
             endpoints.keySet().forEach(id -> unconfirmedSinceMs.put(id, nowMs));
         }
         for (EndpointEntry entry : response.getEndpointsList()) {
-            KnownEndpoint endpoint =
-                    new KnownEndpoint(EndpointEntryCodec.decode(entry), nowMs + entry.getColdMs());
+            Optional<EndpointReport> report = decodeEndpoint(entry);
+            if (report.isEmpty()) {
+                continue;
+            }
+            KnownEndpoint endpoint = new KnownEndpoint(report.get(), nowMs + report.get().coldMs());
             EndpointId id = endpoint.report().id();
             KnownEndpoint existing = endpoints.get(id);
             if (existing == null
@@ -136,7 +145,9 @@
             }
             unconfirmedSinceMs.remove(id);
         }
-        response.getRemovedList().forEach(id -> endpoints.remove(new EndpointId(id)));
+        response.getRemovedList().stream()
+                .filter(Identifiers::isValid)
+                .forEach(id -> endpoints.remove(new EndpointId(id)));
         unconfirmedSinceMs
                 .entrySet()
                 .removeIf(
@@ -152,6 +163,16 @@
         return endpoints;
     }
 
+    /** Decodes an entry, or returns empty if it is malformed: the other entries remain usable. */
+    private static Optional<EndpointReport> decodeEndpoint(EndpointEntry entry) {
+        try {
+            return Optional.of(EndpointEntryCodec.decode(entry));
+        } catch (MalformedMessageException e) {
+            LOGGER.warn("ignored an endpoint in the view: {}", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     private static Set<DataCentreId> decodeDrained(TrafficState state) {
         Set<DataCentreId> drainedDataCentres = new HashSet<>();
         state.getDrainedDataCentresList()
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.id.ServiceId;
@@ -17,10 +18,12 @@
 import org.cardamomthread.daemon.testing.FakeReplicationGroup;
 import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.testing.TestPlatformDialect;
+import org.cardamomthread.daemon.view.generated.EndpointEntry;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 import org.cardamomthread.daemon.view.generated.ViewResponse;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -100,6 +103,42 @@
         assertFalse(updater.view().endpoints().containsKey(REMAINING_ENDPOINT));
     }
 
+    @DataProvider
+    public Object[][] malformedEntries() {
+        EndpointEntry sound = EndpointEntryCodec.encode(report(new EndpointId("odd")), 0);
+        return new Object[][] {
+            {EndpointEntry.getDefaultInstance()},
+            {sound.toBuilder().setId("x".repeat(129)).build()},
+            {sound.toBuilder().setService("").build()},
+            {sound.toBuilder().setVersion("v 1").build()},
+            {sound.toBuilder().setAddress("10.0.0.3:70000").build()},
+            {sound.toBuilder().setAddress("10.0.0.3:0").build()},
+            {sound.toBuilder().setAddress("example:80").build()},
+            {sound.toBuilder().setSlots(0).build()},
+            {sound.toBuilder().setSlots(-5).build()},
+            {sound.toBuilder().setColdMs(Long.MAX_VALUE).build()},
+            {sound.toBuilder().setColdMs(-1).build()},
+            {sound.toBuilder().setBornMs(-1).build()},
+            {sound.toBuilder().setBornMs(Long.MAX_VALUE).build()},
+            {sound.toBuilder().setSequence(Long.MAX_VALUE).build()},
+        };
+    }
+
+    @Test(dataProvider = "malformedEntries")
+    public void appliesTheOtherEntriesOfAViewWithAMalformedOne(EndpointEntry malformed)
+            throws Exception {
+        ViewResponse response =
+                ViewResponse.newBuilder()
+                        .setRegisterSource("one")
+                        .setRegisterComplete(true)
+                        .addEndpoints(malformed)
+                        .addEndpoints(EndpointEntryCodec.encode(report(REMAINING_ENDPOINT), 0))
+                        .addRemoved("")
+                        .build();
+        assertTrue(updater.apply(response));
+        assertEquals(updater.view().endpoints().keySet(), Set.of(REMAINING_ENDPOINT));
+    }
+
     private ViewResponse poll(ControlNode node) throws Exception {
         ViewRequest.Builder request = ViewRequest.newBuilder();
         updater.addKnownRevisions(request);
