Bound the numbers in announcements

In the form with homes, numbers in announcements were cast without a check of their range: an incarnation of 2^64 + 3 was taken for 3,  running requests for 3 (2^31 - 1 overflow the sum with the queued ones), a time of -2^63 ms overflows the estimate of an announcement's age, and a rate of 1e300 tokens per second, or one that is a text, was taken in as infinite or 0.

The reader refuses them with the typed exception, which names the member and its bounds. Gateways and homes pass on only what it has accepted.

Ports out of range, deep nesting, wrong types of the members that are required, and unreadable bodies were refused before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/AnnouncementReader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/membership/AnnouncementReader.java
@@ -29,6 +29,18 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int HEXADECIMAL = 16;
 
+    /** The highest integer that every JSON library can represent. */
+    private static final long MAX_INTEGER = (1L << 53) - 1;
+
+    /** The highest number of requests that an endpoint may report. */
+    private static final long MAX_REQUESTS = 1_000_000;
+
+    /** The highest number of tokens per second that an endpoint may report. */
+    private static final double MAX_TOKEN_RATE = 1e9;
+
+    /** The cache may be reported as slightly overfull. */
+    private static final double MAX_FRACTION = 2;
+
     private AnnouncementReader() {}
 
     /**
@@ -96,12 +108,12 @@
     private static EndpointLoad readLoad(JsonNode load) {
         return new EndpointLoad(
                 readNumber(load, "atMs"),
-                (int) readNumber(load, "running"),
-                (int) readNumber(load, "queued"),
-                (int) readNumber(load, "bearableRequests"),
-                load.path("kvUsedFraction").asDouble(0),
-                load.path("prefillTokensPerSecond").asDouble(0),
-                load.path("decodeTokensPerSecond").asDouble(0));
+                readCount(load, "running"),
+                readCount(load, "queued"),
+                readCount(load, "bearableRequests"),
+                readOptionalNumber(load, "kvUsedFraction", MAX_FRACTION),
+                readOptionalNumber(load, "prefillTokensPerSecond", MAX_TOKEN_RATE),
+                readOptionalNumber(load, "decodeTokensPerSecond", MAX_TOKEN_RATE));
     }
 
     private static List<CacheEvent> readCacheEvents(JsonNode events) {
@@ -125,11 +137,38 @@
         return value.asText();
     }
 
+    private static int readCount(JsonNode object, String member) {
+        return (int) readNumber(object, member, MAX_REQUESTS);
+    }
+
     private static long readNumber(JsonNode object, String member) {
+        return readNumber(object, member, MAX_INTEGER);
+    }
+
+    private static long readNumber(JsonNode object, String member, long max) {
         JsonNode value = object.path(member);
-        if (!value.isIntegralNumber()) {
-            throw new IllegalArgumentException("member \"" + member + "\" must be a whole number");
+        boolean isInBounds =
+                value.isIntegralNumber()
+                        && value.canConvertToLong()
+                        && value.asLong() >= 0
+                        && value.asLong() <= max;
+        if (!isInBounds) {
+            throw new IllegalArgumentException(
+                    "member \"" + member + "\" must be a whole number from 0 to " + max);
         }
         return value.asLong();
     }
+
+    /** Reads a number from 0 to {@code max}, which is 0 if it is absent. */
+    private static double readOptionalNumber(JsonNode object, String member, double max) {
+        JsonNode value = object.path(member);
+        if (value.isMissingNode() || value.isNull()) {
+            return 0;
+        }
+        if (!value.isNumber() || !(value.asDouble() >= 0 && value.asDouble() <= max)) {
+            throw new IllegalArgumentException(
+                    "member \"" + member + "\" must be a number from 0 to " + max);
+        }
+        return value.asDouble();
+    }
 }
