Refuse a response whose transfer encoding is not decoded

A response with a transfer coding other than chunked was passed on as whole: its coding was dropped with the headers of the connection, its body stayed encoded, and beside a content length, which does not apply then, its end was taken from that length. Such an attempt now fails as truncated, so that another endpoint can be tried.

Four rows of failsResponseWhoseTransferEncodingIsNotDecoded ended as complete before; "chunked, gzip" was rejected by the codec already.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
@@ -7,6 +7,7 @@
 import io.netty.util.Timeout;
 import io.netty.util.Timer;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.asynchttpclient.AsyncHandler;
@@ -138,6 +139,14 @@
                     null);
             return State.ABORT;
         }
+        if (!isTransferEncodingDecoded(headers)) {
+            fail(
+                    Kind.TRUNCATED_ANSWER,
+                    "the response has a transfer encoding other than chunked, whose end is not"
+                            + " recognized: have the endpoint send chunked encoding or a length",
+                    null);
+            return State.ABORT;
+        }
         isHeadReceived = true;
         lastProgressMs = timeSource.monotonicMs();
         listener.onHead(status, headers);
@@ -208,6 +217,14 @@
                         HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true);
     }
 
+    private static boolean isTransferEncodingDecoded(HttpHeaders headers) {
+        List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return encodings.isEmpty()
+                || encodings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                encodings.get(0).trim());
+    }
+
     private Timeout scheduleProgressCheck(long delayMs) {
         return timer.newTimeout(expired -> checkProgress(), delayMs, TimeUnit.MILLISECONDS);
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
@@ -158,6 +158,25 @@
         assertEnd(name, response, ending, expected);
     }
 
+    @DataProvider
+    public Object[][] unknownTransferEncodings() {
+        String chunk = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+        Kind truncated = Kind.TRUNCATED_ANSWER;
+        return new Object[][] {
+            {"transfer-encoding: gzip\r\n\r\nbody", truncated},
+            {"transfer-encoding: gzip\r\ncontent-length: 4\r\n\r\nbody", truncated},
+            {"transfer-encoding: gzip, chunked" + chunk, truncated},
+            {"transfer-encoding: gzip\r\ntransfer-encoding: chunked" + chunk, truncated},
+            {"transfer-encoding: chunked, gzip" + chunk, Kind.CONNECTION_LOST},
+        };
+    }
+
+    @Test(dataProvider = "unknownTransferEncodings")
+    public void failsResponseWhoseTransferEncodingIsNotDecoded(String headersAndBody, Kind expected)
+            throws Exception {
+        assertEnd(headersAndBody, OK_HEAD + headersAndBody, Ending.CLOSE, expected);
+    }
+
     @Test
     public void resetTogetherWithTheLastBytesIsNoEnd() throws Exception {
         for (int i = 0; i < REPETITIONS; i++) {
