Let HTTP/1.0 clients tell an aborted stream from a complete one

Clients that speak HTTP/1.0, for which chunked encoding does not exist, received the chunk sizes as part of the body, and an aborted stream as complete: for them the end of the connection is the end of the body. Streams to them are now sent without chunks, and the connection is reset unless the stream was finished. The reset is set up when the stream begins, so that it also acts when the listener closes its connections and when the process ends.

onlyAFinishedStreamLooksComplete failed before for HTTP/1.0 (aborted, aborted with pending bytes, listener closed), sendsNoChunksToHttp10Clients in both rows. The rows of HTTP/1.1 passed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
@@ -1,7 +1,9 @@
 package org.cardamomthread.daemon.http;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -23,18 +25,21 @@
 /**
  * Implements the exchange of one request on a connection.
  *
- * <p>Invariant: the request counts as in progress until the last byte of its response was written
- * or the connection was closed. Thread-safe; writes are performed in order on the event loop.
+ * <p>Invariants: the request counts as in progress until the last byte of its response was written
+ * or the connection was closed; a stream looks complete to the client only if it was finished.
+ * Thread-safe; writes are performed in order on the event loop.
  */
 final class DefaultHttpExchange implements HttpExchange {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(DefaultHttpExchange.class);
+    private static final int NO_LINGER = -1;
 
     private final ChannelHandlerContext context;
     private final HttpConnectionHandler connection;
     private final ServerState serverState;
     private final ServerRequest request;
     private final boolean keepAlive;
+    private final boolean acceptsChunks;
     private final AtomicBoolean responded = new AtomicBoolean();
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicLong pendingBytes = new AtomicLong();
@@ -46,12 +51,14 @@
             HttpConnectionHandler connection,
             ServerState serverState,
             ServerRequest request,
-            boolean keepAlive) {
+            boolean keepAlive,
+            boolean acceptsChunks) {
         this.context = context;
         this.connection = connection;
         this.serverState = serverState;
         this.request = request;
         this.keepAlive = keepAlive;
+        this.acceptsChunks = acceptsChunks;
     }
 
     static FullHttpResponse encode(ServerResponse response) {
@@ -76,7 +83,7 @@
             return;
         }
         FullHttpResponse nettyResponse = encode(response);
-        boolean close = addCloseHeaderIfNeeded(nettyResponse.headers());
+        boolean close = addCloseHeaderIfNeeded(nettyResponse.headers(), keepAlive);
         context.writeAndFlush(nettyResponse).addListener(written -> onResponseWritten(close));
     }
 
@@ -88,10 +95,14 @@
         DefaultHttpResponse nettyResponse =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         nettyResponse.headers().add(headers);
-        nettyResponse.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        boolean close = addCloseHeaderIfNeeded(nettyResponse.headers());
+        boolean close = addCloseHeaderIfNeeded(nettyResponse.headers(), keepAlive && acceptsChunks);
+        if (acceptsChunks) {
+            HttpUtil.setTransferEncodingChunked(nettyResponse, true);
+        } else {
+            resetWhenClosed(true);
+        }
         context.writeAndFlush(nettyResponse);
-        return new ChunkedResponseStream(close);
+        return new DefaultResponseStream(close);
     }
 
     @Override
@@ -133,14 +144,26 @@
                         .toResponse("none"));
     }
 
-    private boolean addCloseHeaderIfNeeded(HttpHeaders headers) {
-        boolean close = !keepAlive || serverState.isDraining();
+    private boolean addCloseHeaderIfNeeded(HttpHeaders headers, boolean mayKeepAlive) {
+        boolean close = !mayKeepAlive || serverState.isDraining();
         if (close) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         return close;
     }
 
+    /**
+     * Sets whether the connection is reset when it is closed. Without chunks, an orderly close
+     * would complete the body, even one by the operating system when this process ends.
+     */
+    private void resetWhenClosed(boolean reset) {
+        try {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, reset ? 0 : NO_LINGER);
+        } catch (ChannelException closed) {
+            LOGGER.debug("the client has closed the connection", closed);
+        }
+    }
+
     private void onResponseWritten(boolean close) {
         if (!ended.compareAndSet(false, true)) {
             return;
@@ -153,12 +176,12 @@
         connection.onRequestCompleted(context);
     }
 
-    /** Writes a response body with chunked transfer encoding. */
-    private final class ChunkedResponseStream implements ResponseStream {
+    /** Writes a response body in chunks, or up to the end of the connection for HTTP/1.0. */
+    private final class DefaultResponseStream implements ResponseStream {
 
         private final boolean close;
 
-        ChunkedResponseStream(boolean close) {
+        DefaultResponseStream(boolean close) {
             this.close = close;
         }
 
@@ -172,7 +195,14 @@
         @Override
         public void finish() {
             context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(written -> DefaultHttpExchange.this.onResponseWritten(close));
+                    .addListener(written -> onStreamWritten(written.isSuccess()));
+        }
+
+        private void onStreamWritten(boolean isWhole) {
+            if (!acceptsChunks && isWhole) {
+                resetWhenClosed(false);
+            }
+            onResponseWritten(close);
         }
 
         @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
@@ -192,8 +192,14 @@
         String query = queryStart < 0 ? "" : target.substring(queryStart + 1);
         ServerRequest serverRequest =
                 new ServerRequest(request.method(), path, query, request.headers(), bytes);
-        boolean keepAlive = HttpUtil.isKeepAlive(request);
-        exchange = new DefaultHttpExchange(context, this, serverState, serverRequest, keepAlive);
+        exchange =
+                new DefaultHttpExchange(
+                        context,
+                        this,
+                        serverState,
+                        serverRequest,
+                        HttpUtil.isKeepAlive(request),
+                        request.protocolVersion().equals(HttpVersion.HTTP_1_1));
         try {
             handler.handle(exchange);
         } catch (RuntimeException failure) {
