Parse event streams whose lines end with CR alone

Event streams may end their lines with LF, CR or CRLF. With CR alone the parser found no event: the whole stream was held back until it was too long or ended, and then tried again on other endpoints until the call failed. A CR now ends a line, and an LF after it is skipped.

Two rows of parsesTheSameEventsForAnyChunkSize failed before: CR alone, and mixed ends.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/EventStreamParser.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/EventStreamParser.java
@@ -8,8 +8,8 @@
 /**
  * Parses a server-sent event stream into the data of its events.
  *
- * <p>The stream may be fed in chunks of any size. Comments and fields other than {@code data} are
- * ignored. Not thread-safe.
+ * <p>Lines may end with LF, CR or CRLF, and the stream may be fed in chunks of any size. Comments
+ * and fields other than {@code data} are ignored. Not thread-safe.
  */
 final class EventStreamParser {
 
@@ -19,6 +19,7 @@
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private final StringBuilder data = new StringBuilder();
     private boolean hasData;
+    private boolean wasCr;
 
     /**
      * Creates a parser.
@@ -39,7 +40,12 @@
     List<String> feed(byte[] part) throws MalformedResponseException {
         List<String> events = new ArrayList<>();
         for (byte next : part) {
-            if (next == '\n') {
+            boolean isSecondOfCrLf = wasCr && next == '\n';
+            wasCr = next == '\r';
+            if (isSecondOfCrLf) {
+                continue;
+            }
+            if (next == '\n' || next == '\r') {
                 endLine(events);
             } else {
                 line.write(next);
@@ -57,9 +63,6 @@
     private void endLine(List<String> events) {
         String text = line.toString(StandardCharsets.UTF_8);
         line.reset();
-        if (text.endsWith("\r")) {
-            text = text.substring(0, text.length() - 1);
-        }
         if (text.isEmpty()) {
             endEvent(events);
             return;
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/EventStreamParserTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/EventStreamParserTests.java
@@ -24,6 +24,12 @@
             {"data: ç€𝄞\n\n", List.of("ç€𝄞")},
             {"data:\n\n", List.of("")},
             {"data: unfinished\n", List.of()},
+            {"data: one\r\rdata: two\r\r: end", List.of("one", "two")},
+            {"data: one\r\ndata: two\r\n\r\n", List.of("one\ntwo")},
+            {"data: one\n\r\ndata: two\r\n\n", List.of("one", "two")},
+            {"data: one\r\r\n\rdata: two\r\r\n", List.of("one", "two")},
+            {"data: unfinished\r\n", List.of()},
+            {"data: unfinished\r", List.of()},
             {"\n\n\n", List.of()},
         };
     }
