Break off a stream when the attempt to resume it answers with no stream

A stream had begun and its endpoint was lost; the next endpoint answered with something other than an event stream (an error, 204, 206, JSON). The answer was handed to the exchange, which drops a second response, and the call was recorded as answered: callers saw a stream that neither went on nor ended until they gave up. Such an attempt now counts as a broken sequence and is retried like every other failure; without a further attempt the stream is broken off with an error event.

Four rows of abortsTheStreamIfNoAttemptResumesIt failed before: error, no content, no event stream, partial content. RecordedExchange now drops a second response as the real exchange does. A long buffered response that breaks off was aborted before as well; its test is new.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingModelCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingModelCall.java
@@ -103,6 +103,11 @@
         getContext().end(CallOutcome.ANSWERED, progress.getTokenCount() + " tokens");
     }
 
+    /** Returns whether a part of the response may have been sent to the caller. */
+    boolean hasBegunStream() {
+        return stream != null;
+    }
+
     /** Relays a complete response that is not an event stream, such as an error, to the caller. */
     void relayNonStreamResponse(ResponseHead head, byte[] body, AttemptReport report) {
         finishWithoutRetry(report);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingResponseListener.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingResponseListener.java
@@ -105,6 +105,13 @@
             fail(head.getFailureKind(), "the endpoint responded with status " + head.status());
             return;
         }
+        if (call.hasBegunStream()) {
+            fail(
+                    Kind.BROKEN_SEQUENCE,
+                    "the response to a resumed request is no event stream: status "
+                            + head.status());
+            return;
+        }
         ended = true;
         call.relayNonStreamResponse(head, nonStreamBody.toByteArray(), timing.createReport());
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
@@ -14,6 +14,7 @@
 import org.cardamomthread.core.id.RouteId;
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
@@ -79,6 +80,21 @@
         assertTrue(caller.isComplete());
     }
 
+    @Test
+    public void abortsALongResponseThatBreaksOff() {
+        endpoints.addScript(
+                send(200)
+                        .andThen(
+                                listener ->
+                                        listener.onFailure(
+                                                FakeEndpointClient.createFailure(
+                                                        Kind.CONNECTION_LOST))));
+        start();
+        assertEquals(endpoints.getAttemptCount(), 1);
+        assertTrue(caller.isAborted());
+        assertFalse(caller.isComplete());
+    }
+
     private static Consumer<EndpointResponseListener> send(int status) {
         return listener -> {
             listener.onHead(status, new DefaultHttpHeaders());
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
@@ -5,10 +5,12 @@
 import static org.testng.Assert.assertTrue;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.opentelemetry.api.trace.Span;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.id.RequestId;
@@ -16,6 +18,7 @@
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.ManualTimeSource;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
+import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
 import org.cardamomthread.daemon.testing.FakeEndpointClient;
@@ -108,6 +111,52 @@
         assertFalse(caller.getBody().contains("[DONE]"));
     }
 
+    @DataProvider
+    public Object[][] attemptsThatDoNotResume() {
+        return new Object[][] {
+            {"error", respondWith(404, "application/json", "{}")},
+            {"no content", respondWith(204, null, "")},
+            {"no event stream", respondWith(200, "application/json", "{}")},
+            {"partial content", respondWith(206, "text/event-stream", "data: [DONE]\n\n")},
+            {"server error", respondWith(500, "application/json", "{}")},
+            {"no event", respondWith(200, "text/event-stream", "")},
+            {"inside an event", respondWith(200, "text/event-stream", "data: [DONE]\n")},
+        };
+    }
+
+    @Test(dataProvider = "attemptsThatDoNotResume")
+    public void abortsTheStreamIfNoAttemptResumesIt(
+            String name, Consumer<EndpointResponseListener> secondAttempt) throws Exception {
+        placement.refuseAfter(2);
+        endpoints.addScript(loseConnectionAfter("data: {\"content\":\"two \"}\n\n"));
+        endpoints.addScript(secondAttempt);
+        start();
+        assertFalse(caller.isComplete(), name);
+        assertTrue(caller.isAborted(), name);
+        assertEquals(placement.getReleaseCount(), 2, name);
+    }
+
+    private static Consumer<EndpointResponseListener> respondWith(
+            int status, String contentType, String body) {
+        return listener -> {
+            HttpHeaders headers = new DefaultHttpHeaders();
+            if (contentType != null) {
+                headers.set("content-type", contentType);
+            }
+            listener.onHead(status, headers);
+            listener.onBodyPart(body.getBytes(StandardCharsets.UTF_8));
+            listener.onComplete();
+        };
+    }
+
+    private static Consumer<EndpointResponseListener> loseConnectionAfter(String events) {
+        return listener -> {
+            FakeEndpointClient.beginStream(listener);
+            listener.onBodyPart(events.getBytes(StandardCharsets.UTF_8));
+            listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST));
+        };
+    }
+
     @Test
     public void reportsUnavailabilityIfNoOtherEndpointIsFound() throws Exception {
         placement.refuseAfter(1);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/RecordedExchange.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/RecordedExchange.java
@@ -76,6 +76,9 @@
 
     @Override
     public void respond(ServerResponse reply) {
+        if (status != 0) {
+            return;
+        }
         status = reply.status();
         responseHeaders = reply.headers();
         text.append(new String(reply.body(), StandardCharsets.UTF_8));
