Complete a stream at its end marker, whatever the endpoint sends after it

The marker now decides: the stream is completed, the attempt is cancelled, and a log line says so.

completesTheStreamOnceAtItsEndMarker failed before in the row "event" (three attempts); a connection lost after the marker, and bytes that are no event, passed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
@@ -146,6 +146,12 @@
     /** Closes the attempt's connection, then retries on another endpoint or fails the call. */
     protected final void cancelAttemptAndRetry(
             EndpointFailureException failure, AttemptReport report) {
+        cancelAttempt();
+        retryOrFail(failure, report);
+    }
+
+    /** Closes the attempt's connection. */
+    protected final void cancelAttempt() {
         EndpointAttempt currentAttempt;
         synchronized (this) {
             currentAttempt = attempt;
@@ -153,7 +159,6 @@
         if (currentAttempt != null) {
             currentAttempt.cancel();
         }
-        retryOrFail(failure, report);
     }
 
     private void placeNextAttempt() {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingModelCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingModelCall.java
@@ -9,6 +9,8 @@
 import org.cardamomthread.daemon.http.ProblemDetail;
 import org.cardamomthread.daemon.http.ResponseStream;
 import org.cardamomthread.policy.routing.PromptPrefix;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Relays a model's response token by token. After a failure the response is resumed on another
@@ -19,6 +21,8 @@
  */
 final class StreamingModelCall extends AbstractRetryableCall {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(StreamingModelCall.class);
+
     /** Number of bytes that a caller may leave unread before its stream is aborted. */
     private static final long MAX_UNREAD_BYTES = 1024 * 1024;
 
@@ -103,6 +107,15 @@
         getContext().end(CallOutcome.ANSWERED, progress.getTokenCount() + " tokens");
     }
 
+    /** Completes the caller's stream, which is whole, and ignores the rest of the attempt. */
+    void completeAndCancelAttempt(MalformedResponseException failure, AttemptReport report) {
+        LOGGER.atInfo()
+                .addKeyValue("requestId", getContext().getRequestId())
+                .log("attempt cancelled after its end marker: {}", failure.getMessage());
+        cancelAttempt();
+        complete(report);
+    }
+
     /** Returns whether a part of the response may have been sent to the caller. */
     boolean hasBegunStream() {
         return stream != null;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingResponseListener.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingResponseListener.java
@@ -58,7 +58,7 @@
             for (String data : parser.feed(part)) {
                 progress.record(data);
                 timing.recordToken();
-                if (!call.forward(data)) {
+                if (!call.forward(data) && !progress.isComplete()) {
                     fail(
                             Kind.CANCELLED,
                             "the caller reads too slowly: it must read the stream continuously");
@@ -66,6 +66,11 @@
                 }
             }
         } catch (MalformedResponseException failure) {
+            if (progress.isComplete()) {
+                ended = true;
+                call.completeAndCancelAttempt(failure, timing.createReport());
+                return;
+            }
             fail(Kind.TRUNCATED_ANSWER, failure.getMessage());
         }
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
@@ -136,6 +136,27 @@
         assertEquals(placement.getReleaseCount(), 2, name);
     }
 
+    @DataProvider
+    public Object[][] endsAfterTheEndMarker() {
+        return new Object[][] {
+            {"lost connection", loseConnectionAfter("data: [DONE]\n\n")},
+            {"event", loseConnectionAfter("data: [DONE]\n\ndata: {\"content\":\"x\"}\n\n")},
+            {"no event", loseConnectionAfter("data: [DONE]\n\nda")},
+        };
+    }
+
+    @Test(dataProvider = "endsAfterTheEndMarker")
+    public void completesTheStreamOnceAtItsEndMarker(
+            String name, Consumer<EndpointResponseListener> attempt) throws Exception {
+        endpoints.addScript(attempt);
+        endpoints.addScript(FakeEndpointClient.streamCompletely("x"));
+        start();
+        assertEquals(endpoints.getAttemptCount(), 1, name);
+        assertEquals(caller.getBody(), "data: [DONE]\n\n", name);
+        assertTrue(caller.isComplete(), name);
+        assertFalse(caller.isAborted(), name);
+    }
+
     private static Consumer<EndpointResponseListener> respondWith(
             int status, String contentType, String body) {
         return listener -> {
