--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingResponseListener.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingResponseListener.java
@@ -58,7 +58,7 @@
             for (String data : parser.feed(part)) {
                 progress.record(data);
                 timing.recordToken();
-                if (!call.forward(data)) {
+                if (!call.forward(data) && !progress.isComplete()) {
                     fail(
                             Kind.CANCELLED,
                             "the caller reads too slowly: it must read the stream continuously");
@@ -66,6 +66,11 @@
                 }
             }
         } catch (MalformedResponseException failure) {
+            if (progress.isComplete()) {
+                ended = true;
+                call.completeAndCancelAttempt(failure, timing.createReport());
+                return;
+            }
             fail(Kind.TRUNCATED_ANSWER, failure.getMessage());
         }
     }
@@ -105,6 +110,13 @@
             fail(head.getFailureKind(), "the endpoint responded with status " + head.status());
             return;
         }
+        if (call.hasBegunStream()) {
+            fail(
+                    Kind.BROKEN_SEQUENCE,
+                    "the response to a resumed request is no event stream: status "
+                            + head.status());
+            return;
+        }
         ended = true;
         call.relayNonStreamResponse(head, nonStreamBody.toByteArray(), timing.createReport());
     }
