Tell crashes that a prompt part explains from crashes of all requests

What callers would have seen: after a fault that crashed every endpoint for half a minute, sound parts stayed quarantined for up to minutes, since each lost trial prolonged the pause; and late or repeated reports of one power loss counted as several crashes.

- A loss carries its time and its endpoint; losses of one incarnation, or within a second of a crash, are one crash in whatever order they arrive.
- Only a trial's own loss ends the trial; a loss of another request that arrives meanwhile no longer permits a second trial at once.
- An answer that began before the last crash vouches for the part, but does not end its quarantine.
- The pause grows only with crashes after which other requests of the service were answered.
If none are, nothing is protected by a longer pause.
- Losses of an endpoint that has not crashed can be withdrawn.
- Entries say how strong their evidence is (endpoints lost), so that a bounded list names the cause before the bystanders.

--- /dev/null
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/EndpointLoss.java
@@ -0,0 +1,11 @@
+package org.cardamomthread.policy.quarantine;
+
+/**
+ * Describes an attempt that was lost with its endpoint before an answer began. Immutable.
+ *
+ * @param endpoint the incarnation of the endpoint, of which all losses count as one crash
+ * @param trial the holder of the trial if the attempt was sent as one, otherwise empty
+ * @param isVouched whether the reporting node had seen answers under the part
+ * @param lostMs when the attempt was lost, in monotonic milliseconds of the evaluating node
+ */
+public record EndpointLoss(String endpoint, String trial, boolean isVouched, long lostMs) {}
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/PromptPartQuarantine.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/PromptPartQuarantine.java
@@ -1,11 +1,14 @@
 package org.cardamomthread.policy.quarantine;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cardamomthread.core.id.ServiceId;
 
 /**
  * Decides which prompt parts are quarantined, from the attempts that were lost and the answers that
@@ -15,7 +18,9 @@
  * against a part only until an answer begins under that part. A part that was never answered is
  * quarantined by its first crash, a part that had been answered before by {@value
  * #CRASHES_OF_VOUCHED_PART} separate crashes. Requests with a quarantined part are tried one at a
- * time; the pause between trials grows with each crash. An answer ends the quarantine.
+ * time. The pause between trials grows with each crash, but only while other requests of the
+ * service are answered: if none are, the part does not explain the crashes. An answer ends the
+ * quarantine.
  *
  * <p>Invariants: at most {@value #MAX_PARTS} parts are recorded; a part is forgotten {@value
  * #RETENTION_MS} ms after its last crash. Times are monotonic milliseconds of the node that owns
@@ -26,7 +31,7 @@
     /** Number of separate crashes that quarantine a part under which answers had begun before. */
     public static final int CRASHES_OF_VOUCHED_PART = 3;
 
-    /** Maximum number of recorded parts; those with the fewest crashes are dropped first. */
+    /** Maximum number of recorded parts; those with the weakest evidence are dropped first. */
     public static final int MAX_PARTS = 512;
 
     /** Time after its last crash for which a part is recorded, in milliseconds. */
@@ -51,41 +56,22 @@
 
     private static final int TRIAL_PAUSE_FACTOR = 4;
 
+    private static final Comparator<PartRecord> WEAKEST_FIRST =
+            Comparator.comparing(PartRecord::isQuarantined)
+                    .thenComparingInt(PartRecord::lostEndpointCount)
+                    .thenComparingLong(PartRecord::lastCrashMs);
+
     private final Map<PromptPartKey, PartRecord> records = new HashMap<>();
     private long revision;
 
-    /** Holds the evidence against one part since the last answer under it. */
-    private static final class PartRecord {
-        private int crashes;
-        private boolean isVouched;
-        private String lastEndpoint = "";
-        private long lastCrashMs;
-        private long nextTrialMs;
-        private String trialHolder = "";
-        private long trialEndMs;
-
-        boolean isQuarantined() {
-            return crashes >= (isVouched ? CRASHES_OF_VOUCHED_PART : 1);
-        }
-
-        boolean isOnTrial(long nowMs) {
-            return nowMs < trialEndMs;
-        }
-
-        /** Returns the time until a trial may start, in milliseconds, or 0. */
-        long trialWaitMs(long nowMs) {
-            long pauseMs = Math.max(0, nextTrialMs - nowMs);
-            return isOnTrial(nowMs) ? Math.max(TRIAL_RETRY_AFTER_MS, pauseMs) : pauseMs;
-        }
+    /** The records with the strongest evidence first, as of {@link #sortedRevision}. */
+    private List<Map.Entry<PromptPartKey, PartRecord>> sorted = List.of();
 
-        void endTrial() {
-            trialHolder = "";
-            trialEndMs = 0;
-        }
-    }
+    private long sortedRevision;
 
     /**
-     * Records that an attempt was lost with its endpoint before an answer began.
+     * Records that an attempt was lost with its endpoint just now. If the part is being tried, the
+     * attempt is taken for the trial.
      *
      * @param key a part of the request, other than the last one
      * @param endpoint the incarnation of the endpoint, of which further losses count as the same
@@ -96,61 +82,130 @@
      */
     public Optional<QuarantineEntry> recordLoss(
             PromptPartKey key, String endpoint, boolean isVouched, long nowMs) {
-        removeExpired(nowMs);
         PartRecord part = records.get(key);
-        if (part == null) {
-            makeRoom();
-            part = new PartRecord();
-            records.put(key, part);
-        }
-        part.isVouched |= isVouched;
-        boolean isSameCrash =
-                part.crashes > 0
-                        && (part.lastEndpoint.equals(endpoint)
-                                || !part.isOnTrial(nowMs)
-                                        && nowMs - part.lastCrashMs < CRASH_WINDOW_MS);
-        part.lastEndpoint = endpoint;
-        part.endTrial();
-        if (isSameCrash) {
+        String trial = part != null && part.isOnTrial(nowMs) ? part.trialHolder() : "";
+        return recordLoss(key, new EndpointLoss(endpoint, trial, isVouched, nowMs), nowMs);
+    }
+
+    /**
+     * Records that an attempt was lost with its endpoint before an answer began.
+     *
+     * @param key a part of the request, other than the last one
+     * @param loss the loss, which may be older than others that were recorded before
+     * @param nowMs the current time
+     * @return the entry if the part is now quarantined and this is a further crash, otherwise empty
+     */
+    public Optional<QuarantineEntry> recordLoss(PromptPartKey key, EndpointLoss loss, long nowMs) {
+        removeExpired(nowMs);
+        if (nowMs - loss.lostMs() > RETENTION_MS) {
             return Optional.empty();
         }
-        part.crashes++;
-        part.lastCrashMs = nowMs;
-        part.nextTrialMs = nowMs + trialPauseMs(part);
-        revision++;
-        return part.isQuarantined() ? Optional.of(createEntry(key, part, nowMs)) : Optional.empty();
+        PartRecord part = findOrCreate(key);
+        boolean wasVouched = part.isVouched();
+        boolean isFurtherCrash = part.recordLoss(loss);
+        if (isFurtherCrash || wasVouched != part.isVouched()) {
+            revision++;
+        }
+        return isFurtherCrash && part.isQuarantined()
+                ? Optional.of(createEntry(key, part, nowMs))
+                : Optional.empty();
+    }
+
+    /**
+     * Withdraws the losses of an endpoint that has turned out not to have crashed.
+     *
+     * @param endpoint the incarnation of the endpoint
+     * @return the parts that are no longer quarantined
+     */
+    public List<PromptPartKey> retractLosses(String endpoint) {
+        List<PromptPartKey> released = new ArrayList<>();
+        Iterator<Map.Entry<PromptPartKey, PartRecord>> iterator = records.entrySet().iterator();
+        while (iterator.hasNext()) {
+            Map.Entry<PromptPartKey, PartRecord> entry = iterator.next();
+            PartRecord part = entry.getValue();
+            boolean wasQuarantined = part.isQuarantined();
+            if (!part.retract(endpoint)) {
+                continue;
+            }
+            revision++;
+            if (part.crashCount() == 0) {
+                iterator.remove();
+            }
+            if (wasQuarantined && !part.isQuarantined()) {
+                released.add(entry.getKey());
+            }
+        }
+        return released;
     }
 
     /**
      * Records that a node has seen answers under a part before its crashes.
      *
      * @param key the part
+     * @return whether this ends the part's quarantine
      */
-    public void recordVouch(PromptPartKey key) {
+    public boolean recordVouch(PromptPartKey key) {
         PartRecord part = records.get(key);
-        if (part != null && !part.isVouched) {
-            part.isVouched = true;
-            revision++;
+        if (part == null || part.isVouched()) {
+            return false;
         }
+        boolean wasQuarantined = part.isQuarantined();
+        part.vouch();
+        revision++;
+        return wasQuarantined && !part.isQuarantined();
     }
 
     /**
-     * Records that an answer began under a part, which ends its quarantine.
+     * Records that an answer began just now under a part, which ends its quarantine, to a request
+     * that was sent after all recorded crashes.
      *
      * @param key the part
      * @return whether the part was quarantined
      */
     public boolean recordAnswer(PromptPartKey key) {
-        PartRecord part = records.remove(key);
+        recordServiceAnswer(key.service(), Long.MAX_VALUE);
+        return recordAnswer(key, Long.MAX_VALUE);
+    }
+
+    /**
+     * Records that an answer began under a part. This ends its quarantine, unless the part has
+     * crashed an endpoint since.
+     *
+     * @param key the part
+     * @param answeredMs when the answer began
+     * @return whether this ends the part's quarantine
+     */
+    public boolean recordAnswer(PromptPartKey key, long answeredMs) {
+        PartRecord part = records.get(key);
         if (part == null) {
             return false;
         }
+        if (answeredMs < part.lastCrashMs()) {
+            return recordVouch(key);
+        }
+        records.remove(key);
         revision++;
         return part.isQuarantined();
     }
 
     /**
-     * Decides on a request and, if it may be sent as a trial, prevents other trials of its parts.
+     * Records that a request of a service was answered, whatever its parts.
+     *
+     * @param service the service
+     * @param sentMs when the request was sent to its endpoint
+     */
+    public void recordServiceAnswer(ServiceId service, long sentMs) {
+        records.forEach(
+                (key, part) -> {
+                    if (key.service().equals(service)) {
+                        part.recordOthersAnswered(sentMs);
+                    }
+                });
+    }
+
+    /**
+     * Decides on a request and, if it may be sent as a trial, prevents other trials of its parts. A
+     * holder may send its request again during its own trial.
      *
      * @param keys the parts of the request, without the last one
      * @param holder identifies the trial
@@ -167,14 +222,15 @@
         if (quarantined.isEmpty()) {
             return TrialDecision.UNRESTRICTED;
         }
-        long waitMs = quarantined.stream().mapToLong(part -> part.trialWaitMs(nowMs)).max().orElse(0);
+        long waitMs =
+                quarantined.stream()
+                        .mapToLong(part -> part.trialWaitMs(holder, nowMs))
+                        .max()
+                        .orElse(0);
         if (waitMs > 0) {
             return TrialDecision.rejected(waitMs);
         }
-        for (PartRecord part : quarantined) {
-            part.trialHolder = holder;
-            part.trialEndMs = nowMs + TRIAL_TIMEOUT_MS;
-        }
+        quarantined.forEach(part -> part.startTrial(holder, nowMs));
         return TrialDecision.TRIAL;
     }
 
@@ -186,7 +242,7 @@
      */
     public void releaseTrial(PromptPartKey key, String holder) {
         PartRecord part = records.get(key);
-        if (part != null && part.trialHolder.equals(holder)) {
+        if (part != null && part.trialHolder().equals(holder)) {
             part.endTrial();
         }
     }
@@ -198,42 +254,50 @@
      * @param nowMs the current time
      */
     public void merge(QuarantineEntry entry, long nowMs) {
-        PartRecord part = records.get(entry.key());
-        if (part == null) {
-            makeRoom();
-            part = new PartRecord();
-            records.put(entry.key(), part);
-        }
-        if (entry.crashes() > part.crashes) {
-            part.crashes = entry.crashes();
-            part.lastCrashMs = nowMs;
-            part.isVouched = entry.isVouched();
+        PartRecord part = findOrCreate(entry.key());
+        int knownCrashes = part.crashCount();
+        part.merge(entry, nowMs);
+        if (part.crashCount() > knownCrashes) {
             revision++;
         }
-        part.nextTrialMs = Math.max(part.nextTrialMs, nowMs + entry.trialWaitMs());
     }
 
     /**
-     * Returns the quarantined parts.
+     * Returns the recorded parts: those that are quarantined, and those that would be after further
+     * crashes without an answer.
      *
      * @param maxEntries the maximum number of entries
      * @param nowMs the current time
-     * @return those with the most crashes, in that order
+     * @return those with the strongest evidence, in that order: the most endpoints lost
      */
     public List<QuarantineEntry> list(int maxEntries, long nowMs) {
         removeExpired(nowMs);
-        return records.entrySet().stream()
-                .filter(entry -> entry.getValue().isQuarantined())
-                .sorted(
-                        Comparator.comparingInt(
-                                entry -> -entry.getValue().crashes))
+        if (sortedRevision != revision) {
+            sortedRevision = revision;
+            sorted =
+                    records.entrySet().stream()
+                            .sorted(Map.Entry.comparingByValue(WEAKEST_FIRST.reversed()))
+                            .toList();
+        }
+        return sorted.stream()
                 .limit(maxEntries)
                 .map(entry -> createEntry(entry.getKey(), entry.getValue(), nowMs))
                 .toList();
     }
 
     /**
-     * Returns a number that changes whenever the list of quarantined parts may have changed.
+     * Returns whether requests with a part may only be sent as trials.
+     *
+     * @param crashes the number of separate crashes without an answer in between
+     * @param isVouched whether answers had begun under the part before
+     * @return whether the part is quarantined
+     */
+    public static boolean isQuarantined(int crashes, boolean isVouched) {
+        return crashes >= (isVouched ? CRASHES_OF_VOUCHED_PART : 1);
+    }
+
+    /**
+     * Returns a number that changes whenever the list of recorded parts may have changed.
      *
      * @return the revision
      */
@@ -243,33 +307,56 @@
 
     private static QuarantineEntry createEntry(PromptPartKey key, PartRecord part, long nowMs) {
         return new QuarantineEntry(
-                key, part.crashes, part.isVouched, Math.max(0, part.nextTrialMs - nowMs));
+                key,
+                part.crashCount(),
+                part.confirmedCrashCount(),
+                part.lostEndpointCount(),
+                part.isVouched(),
+                Math.max(0, part.nextTrialMs() - nowMs));
     }
 
-    private static long trialPauseMs(PartRecord part) {
-        int excess = part.crashes - (part.isVouched ? CRASHES_OF_VOUCHED_PART : 1);
-        long pauseMs = excess <= 0 ? 0 : FIRST_TRIAL_PAUSE_MS;
-        for (int i = 1; i < excess && pauseMs < MAX_TRIAL_PAUSE_MS; i++) {
-            pauseMs *= TRIAL_PAUSE_FACTOR;
+    /**
+     * Returns the pause after a crash, which grows with the crashes that other requests survived.
+     */
+    static long trialPauseMs(int crashes, int confirmedCrashes, boolean isVouched) {
+        int excess = crashes - (isVouched ? CRASHES_OF_VOUCHED_PART : 1);
+        if (excess <= 0) {
+            return 0;
+        }
+        long pauseMs = FIRST_TRIAL_PAUSE_MS;
+        for (int i = 1; i < Math.min(excess, confirmedCrashes); i++) {
+            pauseMs = Math.min(MAX_TRIAL_PAUSE_MS, pauseMs * TRIAL_PAUSE_FACTOR);
         }
-        return Math.min(MAX_TRIAL_PAUSE_MS, pauseMs);
+        return pauseMs;
     }
 
-    private void removeExpired(long nowMs) {
-        if (records.values().removeIf(part -> nowMs - part.lastCrashMs > RETENTION_MS)) {
+    /**
+     * Removes the parts whose last crash is too long ago.
+     *
+     * @param nowMs the current time
+     */
+    public void removeExpired(long nowMs) {
+        if (records.values().removeIf(part -> nowMs - part.lastCrashMs() > RETENTION_MS)) {
             revision++;
         }
     }
 
+    private PartRecord findOrCreate(PromptPartKey key) {
+        PartRecord part = records.get(key);
+        if (part == null) {
+            makeRoom();
+            part = new PartRecord();
+            records.put(key, part);
+        }
+        return part;
+    }
+
     private void makeRoom() {
         if (records.size() < MAX_PARTS) {
             return;
         }
         records.entrySet().stream()
-                .min(
-                        Comparator.<Map.Entry<PromptPartKey, PartRecord>>comparingInt(
-                                        entry -> entry.getValue().crashes)
-                                .thenComparingLong(entry -> entry.getValue().lastCrashMs))
+                .min(Map.Entry.comparingByValue(WEAKEST_FIRST))
                 .map(Map.Entry::getKey)
                 .ifPresent(records::remove);
     }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/QuarantineEntry.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/QuarantineEntry.java
@@ -1,12 +1,29 @@
 package org.cardamomthread.policy.quarantine;
 
 /**
- * Describes a quarantined part to other nodes. Immutable.
+ * Describes a recorded part to other nodes, which watch for answers under it. Immutable.
  *
  * @param key the part
  * @param crashes the number of separate crashes without an answer in between
+ * @param confirmedCrashes the number of those after which other requests were answered
+ * @param lostEndpoints the number of endpoints that were lost in them
  * @param isVouched whether a node had seen answers under the part before the first of them
  * @param trialWaitMs time until the next trial may start, in milliseconds, 0 if it may start now
  */
 public record QuarantineEntry(
-        PromptPartKey key, int crashes, boolean isVouched, long trialWaitMs) {}
+        PromptPartKey key,
+        int crashes,
+        int confirmedCrashes,
+        int lostEndpoints,
+        boolean isVouched,
+        long trialWaitMs) {
+
+    /**
+     * Returns whether requests with the part may only be sent as trials.
+     *
+     * @return false if the part is merely watched
+     */
+    public boolean isQuarantined() {
+        return PromptPartQuarantine.isQuarantined(crashes, isVouched);
+    }
+}
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/quarantine/PromptPartQuarantineTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/quarantine/PromptPartQuarantineTests.java
@@ -83,13 +83,19 @@
         assertTrue(second.retryAfterMs() > 0);
     }
 
+    @Test
+    public void allowsHolderOfTrialToSendAgain() {
+        quarantine.recordLoss(DEADLY, "e1", false, 10_000);
+        quarantine.decide(List.of(DEADLY), "a", 12_000);
+        assertEquals(quarantine.decide(List.of(DEADLY), "a", 12_100), TrialDecision.TRIAL);
+    }
+
     @Test
     public void releasesQuarantineWhenTrialIsAnswered() {
         quarantine.recordLoss(DEADLY, "e1", false, 10_000);
         quarantine.decide(List.of(DEADLY), "a", 12_000);
         assertTrue(quarantine.recordAnswer(DEADLY));
-        assertEquals(
-                quarantine.decide(List.of(DEADLY), "b", 12_100), TrialDecision.UNRESTRICTED);
+        assertEquals(quarantine.decide(List.of(DEADLY), "b", 12_100), TrialDecision.UNRESTRICTED);
     }
 
     @Test
@@ -122,8 +128,7 @@
     public void releasesPartThatAnotherNodeVouchesFor() {
         quarantine.recordLoss(SHARED, "e1", false, 10_000);
         quarantine.recordVouch(SHARED);
-        assertEquals(
-                quarantine.decide(List.of(SHARED), "a", 10_100), TrialDecision.UNRESTRICTED);
+        assertEquals(quarantine.decide(List.of(SHARED), "a", 10_100), TrialDecision.UNRESTRICTED);
     }
 
     @Test
@@ -156,9 +161,82 @@
         assertEquals(entries.get(0).key(), DEADLY);
     }
 
+    @Test
+    public void countsLateReportsOfOneCrashOnce() {
+        quarantine.recordLoss(SHARED, loss("e1", "", 10_000), 10_000);
+        quarantine.recordLoss(SHARED, loss("e2", "", 12_000), 12_000);
+        quarantine.recordLoss(SHARED, loss("e1", "", 10_000), 12_500);
+        quarantine.recordLoss(SHARED, loss("e3", "", 10_400), 13_500);
+        assertEquals(quarantine.list(10, 13_500).get(0).crashes(), 2);
+    }
+
+    @Test
+    public void keepsTrialWhenAnotherRequestIsLost() {
+        quarantine.recordLoss(DEADLY, loss("e1", "", 10_000), 10_000);
+        quarantine.decide(List.of(DEADLY), "a", 10_500);
+        quarantine.recordLoss(DEADLY, loss("e2", "", 10_400), 10_600);
+        assertFalse(quarantine.decide(List.of(DEADLY), "b", 10_700).maySend());
+        quarantine.recordLoss(DEADLY, loss("e3", "a", 10_800), 10_800);
+        assertEquals(quarantine.list(10, 10_800).get(0).crashes(), 2);
+    }
+
+    @DataProvider
+    public Object[][] answersAroundACrash() {
+        return new Object[][] {{"before", 9_900, Kind.REJECTED}, {"after", 14_100, null}};
+    }
+
+    @Test(dataProvider = "answersAroundACrash")
+    public void endsQuarantineOnlyByAnAnswerAfterTheLastCrash(
+            String name, long answeredMs, Kind expected) {
+        for (int i = 0; i < 4; i++) {
+            quarantine.recordLoss(DEADLY, loss("e" + i, "", 10_000 + 1_300 * i), 14_000);
+        }
+        quarantine.recordAnswer(DEADLY, answeredMs);
+        Kind kind = quarantine.decide(List.of(DEADLY), "a", 14_200).kind();
+        assertEquals(kind, expected == null ? Kind.UNRESTRICTED : expected, name);
+    }
+
+    @DataProvider
+    public Object[][] otherAnswers() {
+        long firstPauseMs = PromptPartQuarantine.FIRST_TRIAL_PAUSE_MS;
+        return new Object[][] {
+            {"none", -10_000, firstPauseMs},
+            {"sent before each crash", -100, firstPauseMs},
+            {"sent after each crash", 100, 4 * firstPauseMs},
+        };
+    }
+
+    @Test(dataProvider = "otherAnswers")
+    public void prolongsThePauseOnlyIfOtherRequestsOfTheServiceAreAnswered(
+            String name, long sentAfterCrashMs, long expectedPauseMs) {
+        long nowMs = 0;
+        for (int i = 0; i < 3; i++) {
+            nowMs = 10_000 + 3_000 * i;
+            quarantine.recordLoss(DEADLY, loss("e" + i, "", nowMs), nowMs);
+            quarantine.recordServiceAnswer(CHAT, nowMs + sentAfterCrashMs);
+        }
+        assertEquals(quarantine.list(1, nowMs).get(0).trialWaitMs(), expectedPauseMs, name);
+    }
+
+    @Test
+    public void withdrawsLossesOfEndpointsThatDidNotCrash() {
+        quarantine.recordLoss(DEADLY, loss("e1", "", 10_000), 10_000);
+        quarantine.recordLoss(DEADLY, loss("e2", "", 10_200), 10_200);
+        quarantine.recordLoss(DEADLY, loss("e3", "", 12_000), 12_000);
+        assertTrue(quarantine.retractLosses("e1").isEmpty());
+        assertTrue(quarantine.retractLosses("e3").isEmpty());
+        assertEquals(quarantine.list(1, 12_000).get(0).crashes(), 1);
+        assertEquals(quarantine.retractLosses("e2"), List.of(DEADLY));
+        assertTrue(quarantine.list(1, 12_000).isEmpty());
+    }
+
     @Test
     public void boundsLengthOfIds() {
         PromptPartKey key = PromptPartKey.of(CHAT, "x".repeat(10_000));
         assertTrue(key.part().length() <= PromptPartKey.MAX_PART_LENGTH);
     }
+
+    private static EndpointLoss loss(String endpoint, String trial, long lostMs) {
+        return new EndpointLoss(endpoint, trial, false, lostMs);
+    }
 }
