Keep requests with a quarantined prompt part from endpoints

Gateways report losses before an answer, with their age, and the leader joins them in PromptPartQuarantine and lists the recorded parts in view responses. Requests with a quarantined part need a trial permit of the leader, one at a time; others are rejected with 503 (not run) at once. A request that was lost with a part that was never answered at this gateway is not sent to a second endpoint.

- Evidence is kept until the leader has answered, without duplicates; what is dropped is logged.
Vouches are made for each report, so none is lost.
- A decision that is lost releases its trial, instead of blocking the part for ten seconds.
- An endpoint that goes on reporting was reset or cut, not crashed: its losses are withdrawn after three further reports.
- A new leader grants no trial until the gateways have told it what they know.
- The list is sorted when it changes only, not for each poll.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
@@ -22,10 +23,12 @@
 import org.cardamomthread.daemon.registry.EndpointRegistry;
 import org.cardamomthread.daemon.registry.EndpointUpdateReplicator;
 import org.cardamomthread.daemon.view.GatewayReports;
+import org.cardamomthread.daemon.view.QuarantineServer;
 import org.cardamomthread.daemon.view.QuotaPool;
 import org.cardamomthread.daemon.view.ViewServer;
 import org.cardamomthread.replication.ReplicaMember;
 import org.cardamomthread.replication.ReplicationGroup;
+import org.cardamomthread.replication.ReplicationStatus;
 import org.cardamomthread.replication.StorageException;
 import org.cardamomthread.transport.TransportStartException;
 import org.slf4j.Logger;
@@ -58,6 +61,7 @@
     private final ControlNodeDirectory directory;
     private final EndpointRegistry registry;
     private final GatewayReports gatewayReports;
+    private final QuarantineServer quarantine;
     private final ViewServer viewServer;
     private final EndpointUpdateReplicator endpointUpdates;
     private final HttpServer controlServer;
@@ -76,12 +80,16 @@
         gatewayReports =
                 new GatewayReports(
                         timeSource, settings.limits().viewLeaseMs() + PRESENCE_MARGIN_MS);
+        quarantine =
+                new QuarantineServer(
+                        registry, this::leaderTerm, controlThread, timeSource, components.log());
         viewServer =
                 new ViewServer(
                         trafficReplica,
                         this::replicationGroup,
                         registry,
                         gatewayReports,
+                        quarantine,
                         directory::allNodes,
                         controlThread,
                         timeSource,
@@ -125,6 +133,7 @@
                         controlThread,
                         components.timeSource());
         components.transport().register(QuotaPool.TOPIC, quotaPool::handle);
+        components.transport().register(QuarantineServer.TOPIC, quarantine::handleTrial);
         endpointUpdates.start();
         Optional<List<NodeId>> voters = findVoters();
         if (voters.isPresent()) {
@@ -285,6 +294,12 @@
                         "cardamomthread_votes",
                         "1 while this node's data folder counts towards the majority",
                         () -> isVoter() ? 1 : 0);
+        components
+                .metrics()
+                .registerGauge(
+                        "cardamomthread_quarantined_prompt_parts",
+                        "Prompt parts of which requests are tried one at a time, at the leader",
+                        quarantine::countQuarantined);
     }
 
     private Optional<ProposalClient> proposalClient() {
@@ -307,6 +322,14 @@
     }
 
     private boolean isLeader() {
-        return replicationGroup().filter(member -> member.status().isLeaseHeld()).isPresent();
+        return leaderTerm().isPresent();
+    }
+
+    private OptionalLong leaderTerm() {
+        return replicationGroup()
+                .map(ReplicationGroup::status)
+                .filter(ReplicationStatus::isLeaseHeld)
+                .map(status -> OptionalLong.of(status.term()))
+                .orElse(OptionalLong.empty());
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -20,6 +20,7 @@
 import org.cardamomthread.daemon.telemetry.NodeForwardingMetrics;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.QuotaPoolClient;
+import org.cardamomthread.daemon.view.TrialClient;
 import org.cardamomthread.daemon.view.ViewClient;
 import org.cardamomthread.daemon.view.ViewLease;
 import org.cardamomthread.daemon.view.ViewUpdater;
@@ -80,6 +81,7 @@
                                         this::leader,
                                         eventLoop,
                                         timeSource),
+                                new TrialClient(components.transport(), this::leader, eventLoop),
                                 createLimits(settings.limits()),
                                 components.log(),
                                 new NodeForwardingMetrics(components.metrics()),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -33,6 +33,7 @@
     private int status;
     private HttpHeaders headers;
     private EndpointResponseHead head;
+    private boolean hasAnswerBegun;
     private boolean done;
 
     ForwardedAttempt(
@@ -106,6 +107,9 @@
                                 + relay.lastEventId().orElse("none"));
                 return;
             }
+            if (relay.hasEventOfAttempt()) {
+                recordAnswerBegun();
+            }
         } else {
             relay.buffer(chunk);
         }
@@ -189,6 +193,7 @@
         }
         recordResult(status >= STATUS_SERVER_ERROR || !head.isSigned());
         if (isSuccess()) {
+            recordAnswerBegun();
             call.complete("answered", status, headers);
         } else if (isRetryableFailure()) {
             relay.discardUndelivered();
@@ -199,8 +204,7 @@
     }
 
     private boolean isRetryableFailure() {
-        boolean isEndpointFailure =
-                status >= STATUS_SERVER_ERROR || status < STATUS_SUCCESS_END;
+        boolean isEndpointFailure = status >= STATUS_SERVER_ERROR || status < STATUS_SUCCESS_END;
         return isEndpointFailure && call.mayRetry();
     }
 
@@ -212,8 +216,7 @@
         }
         if (relay.hasStarted()) {
             String detail = "the endpoint answered with status " + status;
-            context.forwardingLog()
-                    .logFailedAttempt(request, endpoint.id(), "not-resumed", detail);
+            context.forwardingLog().logFailedAttempt(request, endpoint.id(), "not-resumed", detail);
             call.failWith("stream-not-resumed", detail);
             return;
         }
@@ -263,8 +266,15 @@
         if (failure.getKind() == Kind.CONNECTION_LOST) {
             endpoint.recordConnectionFailure(context.timeSource().monotonicMs());
         }
+        boolean mayBeCause =
+                mayHaveCrashedEndpoint(failure) && call.recordLossBeforeAnswer(endpoint);
         relay.discardUndelivered();
-        if (call.mayRetry() && failure.getKind() != Kind.FIRST_BYTE_TIMEOUT) {
+        if (mayBeCause) {
+            call.failWith(
+                    "lost-with-endpoint",
+                    "the connection to the endpoint was lost before an answer began: the request"
+                            + " may have run, and may be the cause");
+        } else if (call.mayRetry() && failure.getKind() != Kind.FIRST_BYTE_TIMEOUT) {
             call.tryNextEndpoint();
         } else {
             call.failWith(
@@ -273,6 +283,20 @@
         }
     }
 
+    private void recordAnswerBegun() {
+        if (!hasAnswerBegun) {
+            hasAnswerBegun = true;
+            call.recordAnswerBegun(startedMs);
+        }
+    }
+
+    private boolean mayHaveCrashedEndpoint(EndpointFailureException failure) {
+        boolean isConnectionEnded =
+                failure.getKind() == Kind.CONNECTION_LOST
+                        || failure.getKind() == Kind.TRUNCATED_ANSWER;
+        return isConnectionEnded && !hasAnswerBegun;
+    }
+
     private void recordResult(boolean isFailure) {
         long nowMs = context.timeSource().monotonicMs();
         double medianRate = context.endpoints().medianFailureRate(request.service().id());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -16,6 +17,9 @@
 import org.cardamomthread.daemon.dispatch.ResponseAcceptancePolicy;
 import org.cardamomthread.daemon.http.HttpExchange;
 import org.cardamomthread.daemon.http.ServerRequest;
+import org.cardamomthread.daemon.view.EndpointIncarnation;
+import org.cardamomthread.policy.quarantine.PromptPartKey;
+import org.cardamomthread.policy.quarantine.TrialDecision;
 
 /**
  * Forwards one admitted request to endpoints and relays the response to the client.
@@ -42,6 +46,8 @@
     private final AdmittedRequest request;
     private final ResponseRelay relay;
     private final ReadPacer readPacer;
+    private final List<PromptPartKey> promptParts;
+    private final String trialId;
     private final Set<EndpointId> triedEndpoints = new HashSet<>();
     private ScheduledFuture<?> deadline;
     private EndpointAttempt currentAttempt;
@@ -49,6 +55,7 @@
     private int unsentAttempts;
     private boolean mayHaveRun;
     private boolean isUsageCounted;
+    private boolean isOnTrial;
     private boolean finished;
     private long firstByteMs;
 
@@ -58,6 +65,8 @@
         this.request = request;
         this.relay = new ResponseRelay(exchange, request.route().requestKind());
         this.readPacer = new ReadPacer(relay, context.loop());
+        this.promptParts = PromptPartGuard.keysOf(request);
+        this.trialId = context.promptPartGuard().createTrialId(request.head().requestId());
     }
 
     void start() {
@@ -70,7 +79,27 @@
         }
     }
 
+    /** Sends the request to another endpoint, unless a part of its prompt is quarantined. */
     void tryNextEndpoint() {
+        context.promptPartGuard().decide(promptParts, trialId, this::handleTrialDecision);
+    }
+
+    private void handleTrialDecision(TrialDecision decision) {
+        isOnTrial = decision.kind() == TrialDecision.Kind.TRIAL;
+        if (finished) {
+            releaseTrial();
+        } else if (decision.maySend()) {
+            selectEndpoint();
+        } else {
+            failWith(
+                    "prompt-part-quarantined",
+                    "endpoints were lost with requests that have a part of this prompt: send the"
+                            + " request again after the given delay",
+                    decision.retryAfterMs());
+        }
+    }
+
+    private void selectEndpoint() {
         long remainingMs = request.deadlineMs() - context.timeSource().monotonicMs();
         if (remainingMs <= 0) {
             onDeadline();
@@ -81,7 +110,7 @@
                         .select(
                                 request.view(),
                                 request.service(),
-                                request.affinityKey(),
+                                isOnTrial ? Optional.empty() : request.affinityKey(),
                                 triedEndpoints);
         if (selected.isEmpty()) {
             failWith(
@@ -125,8 +154,7 @@
                         this::maySend,
                         new ResponseAcceptancePolicy(
                                 context.dialect().correlationHeader(), true, true));
-        ForwardedAttempt listener =
-                new ForwardedAttempt(this, context, request, relay, endpoint);
+        ForwardedAttempt listener = new ForwardedAttempt(this, context, request, relay, endpoint);
         EndpointAttempt started = context.client().start(attempt, listener);
         if (listener.isDone()) {
             started.cancel();
@@ -168,13 +196,17 @@
      * aborted response.
      */
     void failWith(String reason, String detail) {
+        failWith(reason, detail, UNAVAILABLE_RETRY_AFTER_MS);
+    }
+
+    private void failWith(String reason, String detail, long retryAfterMs) {
         if (relay.hasStarted()) {
             relay.abort();
             finish(reason, null);
         } else if (mayHaveRun) {
             finish(reason, GatewayError.of(502, reason, "No usable answer", detail));
         } else {
-            finish(reason, GatewayError.unavailable(reason, detail, UNAVAILABLE_RETRY_AFTER_MS));
+            finish(reason, GatewayError.unavailable(reason, detail, retryAfterMs));
         }
     }
 
@@ -185,6 +217,7 @@
         if (currentAttempt != null) {
             currentAttempt.cancel();
         }
+        releaseTrial();
         if (!mayHaveRun) {
             request.account()
                     .ifPresent(
@@ -239,6 +272,40 @@
         finish(outcome, null);
     }
 
+    /** Records that an answer began to an attempt that was sent at the given time. */
+    void recordAnswerBegun(long sentMs) {
+        context.promptPartGuard()
+                .recordAnswer(request.service().id(), promptParts, sentMs, isOnTrial);
+        isOnTrial = false;
+    }
+
+    /**
+     * Records that the current attempt was lost with its endpoint before an answer began.
+     *
+     * @return whether the request may be the cause, so that it must not be sent to another endpoint
+     */
+    boolean recordLossBeforeAnswer(TrackedEndpoint endpoint) {
+        Optional<String> trial = isOnTrial ? Optional.of(trialId) : Optional.empty();
+        isOnTrial = false;
+        List<PromptPartKey> suspects =
+                context.promptPartGuard()
+                        .recordLoss(
+                                promptParts,
+                                EndpointIncarnation.of(endpoint.knownEndpoint().report()),
+                                trial);
+        if (!suspects.isEmpty()) {
+            context.forwardingLog().logSuspects(request, endpoint.id(), suspects);
+        }
+        return !suspects.isEmpty();
+    }
+
+    private void releaseTrial() {
+        if (isOnTrial) {
+            isOnTrial = false;
+            context.promptPartGuard().releaseTrial(promptParts, trialId);
+        }
+    }
+
     boolean isFinished() {
         return finished;
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -10,6 +10,7 @@
 import org.cardamomthread.daemon.telemetry.ForwardingMetrics;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.QuotaPoolClient;
+import org.cardamomthread.daemon.view.TrialClient;
 import org.cardamomthread.daemon.view.ViewLease;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 
@@ -23,6 +24,7 @@
     private final UsageCounter usage;
     private final VersionResultCounter versionResults;
     private final ServiceLoadTracker serviceLoads;
+    private final PromptPartGuard promptPartGuard;
     private final ForwardingHandler handler;
 
     /**
@@ -36,6 +38,8 @@
      *     API key
      * @param quotaPoolClient requests quota from the leader's pool when the gateway's own share is
      *     low
+     * @param trialClient asks the leader whether a request with quarantined prompt parts may be
+     *     sent
      * @param limits the limits that the platform sets for forwarding
      * @param decisionLog receives one structured entry for each decision
      * @param metrics receives request and attempt counts
@@ -48,6 +52,7 @@
             TimeSource timeSource,
             ViewLease viewLease,
             QuotaPoolClient quotaPoolClient,
+            TrialClient trialClient,
             ForwardingLimits limits,
             DecisionLog decisionLog,
             ForwardingMetrics metrics,
@@ -66,6 +71,8 @@
         serviceLoads = new ServiceLoadTracker(timeSource);
         quotaShares = new LocalQuotaShares(timeSource, dependencies.limits().quotaAllocation());
         versionResults = new VersionResultCounter(timeSource);
+        promptPartGuard =
+                new PromptPartGuard(dependencies.trialClient(), timeSource, forwardingLog);
         usage = new UsageCounter(timeSource, dependencies.limits().usageWindowS());
         ForwardingContext context =
                 new ForwardingContext(
@@ -85,6 +92,7 @@
                         quotaShares,
                         dependencies.quotaPoolClient(),
                         new ServiceRetryBudget(timeSource, dependencies.limits()),
+                        promptPartGuard,
                         usage,
                         versionResults,
                         serviceLoads,
@@ -112,8 +120,8 @@
     }
 
     /**
-     * Adds quota demands, usage counts, results by version and service loads to a report for the
-     * leader.
+     * Adds quota demands, usage counts, results by version, service loads and evidence on prompt
+     * parts to a report for the leader.
      *
      * @param request the report to extend
      */
@@ -123,5 +131,6 @@
         request.addAllWindows(usage.snapshot());
         request.addAllVersions(versionResults.snapshot());
         request.addAllLoads(serviceLoads.snapshot());
+        promptPartGuard.addReport(request);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingContext.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingContext.java
@@ -22,6 +22,7 @@
  * @param quotaShares this gateway's shares of the quotas
  * @param quotaPoolClient requests quota from the leader's pool
  * @param retryBudget limits retries
+ * @param promptPartGuard keeps requests with quarantined prompt parts from endpoints
  * @param usageCounter counts requests that started to run
  * @param versionResults counts responses by version
  * @param serviceLoads measures the load sent to each service
@@ -39,6 +40,7 @@
         LocalQuotaShares quotaShares,
         QuotaPoolClient quotaPoolClient,
         ServiceRetryBudget retryBudget,
+        PromptPartGuard promptPartGuard,
         UsageCounter usageCounter,
         VersionResultCounter versionResults,
         ServiceLoadTracker serviceLoads,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
@@ -62,6 +62,7 @@
         endpoints.apply(newView);
         context.quotaShares().applyView(newView);
         context.retryBudget().setGatewayCount(newView.gatewayCount());
+        context.promptPartGuard().applyRecordedParts(newView.recordedParts());
     }
 
     @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.forwarding;
 
 import java.util.Collection;
+import java.util.List;
 import org.cardamomthread.configuration.traffic.TrafficAccount;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.daemon.dialect.EndpointReport;
@@ -9,10 +10,13 @@
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.KnownEndpoint;
 import org.cardamomthread.daemon.view.ViewLease;
+import org.cardamomthread.policy.quarantine.PromptPartKey;
 
 /** Writes decisions on requests to the decision log, with the values on which they were based. */
 final class ForwardingLog {
 
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private final DecisionLog log;
     private final ViewLease viewLease;
 
@@ -107,6 +111,25 @@
                 detail);
     }
 
+    void logSuspects(AdmittedRequest request, EndpointId endpoint, List<PromptPartKey> suspects) {
+        log.log(
+                "prompt-parts-suspected",
+                "request",
+                request.head().requestId(),
+                "service",
+                request.service().id(),
+                "endpoint",
+                endpoint,
+                "parts",
+                suspects.stream().limit(MAX_LOGGED_PARTS).map(PromptPartKey::part).toList(),
+                "count",
+                suspects.size());
+    }
+
+    void logDroppedEvidence(long count, int maxItems) {
+        log.log("prompt-part-evidence-dropped", "count", count, "maximum", maxItems);
+    }
+
     void logCompletion(
             AdmittedRequest request,
             String outcome,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
@@ -105,8 +105,12 @@
      * stream without an event is not, nor is one that ends inside an event.
      */
     boolean isWhole() {
-        return !isEventStream
-                || scanner.eventCount() > eventsOfEarlierAttempts && !scanner.isInsideEvent();
+        return !isEventStream || hasEventOfAttempt() && !scanner.isInsideEvent();
+    }
+
+    /** Returns whether an event of the current attempt has been received completely. */
+    boolean hasEventOfAttempt() {
+        return scanner.eventCount() > eventsOfEarlierAttempts;
     }
 
     /** Holds a part back until the response is complete. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointRegistry.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointRegistry.java
@@ -138,6 +138,16 @@
         return revision;
     }
 
+    /**
+     * Returns the entry of an endpoint.
+     *
+     * @param endpoint the endpoint
+     * @return its entry, which may be timed out or removed, or empty if it is not known
+     */
+    public Optional<RegisteredEndpoint> find(EndpointId endpoint) {
+        return Optional.ofNullable(endpoints.get(endpoint));
+    }
+
     /**
      * Returns the endpoints offered to gateways: neither timed out nor removed.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayView.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayView.java
@@ -10,6 +10,7 @@
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.policy.quarantine.PromptPartKey;
 
 /**
  * Holds the data by which a gateway routes and admits requests at one moment. Immutable.
@@ -21,6 +22,7 @@
  * @param endpoints the known endpoints, including draining ones
  * @param gatewayCount the number of gateways that share the quotas, 0 if not known yet
  * @param quotaShares this gateway's share of each account's quota, from 0 to 1
+ * @param recordedParts the prompt parts with which endpoints were lost
  */
 public record GatewayView(
         long revision,
@@ -29,11 +31,13 @@
         Map<ServiceId, VersionMoveState> versionMoves,
         Map<EndpointId, KnownEndpoint> endpoints,
         int gatewayCount,
-        Map<ClientAccountId, Double> quotaShares) {
+        Map<ClientAccountId, Double> quotaShares,
+        Map<PromptPartKey, KnownQuarantine> recordedParts) {
 
     /** The view of a gateway that has not received a response yet. */
     public static final GatewayView EMPTY =
-            new GatewayView(0, Optional.empty(), Set.of(), Map.of(), Map.of(), 0, Map.of());
+            new GatewayView(
+                    0, Optional.empty(), Set.of(), Map.of(), Map.of(), 0, Map.of(), Map.of());
 
     /** Creates a view with copies of the collections. */
     public GatewayView {
@@ -41,6 +45,7 @@
         versionMoves = Map.copyOf(versionMoves);
         endpoints = Map.copyOf(endpoints);
         quotaShares = Map.copyOf(quotaShares);
+        recordedParts = Map.copyOf(recordedParts);
     }
 
     /**
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
@@ -41,6 +41,7 @@
     private final Supplier<Optional<ReplicationGroup>> group;
     private final EndpointRegistry registry;
     private final GatewayReports reports;
+    private final QuarantineServer quarantine;
     private final Supplier<List<NodeId>> controlNodes;
     private final ControlThread controlThread;
     private final TimeSource timeSource;
@@ -55,6 +56,7 @@
      * @param group this node's member of the replication group, empty if it has none
      * @param registry the registered endpoints, accessed on the control thread only
      * @param reports the gateways' reports, accessed on the control thread only
+     * @param quarantine the quarantined prompt parts, accessed on the control thread only
      * @param controlNodes supplies the known control nodes
      * @param controlThread the thread on which responses are created
      * @param timeSource supplies monotonic time
@@ -65,6 +67,7 @@
             Supplier<Optional<ReplicationGroup>> group,
             EndpointRegistry registry,
             GatewayReports reports,
+            QuarantineServer quarantine,
             Supplier<List<NodeId>> controlNodes,
             ControlThread controlThread,
             TimeSource timeSource,
@@ -73,6 +76,7 @@
         this.group = group;
         this.registry = registry;
         this.reports = reports;
+        this.quarantine = quarantine;
         this.controlNodes = controlNodes;
         this.controlThread = controlThread;
         this.timeSource = timeSource;
@@ -122,6 +126,7 @@
     private byte[] respond(NodeId from, ViewRequest request, ReplicationGroup local) {
         updateTerm(local.status().term());
         reports.accept(from, request);
+        quarantine.accept(from, request);
         TrafficState state = replica.getState();
         ViewResponse.Builder response =
                 ViewResponse.newBuilder()
@@ -132,6 +137,7 @@
             response.setState(withoutUsageWindows(state));
         }
         addEndpoints(request, response);
+        quarantine.addTo(response, request, request.getRegisterSource().equals(registryId));
         controlNodes.get().forEach(node -> response.addControlNodes(node.value()));
         if (isSettled()) {
             response.setGateways(reports.countPresent());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewUpdater.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewUpdater.java
@@ -40,6 +40,7 @@
     private String registryId = "";
     private long registryRevision;
     private final Map<EndpointId, Long> unconfirmedSinceMs = new HashMap<>();
+    private final QuarantineUpdater quarantine;
 
     /**
      * Creates an updater with an empty view.
@@ -50,6 +51,7 @@
     public ViewUpdater(PlatformDialect dialect, TimeSource timeSource) {
         this.dialect = dialect;
         this.timeSource = timeSource;
+        quarantine = new QuarantineUpdater(timeSource);
     }
 
     /**
@@ -71,6 +73,7 @@
         request.setStateRevision(view.revision())
                 .setRegisterSource(registryId)
                 .setRegisterRevision(registryRevision);
+        quarantine.addKnown(request);
     }
 
     /**
@@ -106,7 +109,8 @@
                         versionMoves,
                         mergeEndpoints(response),
                         gatewayCount,
-                        quotaShares);
+                        quotaShares,
+                        quarantine.apply(response));
         return true;
     }
 
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -38,6 +38,7 @@
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 import org.cardamomthread.daemon.view.QuotaPoolClient;
+import org.cardamomthread.daemon.view.TrialClient;
 import org.cardamomthread.daemon.view.ViewLease;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -74,6 +75,7 @@
                                 time,
                                 viewLease,
                                 new QuotaPoolClient(null, Optional::empty, Runnable::run, time),
+                                new TrialClient(null, Optional::empty, Runnable::run),
                                 new ForwardingLimits(
                                         0.2,
                                         54,
@@ -410,6 +412,7 @@
                 Map.of(),
                 TestEndpoints.createEndpoints(CHAT, 4, false),
                 1,
+                Map.of(),
                 Map.of());
     }
 
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
@@ -133,6 +133,7 @@
                 Map.of(),
                 TestEndpoints.createEndpoints(CHAT, ENDPOINTS, isDraining),
                 1,
+                Map.of(),
                 Map.of());
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaAndRetryLimitsTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaAndRetryLimitsTests.java
@@ -168,6 +168,7 @@
                 Map.of(),
                 Map.of(),
                 gateways,
-                Map.of(account.id(), 1.0 / gateways));
+                Map.of(account.id(), 1.0 / gateways),
+                Map.of());
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaSharingTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaSharingTests.java
@@ -227,7 +227,8 @@
                             Map.of(),
                             Map.of(),
                             count,
-                            Map.of(account.id(), 1.0 / count)));
+                            Map.of(account.id(), 1.0 / count),
+                            Map.of()));
             gateways.add(gateway);
         }
         return gateways;
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.id.ServiceId;
@@ -14,6 +15,7 @@
 import org.cardamomthread.daemon.control.TrafficReplica;
 import org.cardamomthread.daemon.dialect.EndpointReport;
 import org.cardamomthread.daemon.registry.EndpointRegistry;
+import org.cardamomthread.daemon.telemetry.DecisionLog;
 import org.cardamomthread.daemon.testing.FakeReplicationGroup;
 import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.testing.TestPlatformDialect;
@@ -121,6 +123,12 @@
                         () -> Optional.of(new FakeReplicationGroup()),
                         registry,
                         new GatewayReports(time, 2_000),
+                        new QuarantineServer(
+                                registry,
+                                () -> OptionalLong.of(2),
+                                controlThread,
+                                time,
+                                new DecisionLog(time)),
                         List::of,
                         controlThread,
                         time,
