--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewUpdater.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewUpdater.java
@@ -46,6 +46,7 @@
     private String registryId = "";
     private long registryRevision;
     private final Map<EndpointId, Long> unconfirmedSinceMs = new HashMap<>();
+    private final QuarantineUpdater quarantine;
 
     /**
      * Creates an updater with an empty view.
@@ -56,6 +57,7 @@
     public ViewUpdater(PlatformDialect dialect, TimeSource timeSource) {
         this.dialect = dialect;
         this.timeSource = timeSource;
+        quarantine = new QuarantineUpdater(timeSource);
     }
 
     /**
@@ -77,6 +79,7 @@
         request.setStateRevision(view.revision())
                 .setRegisterSource(registryId)
                 .setRegisterRevision(registryRevision);
+        quarantine.addKnown(request);
     }
 
     /**
@@ -112,7 +115,8 @@
                         versionMoves,
                         mergeEndpoints(response),
                         gatewayCount,
-                        quotaShares);
+                        quotaShares,
+                        quarantine.apply(response));
         return true;
     }
 
