Try prompt parts separately that were only lost together

PartRecord now keeps the parts that were lost with it in every trial; a request that lacks one of them tells the two apart, so the pause does not apply to it. Each such trial that is lost leaves fewer companions, and an answer under one clears it.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/PromptPartGuard.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/PromptPartGuard.java
@@ -107,7 +107,11 @@
             isSuspected |= lostUntilMs.containsKey(key);
             if (isQuarantined(key)) {
                 isSuspected = true;
-                waitMs = Math.max(waitMs, recorded.get(key).trialReadyMs() - nowMs);
+                KnownQuarantine known = recorded.get(key);
+                // The leader may try a request sooner if it lacks one of the companions.
+                if (!known.entry().hasCompanions()) {
+                    waitMs = Math.max(waitMs, known.trialReadyMs() - nowMs);
+                }
             }
         }
         if (!isSuspected) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/KnownQuarantine.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/KnownQuarantine.java
@@ -23,6 +23,7 @@
                 entry.confirmedCrashes(),
                 entry.lostEndpoints(),
                 entry.isVouched(),
+                entry.hasCompanions(),
                 Math.max(0, trialReadyMs - nowMs));
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuarantineCodec.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuarantineCodec.java
@@ -103,6 +103,7 @@
                 .setConfirmedCrashes(entry.confirmedCrashes())
                 .setLostEndpoints(entry.lostEndpoints())
                 .setVouched(entry.isVouched())
+                .setHasCompanions(entry.hasCompanions())
                 .setTrialWaitMs(entry.trialWaitMs())
                 .build();
     }
@@ -117,6 +118,7 @@
                                         message.getConfirmedCrashes(),
                                         message.getLostEndpoints(),
                                         message.getVouched(),
+                                        message.getHasCompanions(),
                                         message.getTrialWaitMs()));
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuarantineServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuarantineServer.java
@@ -2,9 +2,13 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -162,15 +166,43 @@
     }
 
     private void applyEvidence(NodeId gateway, Collection<PromptPartEvidence> evidence) {
+        Map<String, Set<PromptPartKey>> lostTrials = collectLostTrials(evidence);
         for (PromptPartEvidence item : evidence) {
-            QuarantineCodec.decode(item.getPart()).ifPresent(key -> apply(gateway, key, item));
+            QuarantineCodec.decode(item.getPart())
+                    .ifPresent(
+                            key -> {
+                                Set<PromptPartKey> others =
+                                        new HashSet<>(
+                                                lostTrials.getOrDefault(item.getTrial(), Set.of()));
+                                others.remove(key);
+                                apply(gateway, key, item, others);
+                            });
         }
     }
 
-    private void apply(NodeId gateway, PromptPartKey key, PromptPartEvidence item) {
+    /** Returns the parts that were lost with each trial. */
+    private static Map<String, Set<PromptPartKey>> collectLostTrials(
+            Collection<PromptPartEvidence> evidence) {
+        Map<String, Set<PromptPartKey>> lostTrials = new HashMap<>();
+        for (PromptPartEvidence item : evidence) {
+            if (item.getKind() == PromptPartEvidence.Kind.LOST && !item.getTrial().isEmpty()) {
+                QuarantineCodec.decode(item.getPart())
+                        .ifPresent(
+                                key ->
+                                        lostTrials
+                                                .computeIfAbsent(
+                                                        item.getTrial(), trial -> new HashSet<>())
+                                                .add(key));
+            }
+        }
+        return lostTrials;
+    }
+
+    private void apply(
+            NodeId gateway, PromptPartKey key, PromptPartEvidence item, Set<PromptPartKey> others) {
         long happenedMs = timeSource.monotonicMs() - Math.max(0, item.getAgeMs());
         switch (item.getKind()) {
-            case LOST -> applyLoss(gateway, key, item, happenedMs);
+            case LOST -> applyLoss(gateway, key, item, others, happenedMs);
             case ANSWERED -> {
                 if (quarantine.recordAnswer(key, happenedMs)) {
                     logRelease(gateway, key, "answered");
@@ -194,7 +226,11 @@
     }
 
     private void applyLoss(
-            NodeId gateway, PromptPartKey key, PromptPartEvidence item, long lostMs) {
+            NodeId gateway,
+            PromptPartKey key,
+            PromptPartEvidence item,
+            Set<PromptPartKey> others,
+            long lostMs) {
         Optional<EndpointIncarnation> endpoint = QuarantineCodec.decodeEndpoint(item);
         if (endpoint.isEmpty()) {
             log.log("prompt-part-evidence-ignored", "gateway", gateway, "kind", "LOST");
@@ -206,7 +242,7 @@
         quarantine
                 .recordLoss(
                         key,
-                        new EndpointLoss(incarnation, trial, item.getVouched(), lostMs),
+                        new EndpointLoss(incarnation, trial, item.getVouched(), others, lostMs),
                         timeSource.monotonicMs())
                 .ifPresent(entry -> logQuarantine(gateway, entry, incarnation));
     }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/PartRecord.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/PartRecord.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.policy.quarantine;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -10,8 +11,9 @@
  *
  * <p>Invariants: losses within {@link PromptPartQuarantine#CRASH_WINDOW_MS} of a crash belong to
  * it, as do all losses of one incarnation of an endpoint; each trial that is lost is a crash of its
- * own. The pause before a trial grows with the crashes after which other requests were answered.
- * Not thread-safe.
+ * own. The pause before a trial grows with the crashes after which other requests were answered. It
+ * does not apply to a request that lacks a part with which this one has been lost in every trial,
+ * since either may be the cause. Not thread-safe.
  */
 final class PartRecord {
 
@@ -20,6 +22,11 @@
 
     private final List<Crash> crashes = new ArrayList<>();
 
+    /** The parts that were lost with this one in every trial so far; empty before the first. */
+    private final Set<PromptPartKey> companions = new HashSet<>();
+
+    private boolean hasLostTrial;
+
     /** Crashes whose endpoints are not known, since another node recorded them. */
     private int inheritedCrashes;
 
@@ -89,6 +96,7 @@
         boolean isTrial = !loss.trial().isEmpty() && loss.trial().equals(trialHolder);
         if (isTrial) {
             endTrial();
+            updateCompanions(loss.others());
         }
         for (Crash crash : crashes) {
             if (crash.endpoints.contains(loss.endpoint())) {
@@ -163,12 +171,23 @@
         return trialHolder;
     }
 
-    /** Returns the time until a holder may start a trial, in milliseconds, or 0. */
-    long trialWaitMs(String holder, long nowMs) {
+    /** Returns the time until a holder may start a trial of a request, in milliseconds, or 0. */
+    long trialWaitMs(Collection<PromptPartKey> requestKeys, String holder, long nowMs) {
+        long pauseMs = isSeparatedBy(requestKeys) ? 0 : Math.max(0, nextTrialMs - nowMs);
         if (isOnTrial(nowMs) && !trialHolder.equals(holder)) {
-            return Math.max(PromptPartQuarantine.TRIAL_RETRY_AFTER_MS, nextTrialMs - nowMs);
+            return Math.max(PromptPartQuarantine.TRIAL_RETRY_AFTER_MS, pauseMs);
         }
-        return Math.max(0, nextTrialMs - nowMs);
+        return pauseMs;
+    }
+
+    /** Returns whether another part has been lost with this one in every trial. */
+    boolean hasCompanions() {
+        return !companions.isEmpty();
+    }
+
+    /** Records that another part is not the cause. */
+    void removeCompanion(PromptPartKey key) {
+        companions.remove(key);
     }
 
     void startTrial(String holder, long nowMs) {
@@ -181,6 +200,19 @@
         trialEndMs = 0;
     }
 
+    private boolean isSeparatedBy(Collection<PromptPartKey> requestKeys) {
+        return hasCompanions() && !requestKeys.containsAll(companions);
+    }
+
+    private void updateCompanions(Set<PromptPartKey> others) {
+        if (hasLostTrial) {
+            companions.retainAll(others);
+        } else {
+            hasLostTrial = true;
+            companions.addAll(others);
+        }
+    }
+
     private void updateNextTrial() {
         nextTrialMs =
                 lastCrashMs
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/PromptPartQuarantine.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/PromptPartQuarantine.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cardamomthread.core.id.ServiceId;
 
 /**
@@ -84,7 +85,8 @@
             PromptPartKey key, String endpoint, boolean isVouched, long nowMs) {
         PartRecord part = records.get(key);
         String trial = part != null && part.isOnTrial(nowMs) ? part.trialHolder() : "";
-        return recordLoss(key, new EndpointLoss(endpoint, trial, isVouched, nowMs), nowMs);
+        return recordLoss(
+                key, new EndpointLoss(endpoint, trial, isVouched, Set.of(), nowMs), nowMs);
     }
 
     /**
@@ -184,6 +186,7 @@
             return recordVouch(key);
         }
         records.remove(key);
+        records.values().forEach(other -> other.removeCompanion(key));
         revision++;
         return part.isQuarantined();
     }
@@ -224,7 +227,7 @@
         }
         long waitMs =
                 quarantined.stream()
-                        .mapToLong(part -> part.trialWaitMs(holder, nowMs))
+                        .mapToLong(part -> part.trialWaitMs(keys, holder, nowMs))
                         .max()
                         .orElse(0);
         if (waitMs > 0) {
@@ -312,6 +315,7 @@
                 part.confirmedCrashCount(),
                 part.lostEndpointCount(),
                 part.isVouched(),
+                part.hasCompanions(),
                 Math.max(0, part.nextTrialMs() - nowMs));
     }
 
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/QuarantineEntry.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/QuarantineEntry.java
@@ -8,6 +8,8 @@
  * @param confirmedCrashes the number of those after which other requests were answered
  * @param lostEndpoints the number of endpoints that were lost in them
  * @param isVouched whether a node had seen answers under the part before the first of them
+ * @param hasCompanions whether another part has been lost with this one in every trial, so that a
+ *     request without that one may be tried sooner
  * @param trialWaitMs time until the next trial may start, in milliseconds, 0 if it may start now
  */
 public record QuarantineEntry(
@@ -16,6 +18,7 @@
         int confirmedCrashes,
         int lostEndpoints,
         boolean isVouched,
+        boolean hasCompanions,
         long trialWaitMs) {
 
     /**
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/quarantine/PromptPartQuarantineTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/quarantine/PromptPartQuarantineTests.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Set;
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.policy.quarantine.TrialDecision.Kind;
 import org.testng.annotations.BeforeMethod;
@@ -236,7 +237,38 @@
         assertTrue(key.part().length() <= PromptPartKey.MAX_PART_LENGTH);
     }
 
+    @Test
+    public void triesPartsSeparatelyThatWereOnlyLostTogether() {
+        long crashMs = loseTogetherTwice();
+        assertFalse(quarantine.decide(List.of(SHARED, DEADLY), "b", crashMs + 100).maySend());
+        assertEquals(quarantine.decide(List.of(SHARED), "c", crashMs + 100), TrialDecision.TRIAL);
+        assertTrue(quarantine.recordAnswer(SHARED));
+        assertFalse(quarantine.decide(List.of(SHARED, DEADLY), "d", crashMs + 200).maySend());
+        assertEquals(
+                quarantine.decide(List.of(SHARED), "e", crashMs + 200), TrialDecision.UNRESTRICTED);
+    }
+
+    @Test
+    public void pausesTrialsOfPartThatIsLostWithoutItsCompanion() {
+        long crashMs = loseTogetherTwice();
+        quarantine.decide(List.of(DEADLY), "b", crashMs + 100);
+        quarantine.recordLoss(DEADLY, loss("e3", "b", crashMs + 300), crashMs + 300);
+        assertFalse(quarantine.decide(List.of(DEADLY), "c", crashMs + 400).maySend());
+    }
+
+    /** Loses two parts with one request and with a trial; returns when the trial was lost. */
+    private long loseTogetherTwice() {
+        List<PromptPartKey> parts = List.of(SHARED, DEADLY);
+        parts.forEach(part -> quarantine.recordLoss(part, "e1", false, 10_000));
+        quarantine.decide(parts, "a", 12_000);
+        quarantine.recordLoss(
+                SHARED, new EndpointLoss("e2", "a", false, Set.of(DEADLY), 12_200), 12_200);
+        quarantine.recordLoss(
+                DEADLY, new EndpointLoss("e2", "a", false, Set.of(SHARED), 12_200), 12_200);
+        return 12_200;
+    }
+
     private static EndpointLoss loss(String endpoint, String trial, long lostMs) {
-        return new EndpointLoss(endpoint, trial, false, lostMs);
+        return new EndpointLoss(endpoint, trial, false, Set.of(), lostMs);
     }
 }
