--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
@@ -16,6 +16,7 @@
 import org.cardamomthread.core.time.ManualTimeSource;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
+import org.cardamomthread.daemon.http.HttpExchange;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
 import org.cardamomthread.daemon.testing.FakeEndpointClient;
@@ -95,6 +96,20 @@
         assertFalse(caller.isComplete());
     }
 
+    @Test
+    public void failsAJobWhoseLongResponseBreaksOff() {
+        endpoints.addScript(
+                send(200)
+                        .andThen(
+                                listener ->
+                                        listener.onFailure(
+                                                FakeEndpointClient.createFailure(
+                                                        Kind.CONNECTION_LOST))));
+        JobExchange job = new JobExchange(new byte[0]);
+        start(job);
+        assertTrue(job.getResponse().isCompletedExceptionally());
+    }
+
     private static Consumer<EndpointResponseListener> send(int status) {
         return listener -> {
             listener.onHead(status, new DefaultHttpHeaders());
@@ -105,12 +120,16 @@
     }
 
     private void start() {
+        start(caller);
+    }
+
+    private void start(HttpExchange exchange) {
         NodeTracing tracing = new NodeTracing(new NodeId("node-a"), Optional.empty());
         Span span = tracing.startServerSpan("test", new DefaultHttpHeaders());
         ManualTimeSource timeSource = new ManualTimeSource();
         CallContext context =
                 new CallContext(
-                        caller,
+                        exchange,
                         new RequestId("r1"),
                         new ClientAccountId("bars"),
                         TARGET,
