Apply a grant of credits whose entries are not all valid

In the form with homes, one entry of a grant that cannot be decoded made a gateway drop the rest of the grant, so that it lost its credits for the other endpoints of that home: at every grant if the load was odd, once if it was the description, whose handle was then taken for known. Homes check announcements, so that it takes a home of another release.

The pool decodes an entry before it changes anything, skips one that is malformed with a warning, and applies the others.

--- a/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/DefaultCreditPool.java
+++ b/cardamomthread-membership/src/main/java/org/cardamomthread/membership/gateway/DefaultCreditPool.java
@@ -15,6 +15,8 @@
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.membership.OutgoingMessage;
 import org.cardamomthread.membership.endpoint.EndpointCodec;
+import org.cardamomthread.membership.endpoint.EndpointDescription;
+import org.cardamomthread.membership.endpoint.EndpointLoad;
 import org.cardamomthread.membership.generated.CreditDemand;
 import org.cardamomthread.membership.generated.CreditGrant;
 import org.cardamomthread.membership.generated.EndpointDemandMessage;
@@ -22,6 +24,8 @@
 import org.cardamomthread.membership.generated.NamedInFlight;
 import org.cardamomthread.membership.generated.PeerMessage;
 import org.cardamomthread.membership.node.NodeDirectory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Maintains credits by sending demands to a bounded number of homes.
@@ -31,6 +35,8 @@
  */
 public final class DefaultCreditPool implements CreditPool {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(DefaultCreditPool.class);
+
     /**
      * The lease durations of silence after which an endpoint without requests in flight is removed.
      */
@@ -224,12 +230,17 @@
         long leaseEndMs = demandSentMs.get() + Math.min(settings.leaseMs(), grant.getLeaseMs());
         Set<EndpointId> granted = new HashSet<>();
         for (EndpointGrantMessage message : grant.getEndpointsList()) {
-            EndpointCredits credits = creditsFor(session, message);
-            if (credits != null) {
-                granted.add(credits.endpoint());
-                credits.updateLoad(EndpointCodec.toLoad(message.getLoad()), nowMs);
-                long incarnation = message.getEndpointIncarnation();
-                credits.applyGrant(from, incarnation, message.getLimit(), leaseEndMs, nowMs);
+            try {
+                EndpointLoad load = EndpointCodec.toLoad(message.getLoad());
+                EndpointCredits credits = creditsFor(session, message);
+                if (credits != null) {
+                    granted.add(credits.endpoint());
+                    credits.updateLoad(load, nowMs);
+                    long incarnation = message.getEndpointIncarnation();
+                    credits.applyGrant(from, incarnation, message.getLimit(), leaseEndMs, nowMs);
+                }
+            } catch (IllegalArgumentException e) {
+                LOGGER.warn("ignored an endpoint in a grant of node {}: {}", from, e.getMessage());
             }
         }
         creditsByEndpoint.values().stream()
@@ -237,10 +248,16 @@
                 .forEach(credits -> credits.discard(from));
     }
 
-    /** Returns the credits of the endpoint in a grant, or null if its handle is unknown. */
+    /**
+     * Returns the credits of the endpoint in a grant, or null if its handle is unknown.
+     *
+     * @throws IllegalArgumentException if the description is invalid; nothing has changed then
+     */
     private EndpointCredits creditsFor(HomeSession session, EndpointGrantMessage message) {
         if (message.hasDescription()) {
             EndpointId endpoint = new EndpointId(message.getEndpointId());
+            DataCentreId dataCentre = new DataCentreId(message.getDataCentre());
+            EndpointDescription description = EndpointCodec.toDescription(message.getDescription());
             session.endpointsByHandle()
                     .put(
                             message.getHandle(),
@@ -248,9 +265,7 @@
                                     endpoint, message.getDescriptionSequence()));
             creditsByEndpoint
                     .computeIfAbsent(endpoint, key -> new EndpointCredits(key, totalStarted))
-                    .updateDescription(
-                            new DataCentreId(message.getDataCentre()),
-                            EndpointCodec.toDescription(message.getDescription()));
+                    .updateDescription(dataCentre, description);
         }
         HomeSession.KnownEndpoint knownEndpoint =
                 session.endpointsByHandle().get(message.getHandle());
