Wait for the end of the connection instead of a while in RepeatedRefusalTests

neverTakesAnEarlierRefusalForTheResponseOfTheNextRequest failed once, beside other builds (load average about 30): the endpoint wrote the copy 100 ms after the refusal, the test sent the next request after 300 ms, and the copy arrived after that request, which then ended as MISMATCHED_ANSWER, as another row of the test expects. The test now waits until the client has closed the connection on which the copy arrived, and asserts what it did before.

--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/RepeatedRefusalTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/RepeatedRefusalTests.java
@@ -36,7 +36,6 @@
     private static final String SECOND_ID = "r2";
     private static final int STATUS_REFUSED = 503;
     private static final long COPY_DELAY_MS = 100;
-    private static final long SECOND_REQUEST_DELAY_MS = 300;
     private static final long TEST_TIMEOUT_S = 20;
     private static final long ATTEMPT_TIMEOUT_MS = 5_000;
 
@@ -80,7 +79,9 @@
             Moment moment, boolean isPooled, String copy) throws Exception {
         try (RepeatingEndpoint endpoint = new RepeatingEndpoint(moment, copy)) {
             assertEquals(run(endpoint, FIRST_ID, isPooled).status(), STATUS_REFUSED);
-            Thread.sleep(SECOND_REQUEST_DELAY_MS);
+            if (moment != Moment.AFTER_THE_NEXT_REQUEST) {
+                endpoint.awaitDisconnect();
+            }
             Outcome second = run(endpoint, SECOND_ID, isPooled);
             if (isPooled && moment == Moment.AFTER_THE_NEXT_REQUEST) {
                 assertEquals(second.kind(), Kind.MISMATCHED_ANSWER);
@@ -194,6 +195,7 @@
 
         private final ServerSocket listener =
                 new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final CompletableFuture<Void> disconnect = new CompletableFuture<>();
 
         ScriptedEndpoint() throws IOException {
             startDaemonThread(this::acceptAll);
@@ -202,6 +204,11 @@
         abstract void respond(String requestId, boolean isFirstOfConnection, OutputStream out)
                 throws Exception;
 
+        /** Waits until the client has closed a connection. */
+        void awaitDisconnect() throws Exception {
+            disconnect.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
+        }
+
         String getAddress() {
             return "127.0.0.1:" + listener.getLocalPort();
         }
@@ -236,6 +243,7 @@
             } catch (Exception closed) {
                 // The client has closed the connection.
             }
+            disconnect.complete(null);
         }
 
         static void write(OutputStream out, String text) throws IOException {
