Test attempts whose response belongs to another request

Two rows of ForwardedCallTests.retriesOnlyWhenSafe: a request that may be repeated goes on to another endpoint, one that must run once ends with 502. A line of AnnouncementReaderTests is wrapped for Checkstyle.

--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -119,11 +119,14 @@
     public Object[][] firstAttemptOutcomes() {
         Consumer<EndpointResponseListener> connectionLost = fail(Kind.CONNECTION_LOST);
         Consumer<EndpointResponseListener> notRun = respond(503, false, true);
+        Consumer<EndpointResponseListener> mismatched = fail(Kind.MISMATCHED_ANSWER);
         return new Object[][] {
             {"lost, repeatable", RequestKind.REPEATABLE, connectionLost, 2, 200},
             {"lost, once", RequestKind.ONCE_PER_ATTEMPT, connectionLost, 1, 502},
             {"lost stream", RequestKind.STREAM, connectionLost, 1, 502},
             {"lost resumable stream", RequestKind.RESUMABLE_STREAM, connectionLost, 2, 200},
+            {"mismatched, repeatable", RequestKind.REPEATABLE, mismatched, 2, 200},
+            {"mismatched, once", RequestKind.ONCE_PER_ATTEMPT, mismatched, 1, 502},
             {"not run, once", RequestKind.ONCE_PER_ATTEMPT, notRun, 2, 200},
             {"not run, stream", RequestKind.STREAM, notRun, 2, 200},
             {"failed, repeatable", RequestKind.REPEATABLE, respond(500, true, false), 2, 200},
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/membership/AnnouncementReaderTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/membership/AnnouncementReaderTests.java
@@ -15,7 +15,8 @@
     private static final String ANNOUNCEMENT =
             "{\"endpointId\":\"e1\",\"incarnation\":3,\"sequence\":4,"
                     + "\"dataCentre\":\"perth-a\","
-                    + "\"address\":\"10.1.0.9:8080\",\"kind\":\"model\",\"endpointClass\":\"small\","
+                    + "\"address\":\"10.1.0.9:8080\",\"kind\":\"model\","
+                    + "\"endpointClass\":\"small\","
                     + "\"priceClass\":\"on-demand\",\"state\":\"ready\","
                     + "\"services\":[{\"service\":\"s\",\"version\":\"v1\",\"adapters\":[]}],"
                     + "\"load\":{\"atMs\":99,\"running\":3,\"queued\":1,\"bearableRequests\":8,"
