--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipComponents.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/MembershipComponents.java
@@ -17,6 +17,7 @@
 import org.cardamomthread.daemon.membership.MembershipService;
 import org.cardamomthread.daemon.membership.ObservationPublisher;
 import org.cardamomthread.daemon.membership.SlowStartConcurrencyLimits;
+import org.cardamomthread.daemon.quarantine.Peer;
 import org.cardamomthread.membership.endpoint.EndpointAnnouncement;
 import org.cardamomthread.membership.gateway.CreditPool;
 import org.cardamomthread.membership.gateway.CreditPoolSettings;
@@ -127,6 +128,14 @@
         return Stream.concat(Stream.of(directory.self().id()), otherNodes).sorted().toList();
     }
 
+    /** Returns the other nodes that are alive and not leaving. */
+    List<Peer> listLivePeers() {
+        return directory.otherNodes().stream()
+                .filter(node -> node.state() == NodeState.ALIVE && !node.entry().leaving())
+                .map(node -> new Peer(node.entry().id(), node.entry().incarnation()))
+                .toList();
+    }
+
     /** Returns the nodes that the failure detector considers dead, in ascending order. */
     List<NodeId> listDeadNodes() {
         return directory.otherNodes().stream()
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingComponents.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/ServingComponents.java
@@ -20,9 +20,13 @@
 import org.cardamomthread.daemon.gateway.CompositeAttemptObserver;
 import org.cardamomthread.daemon.gateway.EndpointPricing;
 import org.cardamomthread.daemon.gateway.Gateway;
+import org.cardamomthread.daemon.gateway.PromptGuard;
+import org.cardamomthread.daemon.quarantine.Peer;
+import org.cardamomthread.daemon.quarantine.SharedPromptGuard;
 import org.cardamomthread.daemon.rollout.RolloutService;
 import org.cardamomthread.daemon.rollout.VersionMoveObserver;
 import org.cardamomthread.daemon.rollout.VersionMoveRouter;
+import org.cardamomthread.daemon.telemetry.DecisionLog;
 import org.cardamomthread.policy.routing.ScoringEndpointSelector;
 import org.cardamomthread.transport.PeerTransport;
 
@@ -35,6 +39,8 @@
     private final ConfigurationSynchronizer configurationSynchronizer;
     private final RolloutService rollout;
     private final DrainStateSynchronizer drainStateSynchronizer;
+    private final ControlThread controlThread;
+    private final SharedPromptGuard promptGuard;
     private final Gateway gateway;
     private final JobRunner jobRunner;
     private final JobDispatcher jobDispatcher;
@@ -91,7 +97,9 @@
                         dependencies.membership().getDirectory(),
                         dependencies.configurationProposer(),
                         dependencies.controlThread());
-        gateway = createGateway(dependencies);
+        controlThread = dependencies.controlThread();
+        promptGuard = createPromptGuard(dependencies);
+        gateway = createGateway(dependencies, promptGuard);
         JobClient jobs = new JobClient(dependencies.proposalClient());
         jobRunner =
                 new JobRunner(
@@ -117,6 +125,7 @@
     void start() {
         configurationSynchronizer.start();
         rollout.start();
+        promptGuard.start(controlThread);
         drainStateSynchronizer.start();
         jobRunner.start();
         jobDispatcher.start();
@@ -128,7 +137,27 @@
                         dependencies.settings().nodeId().value(), dependencies.incarnation()));
     }
 
-    private Gateway createGateway(Dependencies dependencies) {
+    private static SharedPromptGuard createPromptGuard(Dependencies dependencies) {
+        TimeSource timeSource = dependencies.telemetry().timeSource();
+        SharedPromptGuard guard =
+                new SharedPromptGuard(
+                        new Peer(dependencies.settings().nodeId(), dependencies.incarnation()),
+                        dependencies.membership()::listLivePeers,
+                        dependencies.transport(),
+                        dependencies.controlThread()::execute,
+                        timeSource,
+                        new DecisionLog(timeSource));
+        dependencies
+                .telemetry()
+                .metrics()
+                .registerGauge(
+                        "cardamomthread_quarantined_prompt_blocks",
+                        "Prompt blocks of which requests are tried one at a time",
+                        guard::countQuarantined);
+        return guard;
+    }
+
+    private Gateway createGateway(Dependencies dependencies, PromptGuard promptGuard) {
         TimeSource timeSource = dependencies.telemetry().timeSource();
         return new Gateway(
                 new Gateway.GatewayDependencies(
@@ -148,6 +177,7 @@
                                 List.of(
                                         new VersionMoveObserver(rollout, timeSource),
                                         dependencies.membership().getObservationPublisher())),
+                        promptGuard,
                         dependencies.telemetry(),
                         createRandom(dependencies)));
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
@@ -6,9 +6,12 @@
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.daemon.dispatch.EndpointAttempt;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException;
+import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.http.ProblemDetail;
 import org.cardamomthread.execution.ExecutionStatus;
+import org.cardamomthread.policy.quarantine.TrialDecision;
+import org.cardamomthread.policy.routing.PromptPrefix;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -17,8 +20,8 @@
  * retries on another endpoint within the limits on attempts, time and the retry budget.
  *
  * <p>Invariants: at most one attempt is in progress, and its reservation is released exactly once,
- * before the next attempt is placed. Events may arrive on any thread; this object's lock serializes
- * them.
+ * before the next attempt is placed; a call whose prompt may have crashed an endpoint is not sent
+ * to another one. Events may arrive on any thread; this object's lock serializes them.
  */
 abstract class AbstractRetryableCall implements PlacementListener {
 
@@ -28,16 +31,24 @@
 
     private final CallContext context;
     private final CallDependencies dependencies;
+    private final GuardedPrompt prompt;
     private final Set<EndpointId> failedEndpoints = new HashSet<>();
     private PendingPlacement pendingPlacement;
     private EndpointAttempt attempt;
     private EndpointReservation reservation;
     private int attemptCount;
+    private boolean isTrial;
+    private boolean hasAnswer;
     private boolean ended;
 
-    AbstractRetryableCall(CallContext context, CallDependencies dependencies) {
+    AbstractRetryableCall(CallContext context, CallDependencies dependencies, PromptPrefix prefix) {
         this.context = context;
         this.dependencies = dependencies;
+        this.prompt =
+                dependencies
+                        .promptGuard()
+                        .createPrompt(
+                                context.getRequestId(), context.getTarget().service(), prefix);
     }
 
     /** Starts the first attempt and cancels the call if the caller disconnects. */
@@ -54,22 +65,10 @@
                 return;
             }
             reservation = newReservation;
-            attemptCount++;
-            EndpointResponseListener listener = createListener(newReservation);
-            EndpointAttempt startedAttempt =
-                    dependencies
-                            .dispatcher()
-                            .start(
-                                    context,
-                                    newReservation,
-                                    getRequestTarget(),
-                                    createBody(),
-                                    attemptCount > 1,
-                                    listener);
-            if (reservation == newReservation) {
-                attempt = startedAttempt;
-            }
         }
+        dependencies
+                .promptGuard()
+                .decide(prompt, decision -> startAttempt(newReservation, decision));
     }
 
     @Override
@@ -108,10 +107,31 @@
         return dependencies;
     }
 
+    /** Returns the blocks of the prompt, which is empty for plain services. */
+    protected final PromptPrefix getPrefix() {
+        return prompt.prefix();
+    }
+
     protected final boolean isRetry() {
         return attemptCount > 0;
     }
 
+    /** Records that the endpoint began to answer. */
+    protected final synchronized void recordAnswer() {
+        if (!hasAnswer) {
+            hasAnswer = true;
+            isTrial = false;
+            dependencies.promptGuard().recordAnswer(prompt);
+        }
+    }
+
+    /** Records that the endpoint began to answer, if its response is a success. */
+    protected final void recordAnswerOf(ResponseHead head) {
+        if (head.isSuccess()) {
+            recordAnswer();
+        }
+    }
+
     /** Ends the call without a further attempt and credits its service's retry budget. */
     protected final synchronized void finishWithoutRetry(AttemptReport report) {
         releaseReservation(report);
@@ -133,7 +153,13 @@
                     .addKeyValue("attempt", attemptCount)
                     .log("attempt failed: {}", failure.getMessage());
             boolean wasCanary = reservation.isCanary();
+            boolean isSuspect = recordLoss(failure);
             releaseReservation(report);
+            if (isSuspect) {
+                ended = true;
+                reportFailure(createSuspectProblem(failure));
+                return;
+            }
             if (!mayRetry(wasCanary)) {
                 ended = true;
                 reportFailure(createProblem(failure));
@@ -162,6 +188,15 @@
     }
 
     private void placeNextAttempt() {
+        long rejectionMs = dependencies.promptGuard().getRejectionMs(prompt);
+        if (rejectionMs > 0) {
+            synchronized (this) {
+                if (!ended) {
+                    reject(rejectionMs);
+                }
+            }
+            return;
+        }
         PendingPlacement newPlacement =
                 dependencies
                         .placement()
@@ -174,6 +209,73 @@
         }
     }
 
+    private synchronized void startAttempt(
+            EndpointReservation newReservation, TrialDecision decision) {
+        isTrial = decision.kind() == TrialDecision.Kind.TRIAL;
+        if (ended) {
+            releaseTrial();
+            return;
+        }
+        if (!decision.maySend()) {
+            reservation = null;
+            newReservation.release(AttemptReport.ABANDONED);
+            reject(decision.retryAfterMs());
+            return;
+        }
+        attemptCount++;
+        EndpointResponseListener listener = createListener(newReservation);
+        EndpointAttempt startedAttempt =
+                dependencies
+                        .dispatcher()
+                        .start(
+                                context,
+                                newReservation,
+                                getRequestTarget(),
+                                createBody(),
+                                attemptCount > 1,
+                                listener);
+        if (reservation == newReservation) {
+            attempt = startedAttempt;
+        }
+    }
+
+    /** Ends a call whose prompt is quarantined. */
+    private void reject(long retryAfterMs) {
+        ended = true;
+        boolean isNotRun = attemptCount == 0;
+        reportFailure(
+                new ProblemDetail(
+                        isNotRun ? 503 : 502,
+                        "prompt-quarantined",
+                        "Prompt quarantined",
+                        "endpoints crashed on requests whose prompts begin like this one, so that"
+                                + " such requests are tried one at a time: retry later, or change"
+                                + " the prompt",
+                        isNotRun ? ExecutionStatus.NOT_RUN : ExecutionStatus.UNKNOWN,
+                        OptionalLong.of((retryAfterMs + 999) / 1_000)));
+    }
+
+    /** Returns whether the attempt was lost with its endpoint, perhaps because of its prompt. */
+    private boolean recordLoss(EndpointFailureException failure) {
+        boolean isLost =
+                failure.getKind() == Kind.CONNECTION_LOST
+                        || failure.getKind() == Kind.TRUNCATED_ANSWER;
+        if (!isLost || hasAnswer) {
+            return false;
+        }
+        isTrial = false;
+        return dependencies
+                .promptGuard()
+                .recordLoss(prompt, reservation.getEndpoint() + "/" + reservation.getIncarnation());
+    }
+
+    private void releaseTrial() {
+        if (isTrial) {
+            isTrial = false;
+            dependencies.promptGuard().releaseTrial(prompt);
+        }
+    }
+
     private void cancel() {
         EndpointAttempt currentAttempt;
         synchronized (this) {
@@ -208,6 +310,7 @@
     }
 
     private void releaseReservation(AttemptReport report) {
+        releaseTrial();
         if (reservation != null) {
             context.countAttempt(report.result());
             reservation.release(report);
@@ -216,6 +319,20 @@
         }
     }
 
+    private ProblemDetail createSuspectProblem(EndpointFailureException failure) {
+        return new ProblemDetail(
+                502,
+                "endpoint-lost",
+                "Endpoint lost",
+                String.format(
+                        "the endpoint was lost before it answered and no prompt that begins like"
+                                + " this one has been answered, so that it was not sent to another"
+                                + " endpoint: %s; retry the call",
+                        failure.getMessage()),
+                ExecutionStatus.UNKNOWN,
+                OptionalLong.of(1));
+    }
+
     private ProblemDetail createProblem(EndpointFailureException failure) {
         ExecutionStatus execution =
                 failure.isNotSent() && attemptCount == 1
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/BufferedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/BufferedCall.java
@@ -40,7 +40,7 @@
             CallDependencies dependencies,
             WorkEstimate workEstimate,
             String target) {
-        super(context, dependencies);
+        super(context, dependencies, workEstimate.prefix());
         this.workEstimate = workEstimate;
         this.target = target;
     }
@@ -51,7 +51,7 @@
                 getContext().getRequestId(),
                 getContext().getAccount(),
                 getContext().getTarget(),
-                workEstimate.prefix(),
+                getPrefix(),
                 workEstimate.promptTokens(),
                 workEstimate.outputTokens(),
                 excluded,
@@ -121,6 +121,7 @@
                         timing.createReport(Kind.OVERSIZED_ANSWER));
                 return;
             }
+            recordAnswerOf(head);
             stream =
                     getContext()
                             .startStream(
@@ -163,6 +164,7 @@
                                 "the endpoint responded with status " + head.status()));
                 return;
             }
+            recordAnswerOf(head);
             finishWithoutRetry(timing.createReport());
             getContext().respond(head.createResponse(buffer.toByteArray()));
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditReservation.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditReservation.java
@@ -51,6 +51,11 @@
         return endpoint.endpoint();
     }
 
+    @Override
+    public long getIncarnation() {
+        return endpoint.incarnation();
+    }
+
     @Override
     public String getAddress() {
         return endpoint.description().address();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/DelegatingEndpointReservation.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/DelegatingEndpointReservation.java
@@ -17,6 +17,11 @@
         return delegate.getEndpoint();
     }
 
+    @Override
+    public long getIncarnation() {
+        return delegate.getIncarnation();
+    }
+
     @Override
     public String getAddress() {
         return delegate.getAddress();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/EndpointReservation.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/EndpointReservation.java
@@ -17,6 +17,13 @@
      */
     EndpointId getEndpoint();
 
+    /**
+     * Returns the incarnation of the endpoint.
+     *
+     * @return a number that changes with each start of the endpoint
+     */
+    long getIncarnation();
+
     /**
      * Returns the network address of the endpoint.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -38,6 +38,7 @@
                         new AttemptDispatcher(
                                 dependencies.client(), dependencies.telemetry().tracing()),
                         new BudgetRetryPolicy(dependencies.telemetry().timeSource()),
+                        dependencies.promptGuard(),
                         dependencies.telemetry().timeSource());
         ReplicatedAtMostOnceCallStarter atMostOnceStarter =
                 new ReplicatedAtMostOnceCallStarter(
@@ -75,6 +76,7 @@
      * @param prefixIndex tracks which prompt prefixes endpoints have cached
      * @param placementHistory records placement decisions
      * @param attemptObserver is notified of the result of each attempt
+     * @param promptGuard keeps requests from endpoints that their prompts may crash
      * @param telemetry the components that each call reports to
      * @param random breaks ties between similar candidates and divides traffic between versions
      */
@@ -92,6 +94,7 @@
             PrefixIndex prefixIndex,
             PlacementHistory placementHistory,
             AttemptObserver attemptObserver,
+            PromptGuard promptGuard,
             CallTelemetry telemetry,
             RandomGenerator random) {}
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ResponseHead.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ResponseHead.java
@@ -16,12 +16,18 @@
     private static final int FIRST_SERVER_ERROR = 500;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int OK = 200;
+    private static final int FIRST_REDIRECTION = 300;
 
     /** Returns whether a retry on another endpoint might succeed. */
     boolean isRetryable() {
         return status == TOO_MANY_REQUESTS || status >= FIRST_SERVER_ERROR;
     }
 
+    /** Returns whether the endpoint has run the request successfully. */
+    boolean isSuccess() {
+        return status >= OK && status < FIRST_REDIRECTION;
+    }
+
     /** Returns the kind of failure that a retryable status stands for. */
     EndpointFailureException.Kind getFailureKind() {
         boolean isOverloaded = status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingModelCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingModelCall.java
@@ -8,7 +8,6 @@
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.http.ProblemDetail;
 import org.cardamomthread.daemon.http.ResponseStream;
-import org.cardamomthread.policy.routing.PromptPrefix;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,14 +26,12 @@
     private static final long MAX_UNREAD_BYTES = 1024 * 1024;
 
     private final ModelRequest request;
-    private final PromptPrefix prefix;
     private final StreamProgress progress = new StreamProgress();
     private ResponseStream stream;
 
     StreamingModelCall(CallContext context, CallDependencies dependencies, ModelRequest request) {
-        super(context, dependencies);
+        super(context, dependencies, request.createPromptPrefix());
         this.request = request;
-        this.prefix = request.createPromptPrefix();
     }
 
     @Override
@@ -43,7 +40,7 @@
                 getContext().getRequestId(),
                 getContext().getAccount(),
                 getContext().getTarget(),
-                prefix,
+                getPrefix(),
                 request.estimatePromptTokens() + progress.getTokenCount(),
                 request.estimateOutputTokens(),
                 excluded,
@@ -95,6 +92,7 @@
     /** Sends one event to the caller; returns false if the caller reads too slowly. */
     boolean forward(String data) {
         getContext().recordFirstByte();
+        recordAnswer();
         stream.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
         return stream.getPendingBytes() <= MAX_UNREAD_BYTES;
     }
@@ -123,6 +121,7 @@
 
     /** Relays a complete response that is not an event stream, such as an error, to the caller. */
     void relayNonStreamResponse(ResponseHead head, byte[] body, AttemptReport report) {
+        recordAnswerOf(head);
         finishWithoutRetry(report);
         getContext().respond(head.createResponse(body));
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
@@ -19,6 +19,7 @@
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
 import org.cardamomthread.daemon.testing.FakeEndpointClient;
+import org.cardamomthread.daemon.testing.PromptGuards;
 import org.cardamomthread.daemon.testing.RecordedExchange;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -125,6 +126,7 @@
                         new FakePlacement(),
                         new AttemptDispatcher(endpoints, tracing),
                         new BudgetRetryPolicy(timeSource),
+                        PromptGuards.createWithoutPeers(timeSource),
                         timeSource);
         new BufferedCall(context, dependencies, WorkEstimate.PLAIN, "/stock").start();
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/FakePlacement.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/FakePlacement.java
@@ -56,6 +56,11 @@
             return new EndpointId(name);
         }
 
+        @Override
+        public long getIncarnation() {
+            return 1;
+        }
+
         @Override
         public String getAddress() {
             return "127.0.0.1:1";
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
@@ -22,6 +22,7 @@
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
 import org.cardamomthread.daemon.testing.FakeEndpointClient;
+import org.cardamomthread.daemon.testing.PromptGuards;
 import org.cardamomthread.daemon.testing.RecordedExchange;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -260,6 +261,7 @@
                         placement,
                         new AttemptDispatcher(endpoints, tracing),
                         retryPolicy,
+                        PromptGuards.createWithoutPeers(timeSource),
                         timeSource);
         ModelRequest request = ModelRequest.parse(BODY.getBytes(StandardCharsets.UTF_8));
         new StreamingModelCall(context, dependencies, request).start();
