--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/AtMostOnceCallRunnerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/AtMostOnceCallRunnerTests.java
@@ -26,6 +26,7 @@
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
 import org.cardamomthread.daemon.testing.FakeEndpointClient;
+import org.cardamomthread.daemon.testing.PromptGuards;
 import org.cardamomthread.daemon.testing.RecordedExchange;
 import org.cardamomthread.execution.claim.ClaimCommand;
 import org.cardamomthread.execution.claim.ClaimOutcome;
@@ -143,6 +144,7 @@
                         new FakePlacement(),
                         new AttemptDispatcher(new SendingClient(), tracing),
                         new BudgetRetryPolicy(timeSource),
+                        PromptGuards.createWithoutPeers(timeSource),
                         timeSource);
         new ReplicatedAtMostOnceCallStarter(new NodeId("node-a"), 1, dependencies, this::propose)
                 .start(context, "/orders");
