Ignore malformed entries of the list of quarantined parts

A gateway took any entry of the list for valid, as a leader took those that gateways report after a leader change: a negative number of crashes, or a wait that overflows the clock. Entries are validated, and malformed ones ignored.

With the validation switched off, 6 of the 7 rows of ViewServerTests.ignoresAMalformedQuarantine fail. The other new tests there describe the list over leader changes in both directions, its bound, and the release of a part whose endpoint goes on reporting.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuarantineCodec.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuarantineCodec.java
@@ -108,17 +108,27 @@
                 .build();
     }
 
+    /**
+     * Decodes an entry.
+     *
+     * @param message the received message
+     * @return the entry, or empty if no release of this program sends such a message
+     */
     static Optional<QuarantineEntry> decode(QuarantinedPart message) {
-        return decode(message.getPart())
-                .map(
-                        key ->
-                                new QuarantineEntry(
-                                        key,
-                                        message.getCrashes(),
-                                        message.getConfirmedCrashes(),
-                                        message.getLostEndpoints(),
-                                        message.getVouched(),
-                                        message.getHasCompanions(),
-                                        message.getTrialWaitMs()));
+        Optional<PromptPartKey> key = decode(message.getPart());
+        try {
+            return key.map(
+                    part ->
+                            new QuarantineEntry(
+                                    part,
+                                    message.getCrashes(),
+                                    message.getConfirmedCrashes(),
+                                    message.getLostEndpoints(),
+                                    message.getVouched(),
+                                    message.getHasCompanions(),
+                                    message.getTrialWaitMs()));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
@@ -21,8 +21,14 @@
 import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.testing.TestPlatformDialect;
 import org.cardamomthread.daemon.view.generated.EndpointEntry;
+import org.cardamomthread.daemon.view.generated.PromptPartEvidence;
+import org.cardamomthread.daemon.view.generated.PromptPartEvidence.Kind;
+import org.cardamomthread.daemon.view.generated.QuarantinedPart;
+import org.cardamomthread.daemon.view.generated.TrialRequest;
+import org.cardamomthread.daemon.view.generated.TrialResponse;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 import org.cardamomthread.daemon.view.generated.ViewResponse;
+import org.cardamomthread.policy.quarantine.PromptPartKey;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -33,16 +39,23 @@
  */
 public class ViewServerTests {
 
+    private static final ServiceId CHAT = new ServiceId("chat");
+    private static final PromptPartKey DEADLY = PromptPartKey.of(CHAT, "deadly");
     private static final NodeId GATEWAY = new NodeId("gateway");
     private static final EndpointId REMOVED_ENDPOINT = new EndpointId("ended");
     private static final EndpointId REMAINING_ENDPOINT = new EndpointId("staying");
 
+    /** Pause after a leader change, in which a trial of the one before may end. */
+    private static final long TRIAL_PAUSE_MS = 3_000;
+
     private ManualTimeSource time;
     private ControlThread controlThread;
     private ViewUpdater updater;
+    private int trials;
 
     /** Holds the registry and the view server of a control node. */
-    private record ControlNode(EndpointRegistry registry, ViewServer server) {}
+    private record ControlNode(
+            EndpointRegistry registry, QuarantineServer quarantine, ViewServer server) {}
 
     @BeforeMethod
     public void setUp() {
@@ -141,8 +154,120 @@
         assertEquals(updater.view().endpoints().keySet(), Set.of(REMAINING_ENDPOINT));
     }
 
-    private ViewResponse poll(ControlNode node) throws Exception {
+    @Test
+    public void tellsGatewaysOfQuarantinedPartsOnce() throws Exception {
+        ControlNode leader = createNode("one");
+        poll(leader, lost(DEADLY, REMOVED_ENDPOINT));
+        assertTrue(updater.view().recordedParts().containsKey(DEADLY));
+        assertFalse(poll(leader).getQuarantineListed());
+        assertTrue(updater.view().recordedParts().containsKey(DEADLY));
+    }
+
+    @Test
+    public void keepsQuarantineOverLeaderChangesInBothDirections() throws Exception {
+        ControlNode first = createNode("one");
+        ControlNode second = createNode("two");
+        poll(first, lost(DEADLY, REMOVED_ENDPOINT));
+        for (ControlNode leader : List.of(second, first)) {
+            for (int i = 0; i < 3; i++) {
+                poll(leader);
+                assertTrue(updater.view().recordedParts().containsKey(DEADLY));
+            }
+            assertFalse(mayTry(leader));
+        }
+        time.advanceMs(TRIAL_PAUSE_MS);
+        assertTrue(mayTry(first));
+        assertFalse(mayTry(first), "during a trial");
+    }
+
+    @Test
+    public void releasesAPartWhoseEndpointGoesOnReporting() throws Exception {
+        ControlNode leader = createNode("one");
+        leader.registry().accept(report(REMAINING_ENDPOINT));
+        poll(leader, lost(DEADLY, REMAINING_ENDPOINT));
+        for (int i = 2; i <= LostEndpoints.REPORTS_OF_LIVE_ENDPOINT + 1; i++) {
+            assertTrue(updater.view().recordedParts().containsKey(DEADLY));
+            leader.registry().accept(report(REMAINING_ENDPOINT, i));
+            poll(leader);
+        }
+        assertFalse(updater.view().recordedParts().containsKey(DEADLY));
+    }
+
+    @Test
+    public void listsTheStrongestEvidenceOnly() throws Exception {
+        ControlNode leader = createNode("one");
+        poll(leader, lost(DEADLY, REMOVED_ENDPOINT));
+        poll(leader, lost(DEADLY, REMAINING_ENDPOINT));
+        for (int i = 0; i < 2 * QuarantineServer.MAX_LISTED_PARTS; i++) {
+            poll(leader, lost(PromptPartKey.of(CHAT, "other" + i), REMOVED_ENDPOINT));
+        }
+        Set<PromptPartKey> recorded = updater.view().recordedParts().keySet();
+        assertEquals(recorded.size(), QuarantineServer.MAX_LISTED_PARTS);
+        assertTrue(recorded.contains(DEADLY));
+    }
+
+    @Test
+    public void ignoresALossWithoutAnEndpoint() throws Exception {
+        ControlNode leader = createNode("one");
+        PromptPartEvidence loss = QuarantineCodec.createEvidence(Kind.LOST, DEADLY);
+        poll(leader, loss);
+        assertTrue(updater.view().recordedParts().isEmpty());
+    }
+
+    @DataProvider
+    public Object[][] malformedQuarantines() {
+        QuarantinedPart sound =
+                QuarantinedPart.newBuilder()
+                        .setPart(QuarantineCodec.encode(DEADLY))
+                        .setCrashes(1)
+                        .build();
+        return new Object[][] {
+            {QuarantinedPart.getDefaultInstance()},
+            {sound.toBuilder().setCrashes(0).build()},
+            {sound.toBuilder().setCrashes(-1).build()},
+            {sound.toBuilder().setConfirmedCrashes(-1).build()},
+            {sound.toBuilder().setLostEndpoints(-1).build()},
+            {sound.toBuilder().setTrialWaitMs(-1).build()},
+            {sound.toBuilder().setTrialWaitMs(Long.MAX_VALUE).build()},
+        };
+    }
+
+    @Test(dataProvider = "malformedQuarantines")
+    public void ignoresAMalformedQuarantine(QuarantinedPart malformed) throws Exception {
+        assertTrue(
+                updater.apply(
+                        ViewResponse.newBuilder()
+                                .setRegisterSource("one")
+                                .setQuarantineListed(true)
+                                .addQuarantined(malformed)
+                                .build()));
+        assertTrue(updater.view().recordedParts().isEmpty());
+    }
+
+    private static PromptPartEvidence lost(PromptPartKey part, EndpointId endpoint) {
+        return QuarantineCodec.createEvidence(Kind.LOST, part).toBuilder()
+                .setEndpoint(endpoint.value())
+                .setStartMs(1)
+                .build();
+    }
+
+    private boolean mayTry(ControlNode node) throws Exception {
+        TrialRequest request =
+                TrialRequest.newBuilder()
+                        .setTrial("trial" + time.monotonicMs() + trials++)
+                        .addParts(QuarantineCodec.encode(DEADLY))
+                        .build();
+        byte[] response =
+                node.quarantine()
+                        .handleTrial(GATEWAY, request.toByteArray())
+                        .toCompletableFuture()
+                        .get();
+        return TrialResponse.parseFrom(response).getPermitted();
+    }
+
+    private ViewResponse poll(ControlNode node, PromptPartEvidence... evidence) throws Exception {
         ViewRequest.Builder request = ViewRequest.newBuilder();
+        request.addAllEvidence(List.of(evidence));
         updater.addKnownRevisions(request);
         byte[] payload =
                 node.server()
@@ -156,27 +281,45 @@
 
     private ControlNode createNode(String name) {
         EndpointRegistry registry = new EndpointRegistry(time);
+        QuarantineServer quarantine =
+                new QuarantineServer(
+                        registry,
+                        () -> OptionalLong.of(2),
+                        controlThread,
+                        time,
+                        new DecisionLog(time));
         ViewServer server =
                 new ViewServer(
                         new TrafficReplica(),
                         () -> Optional.of(new FakeReplicationGroup()),
                         registry,
                         new GatewayReports(time, 2_000),
-                        new QuarantineServer(
-                                registry,
-                                () -> OptionalLong.of(2),
-                                controlThread,
-                                time,
-                                new DecisionLog(time)),
+                        quarantine,
                         List::of,
                         controlThread,
                         time,
                         name);
-        return new ControlNode(registry, server);
+        return new ControlNode(registry, quarantine, server);
     }
 
     private static EndpointReport report(EndpointId id) {
         String address = "10.0.0." + id.value().length() + ":80";
-        return TestEndpoints.createReport(id.value(), new ServiceId("chat"), address, false);
+        return TestEndpoints.createReport(id.value(), CHAT, address, false);
+    }
+
+    private static EndpointReport report(EndpointId id, long sequence) {
+        EndpointReport report = report(id);
+        return new EndpointReport(
+                report.id(),
+                report.startTimeMs(),
+                sequence,
+                report.service(),
+                report.address(),
+                report.dataCentre(),
+                report.version(),
+                report.slots(),
+                report.isDraining(),
+                report.coldMs(),
+                report.isReclaimable());
     }
 }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/QuarantineEntry.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/quarantine/QuarantineEntry.java
@@ -1,5 +1,7 @@
 package org.cardamomthread.policy.quarantine;
 
+import java.util.Objects;
+
 /**
  * Describes a recorded part to other nodes, which watch for answers under it. Immutable.
  *
@@ -21,6 +23,22 @@
         boolean hasCompanions,
         long trialWaitMs) {
 
+    /** Validates the components. */
+    public QuarantineEntry {
+        Objects.requireNonNull(key, "key must not be null");
+        requireRange("crashes", crashes, 1, Integer.MAX_VALUE);
+        requireRange("confirmedCrashes", confirmedCrashes, 0, Integer.MAX_VALUE);
+        requireRange("lostEndpoints", lostEndpoints, 0, Integer.MAX_VALUE);
+        requireRange("trialWaitMs", trialWaitMs, 0, PromptPartQuarantine.MAX_TRIAL_PAUSE_MS);
+    }
+
+    private static void requireRange(String name, long value, long min, long max) {
+        if (value < min || value > max) {
+            throw new IllegalArgumentException(
+                    name + " " + value + " must be between " + min + " and " + max);
+        }
+    }
+
     /**
      * Returns whether requests with the part may only be sent as trials.
      *
