--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import org.cardamomthread.configuration.traffic.RequestKind;
@@ -50,7 +49,7 @@
 
     /** Returns whether another endpoint can continue the response to the client. */
     boolean mayResume() {
-        return stream == null || isResumable();
+        return stream == null || isResumable() && eventIds.mayResume();
     }
 
     /**
@@ -90,7 +89,7 @@
         if (deliverable.length == 0) {
             return true;
         }
-        if (isResumable() && !acceptEvents(ServerSentEventSplitter.readIds(deliverable))) {
+        if (isResumable() && !eventIds.accept(ServerSentEventSplitter.readIds(deliverable))) {
             return false;
         }
         if (stream == null) {
@@ -171,15 +170,6 @@
         return isEventStream && requestKind == RequestKind.RESUMABLE_STREAM;
     }
 
-    private boolean acceptEvents(List<Optional<String>> ids) {
-        for (Optional<String> id : ids) {
-            if (!eventIds.accept(id)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     private boolean hasEvents(int status, HttpHeaders headers) {
         if (!requestKind.isStream() || status != STATUS_OK) {
             return false;
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/EventIdSequenceTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/EventIdSequenceTests.java
@@ -1,7 +1,10 @@
 package org.cardamomthread.daemon.forwarding;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import java.util.Optional;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -41,10 +44,40 @@
         assertEquals(accepted, expected, name);
     }
 
+    @DataProvider
+    public Object[][] streamsThatBreak() {
+        return new Object[][] {
+            {"numbers", "1 2", true},
+            {"no event", "", false},
+            {"no ids", "- -", false},
+            {"an event without an id at last", "1 -", false},
+            {"an event without an id before", "- 1", true},
+            {"text ids", "a b", false},
+        };
+    }
+
+    @Test(dataProvider = "streamsThatBreak")
+    public void resumesOnlyIfTheOrderCanBeChecked(String name, String ids, boolean expected) {
+        EventIdSequence sequence = new EventIdSequence();
+        acceptAll(sequence, ids);
+        assertEquals(sequence.mayResume(), expected, name);
+    }
+
+    @Test
+    public void acceptsNoEventOfAPartThatIsOutOfOrder() {
+        EventIdSequence sequence = new EventIdSequence();
+        acceptAll(sequence, "1");
+        assertFalse(sequence.accept(List.of(Optional.of("2"), Optional.of("2"))));
+        assertEquals(sequence.lastId(), Optional.of("1"));
+        sequence.beginRun();
+        assertTrue(sequence.accept(List.of(Optional.of("2"))));
+    }
+
     private static boolean acceptAll(EventIdSequence sequence, String ids) {
         boolean accepted = true;
         for (String id : ids.isEmpty() ? new String[0] : ids.split(" ")) {
-            accepted &= sequence.accept("-".equals(id) ? Optional.empty() : Optional.of(id));
+            accepted &=
+                    sequence.accept(List.of("-".equals(id) ? Optional.empty() : Optional.of(id)));
         }
         return accepted;
     }
