--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/PromptBlockQuarantine.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/PromptBlockQuarantine.java
@@ -134,9 +134,7 @@
 
     /** Returns the quarantined blocks, those with the most crashes first. */
     synchronized List<QuarantineEntry> list() {
-        return quarantine
-                .list(PromptPartQuarantine.MAX_PARTS, timeSource.monotonicMs())
-                .stream()
+        return quarantine.list(PromptPartQuarantine.MAX_PARTS, timeSource.monotonicMs()).stream()
                 .filter(QuarantineEntry::isQuarantined)
                 .toList();
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/PromptPartForwardingTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/PromptPartForwardingTests.java
@@ -272,7 +272,7 @@
 
     private Map<PromptPartKey, KnownQuarantine> quarantine(int crashes, long waitMs) {
         QuarantineEntry entry =
-                new QuarantineEntry(DEADLY, crashes, crashes, crashes, false, waitMs);
+                new QuarantineEntry(DEADLY, crashes, crashes, crashes, false, false, waitMs);
         return Map.of(DEADLY, new KnownQuarantine(entry, time.monotonicMs() + waitMs));
     }
 
