Keep the evidence of a crash until the leader has it; suspect only what crashed

Found in review, each shown by a scratch test or read there. Requests that were rejected without a decision of the leader filled the buffer with releases of trials and displaced the losses, so that the leader never learnt of a crash; their number is bounded now. The gateway forgot a part that it had lost after 3 s although no leader had been told; it now goes on asking until one was. A stream that ended without an event by its own framing counted as a crash of the endpoint. The last part of a prompt was not remembered as answered, so that the next turn of a session, in which it is no longer the last, was taken for unanswered. A trial that was tried again and rejected was not released.

The rows of PromptPartForwardingTests tell the first four.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon.forwarding;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Locale;
 import java.util.Optional;
@@ -293,10 +294,16 @@
     private boolean mayHaveCrashedEndpoint(EndpointFailureException failure) {
         boolean isConnectionEnded =
                 failure.getKind() == Kind.CONNECTION_LOST
-                        || failure.getKind() == Kind.TRUNCATED_ANSWER;
+                        || failure.getKind() == Kind.TRUNCATED_ANSWER && isEndedByConnection();
         return isConnectionEnded && !hasAnswerBegun;
     }
 
+    private boolean isEndedByConnection() {
+        return headers != null
+                && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+
     private void recordResult(boolean isFailure) {
         long nowMs = context.timeSource().monotonicMs();
         double medianRate = context.endpoints().medianFailureRate(request.service().id());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -85,7 +85,7 @@
     }
 
     private void handleTrialDecision(TrialDecision decision) {
-        isOnTrial = decision.kind() == TrialDecision.Kind.TRIAL;
+        isOnTrial |= decision.kind() == TrialDecision.Kind.TRIAL;
         if (finished) {
             releaseTrial();
         } else if (decision.maySend()) {
@@ -276,6 +276,7 @@
     void recordAnswerBegun(long sentMs) {
         context.promptPartGuard()
                 .recordAnswer(request.service().id(), promptParts, sentMs, isOnTrial);
+        PromptPartGuard.lastKeyOf(request).ifPresent(context.promptPartGuard()::rememberAnswered);
         isOnTrial = false;
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/PromptPartEvidenceBuffer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/PromptPartEvidenceBuffer.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.view.EndpointIncarnation;
 import org.cardamomthread.daemon.view.QuarantineCodec;
@@ -17,12 +19,15 @@
  * Holds evidence on prompt parts until the leader has acknowledged it.
  *
  * <p>Invariants: at most {@value #MAX_ITEMS} items are held; the oldest are dropped, which is
- * logged. An item that repeats another one replaces it, except that a loss keeps the time at which
- * it was first seen. Not thread-safe.
+ * logged. At most {@value #MAX_TRIAL_RELEASES} of them are releases of trials, which end by
+ * themselves, so that rejected requests cannot displace what was seen of a part. An item that
+ * repeats another one replaces it, except that a loss keeps the time at which it was first seen.
+ * Not thread-safe.
  */
 final class PromptPartEvidenceBuffer {
 
     static final int MAX_ITEMS = 512;
+    static final int MAX_TRIAL_RELEASES = 64;
 
     private final TimeSource timeSource;
     private final ForwardingLog log;
@@ -55,9 +60,23 @@
     }
 
     void addTrialRelease(PromptPartKey part, String trial) {
+        long releases =
+                items.keySet().stream().filter(item -> item.kind() == Kind.TRIAL_RELEASED).count();
+        if (releases >= MAX_TRIAL_RELEASES) {
+            dropped++;
+            return;
+        }
         add(new Item(Kind.TRIAL_RELEASED, part, Optional.empty(), trial), false);
     }
 
+    /** Returns the parts whose losses have not been acknowledged yet. */
+    Set<PromptPartKey> lostParts() {
+        return items.keySet().stream()
+                .filter(item -> item.kind() == Kind.LOST)
+                .map(Item::part)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns all items for a report, of which {@link #acknowledge} confirms the arrival. */
     List<PromptPartEvidence> report() {
         reportedSequence = sequence;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/PromptPartGuard.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/PromptPartGuard.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.cardamomthread.core.id.RequestId;
 import org.cardamomthread.core.id.ServiceId;
@@ -39,7 +40,7 @@
 
     static final int MAX_REMEMBERED_PARTS = 4_096;
 
-    /** Time within which the leader's list has every part that was lost here. */
+    /** Time after a loss within which the list of a leader that was told of it has the part. */
     static final long LOCAL_LOSS_MS = 3_000;
 
     private final TrialClient trialClient;
@@ -85,6 +86,17 @@
                 .toList();
     }
 
+    /**
+     * Returns the last part of a request, which may stand before the last one of a later request.
+     */
+    static Optional<PromptPartKey> lastKeyOf(AdmittedRequest request) {
+        List<PromptPart> parts = request.head().promptParts();
+        return parts.isEmpty()
+                ? Optional.empty()
+                : Optional.of(
+                        PromptPartKey.of(request.service().id(), parts.get(parts.size() - 1).id()));
+    }
+
     /** Returns an identifier for the trials of one request, unique at this gateway. */
     String createTrialId(RequestId request) {
         trialCount++;
@@ -164,6 +176,11 @@
         }
     }
 
+    /** Records that an answer began under a part that is not reported to the leader. */
+    void rememberAnswered(PromptPartKey key) {
+        answered.put(key, true);
+    }
+
     /**
      * Records that a request was lost with its endpoint before an answer began. If parts of it are
      * quarantined, they explain the loss, and the others are not suspected.
@@ -244,9 +261,13 @@
     }
 
     private void removeExpiredLosses(long nowMs) {
-        Iterator<Long> untilMs = lostUntilMs.values().iterator();
-        while (untilMs.hasNext() && untilMs.next() <= nowMs) {
-            untilMs.remove();
+        Iterator<Long> oldest = lostUntilMs.values().iterator();
+        if (!oldest.hasNext() || oldest.next() > nowMs) {
+            return;
         }
+        Set<PromptPartKey> notReported = evidence.lostParts();
+        lostUntilMs
+                .entrySet()
+                .removeIf(loss -> loss.getValue() <= nowMs && !notReported.contains(loss.getKey()));
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/PromptPartForwardingTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/PromptPartForwardingTests.java
@@ -236,6 +236,58 @@
         assertTrue(kinds(report()).contains(" SERVICE_ANSWERED"));
     }
 
+    @Test
+    public void keepsLossesWhileRequestsAreRejectedWithoutADecision() {
+        client.addScript(fail(Kind.CONNECTION_LOST));
+        send(PARTS);
+        for (int i = 0; i < PromptPartEvidenceBuffer.MAX_ITEMS; i++) {
+            send(PARTS);
+            leader.loseResponse();
+        }
+        assertTrue(kinds(report()).contains("deadly LOST"));
+    }
+
+    @Test
+    public void asksTheLeaderAboutALossUntilItHasBeenTold() {
+        client.addScript(fail(Kind.CONNECTION_LOST));
+        send(PARTS);
+        time.advanceMs(PromptPartGuard.LOCAL_LOSS_MS + 1);
+        send(PARTS);
+        assertEquals(leader.getRequests().size(), 1);
+        leader.reject(500);
+        report();
+        forwarder.applyView(view(Map.of()));
+        client.addScript(answer());
+        assertEquals(send(PARTS).getStatus(), 200);
+        assertEquals(leader.getRequests().size(), 1);
+    }
+
+    @Test
+    public void retriesALostRequestWhosePartsEndedAnAnsweredPrompt() {
+        client.addScript(answer());
+        send("shared,turn1");
+        client.addScript(fail(Kind.CONNECTION_LOST));
+        client.addScript(answer());
+        assertEquals(send("shared,turn1,turn2").getStatus(), 200);
+        assertEquals(client.getAttemptCount(), 3);
+    }
+
+    @Test
+    public void suspectsNoPartOfAStreamThatEndsWithItsMessage() {
+        client.addScript(
+                listener -> {
+                    listener.onHead(
+                            200,
+                            new DefaultHttpHeaders()
+                                    .set(TestPlatformDialect.SIGNATURE, "s")
+                                    .set("content-length", "0"));
+                    listener.onComplete();
+                });
+        client.addScript(answer());
+        assertEquals(send(PARTS).getStatus(), 200);
+        assertEquals(client.getAttemptCount(), 2);
+    }
+
     @Test
     public void boundsTheEvidence() {
         for (int i = 0; i < 2 * PromptPartEvidenceBuffer.MAX_ITEMS; i++) {
