Count a crash as confirmed only by requests that were sent after it

The pause between trials grows only with crashes after which other requests were answered. On nodes with homes every answer confirmed all crashes so far, also one to a request that had been sent before them, and nodes told each other all crashes as confirmed. So after a crash of many endpoints at once a sound prompt could wait longer than meant for its next trial. Answers now bear the time at which their request was sent, and messages carry the confirmed crashes, the lost endpoints and whether a part has companions, as well as the blocks that are merely watched.

Found by reading after the policy had changed, not by a failing test.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
@@ -37,6 +37,7 @@
     private EndpointAttempt attempt;
     private EndpointReservation reservation;
     private int attemptCount;
+    private long sentMs;
     private boolean isTrial;
     private boolean hasAnswer;
     private boolean ended;
@@ -121,7 +122,7 @@
         if (!hasAnswer) {
             hasAnswer = true;
             isTrial = false;
-            dependencies.promptGuard().recordAnswer(prompt);
+            dependencies.promptGuard().recordAnswer(prompt, sentMs);
         }
     }
 
@@ -223,6 +224,7 @@
             return;
         }
         attemptCount++;
+        sentMs = dependencies.timeSource().monotonicMs();
         EndpointResponseListener listener = createListener(newReservation);
         EndpointAttempt startedAttempt =
                 dependencies
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/PromptGuard.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/PromptGuard.java
@@ -44,8 +44,9 @@
      * Records that an answer to a request began.
      *
      * @param prompt the prompt of the request
+     * @param sentMs when the request was sent to its endpoint, in monotonic milliseconds
      */
-    void recordAnswer(GuardedPrompt prompt);
+    void recordAnswer(GuardedPrompt prompt, long sentMs);
 
     /**
      * Records that a request was lost with its endpoint before an answer began.
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/PromptBlockCodec.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/PromptBlockCodec.java
@@ -37,7 +37,10 @@
                                 QuarantinedBlock.newBuilder()
                                         .setId(encode(entry.key()))
                                         .setCrashes(entry.crashes())
+                                        .setConfirmedCrashes(entry.confirmedCrashes())
+                                        .setLostEndpoints(entry.lostEndpoints())
                                         .setVouched(entry.isVouched())
+                                        .setHasCompanions(entry.hasCompanions())
                                         .setTrialWaitMs(entry.trialWaitMs())
                                         .build())
                 .toList();
@@ -54,10 +57,10 @@
                                                         new QuarantineEntry(
                                                                 key,
                                                                 block.getCrashes(),
-                                                                block.getCrashes(),
-                                                                block.getCrashes(),
+                                                                block.getConfirmedCrashes(),
+                                                                block.getLostEndpoints(),
                                                                 block.getVouched(),
-                                                                false,
+                                                                block.getHasCompanions(),
                                                                 block.getTrialWaitMs()))
                                         .stream())
                 .toList();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/PromptBlockQuarantine.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/PromptBlockQuarantine.java
@@ -69,18 +69,18 @@
     /**
      * Records that this node saw an answer begin.
      *
+     * @param sentMs when the request was sent to its endpoint
      * @return the blocks against which there was evidence
      */
-    synchronized List<PromptPartKey> recordAnswer(PromptBlocks prompt) {
+    synchronized List<PromptPartKey> recordAnswer(PromptBlocks prompt, long sentMs) {
         answered.record(prompt);
         if (suspected.isEmpty()) {
             return List.of();
         }
+        quarantine.recordServiceAnswer(prompt.service(), sentMs);
         List<PromptPartKey> cleared = new ArrayList<>(prompt.keys(0, prompt.size()));
         cleared.retainAll(suspected);
         cleared.forEach(this::recordAnswer);
-        prompt.keys(0, Math.min(1, prompt.size()))
-                .forEach(key -> quarantine.recordServiceAnswer(key.service(), Long.MAX_VALUE));
         return cleared;
     }
 
@@ -132,16 +132,17 @@
         refresh();
     }
 
-    /** Returns the quarantined blocks, those with the most crashes first. */
+    /** Returns the blocks against which there is evidence, the strongest first. */
     synchronized List<QuarantineEntry> list() {
-        return quarantine.list(PromptPartQuarantine.MAX_PARTS, timeSource.monotonicMs()).stream()
-                .filter(QuarantineEntry::isQuarantined)
-                .toList();
+        return quarantine.list(PromptPartQuarantine.MAX_PARTS, timeSource.monotonicMs());
     }
 
     /** Returns those of the given blocks that are quarantined. */
     List<QuarantineEntry> list(Collection<PromptPartKey> keys) {
-        return list().stream().filter(entry -> keys.contains(entry.key())).toList();
+        return list().stream()
+                .filter(QuarantineEntry::isQuarantined)
+                .filter(entry -> keys.contains(entry.key()))
+                .toList();
     }
 
     /** Drops blocks whose evidence has expired. */
@@ -149,6 +150,7 @@
         long nowMs = timeSource.monotonicMs();
         trialReadyMs =
                 list().stream()
+                        .filter(QuarantineEntry::isQuarantined)
                         .collect(
                                 Collectors.toUnmodifiableMap(
                                         QuarantineEntry::key,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/SharedPromptGuard.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/SharedPromptGuard.java
@@ -129,9 +129,9 @@
     }
 
     @Override
-    public void recordAnswer(GuardedPrompt prompt) {
+    public void recordAnswer(GuardedPrompt prompt, long sentMs) {
         Set<PromptPartKey> cleared =
-                new LinkedHashSet<>(quarantine.recordAnswer(PromptBlocks.of(prompt)));
+                new LinkedHashSet<>(quarantine.recordAnswer(PromptBlocks.of(prompt), sentMs));
         cleared.addAll(removeTrial(prompt));
         publish(Kind.ANSWERED, cleared, item -> {});
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/quarantine/CrashingFleet.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/quarantine/CrashingFleet.java
@@ -258,7 +258,7 @@
     private void begin(Attempt attempt, SimulatedEndpoint endpoint) {
         if (endpoint.running.contains(attempt)) {
             attempt.hasBegun = true;
-            attempt.guard.recordAnswer(attempt.prompt);
+            attempt.guard.recordAnswer(attempt.prompt, nowMs() - FIRST_TOKEN_MS);
             finish(attempt, true);
         }
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/quarantine/SuspectedBlocksTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/quarantine/SuspectedBlocksTests.java
@@ -52,7 +52,7 @@
 
     @Test(dataProvider = "prompts")
     public void suspectsNoBlockThatAnotherNodeSawAnswered(List<Long> blocks, Kind expected) {
-        first.recordAnswer(createPrompt(first, List.of(1L, 2L, 3L, 98L)));
+        first.recordAnswer(createPrompt(first, List.of(1L, 2L, 3L, 98L)), 0);
         assertTrue(second.recordLoss(createPrompt(second, List.of(1L, 2L, 3L, 7L, 97L)), "e1/1"));
         tick();
         assertEquals(decide(first, blocks), expected);
@@ -63,7 +63,7 @@
     @Test
     public void suspectsAnsweredBlocksOnlyAfterSeveralCrashes() {
         List<Long> blocks = List.of(1L, 2L, 98L);
-        first.recordAnswer(createPrompt(first, blocks));
+        first.recordAnswer(createPrompt(first, blocks), 0);
         for (int crash = 1; crash <= 3; crash++) {
             assertEquals(decide(second, blocks), Kind.UNRESTRICTED, "crash " + crash);
             assertFalse(first.recordLoss(createPrompt(first, blocks), "e" + crash + "/1"));
