--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/StreamEndTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/StreamEndTests.java
@@ -145,6 +145,7 @@
                 started.abort();
             }
             case CLOSE_SERVER -> server.close();
+            default -> throw new IllegalArgumentException("unknown ending " + ending);
         }
     }
 
