Heed what endpoints state in their responses

Seen by reading, with no report from callers yet: no code read that an endpoint leaves (Server-Leaving on the users' platform), so that requests went to it until its own report arrived, and a 503 with Retry-After was forgotten with the attempt that got it, so that the next request was sent to the same endpoint.

The decision whether a gateway may send to an endpoint is now in one place, EndpointAvailability in the policy module: the endpoint's report joined with the statements in its responses, kept by incarnation. A gateway that hears that an endpoint leaves sends nothing more to it, whatever later reports of the same incarnation say, and tells the leader, which marks the endpoint as draining for the other gateways. A pause that an endpoint asks for with 503 is kept by the gateway that got it. Both are looked at again just before a request is written, so that one which waits for a connection is withdrawn. When all endpoints of a service want a pause, requests are rejected at once with the shortest remaining one as the time to come back.

Retries and resumed streams now go by the view that was applied last; they went by the one under which the request was admitted, so that a stream could be resumed in a data centre that had been taken out of service meanwhile.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dialect/EndpointResponseHead.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dialect/EndpointResponseHead.java
@@ -10,6 +10,11 @@
  * @param isNotRun whether the endpoint states that it did not run the request
  * @param load the endpoint's load, or empty if not given
  * @param coldMs how long the endpoint stays cold, in milliseconds, or empty if not given
+ * @param isLeaving whether the endpoint states that it will stop and takes no new requests
  */
 public record EndpointResponseHead(
-        boolean isSigned, boolean isNotRun, Optional<LoadReport> load, OptionalLong coldMs) {}
+        boolean isSigned,
+        boolean isNotRun,
+        Optional<LoadReport> load,
+        OptionalLong coldMs,
+        boolean isLeaving) {}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
@@ -97,10 +97,7 @@
     @Override
     public void onRequestSend(NettyRequest nettyRequest) {
         if (!request.maySend().getAsBoolean()) {
-            fail(
-                    Kind.NOT_SENT,
-                    "the lease of the credit expired before the request was sent",
-                    null);
+            fail(Kind.NOT_SENT, "the request may not be sent to this endpoint any more", null);
         }
         if (!phase.compareAndSet(Phase.CONNECTING, Phase.SENT)) {
             throw new IllegalStateException("the attempt ended before it was sent");
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -23,6 +23,7 @@
 import org.cardamomthread.daemon.registry.EndpointRegistry;
 import org.cardamomthread.daemon.registry.EndpointUpdateReplicator;
 import org.cardamomthread.daemon.view.GatewayReports;
+import org.cardamomthread.daemon.view.LeavingEndpointReports;
 import org.cardamomthread.daemon.view.QuarantineServer;
 import org.cardamomthread.daemon.view.QuotaPool;
 import org.cardamomthread.daemon.view.ViewServer;
@@ -89,6 +90,7 @@
                         this::replicationGroup,
                         registry,
                         gatewayReports,
+                        new LeavingEndpointReports(registry, components.log()),
                         quarantine,
                         directory::allNodes,
                         controlThread,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
@@ -4,22 +4,40 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.ServiceId;
+import org.cardamomthread.daemon.dialect.EndpointReport;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.KnownEndpoint;
+import org.cardamomthread.policy.availability.Availability;
+import org.cardamomthread.policy.availability.Availability.State;
+import org.cardamomthread.policy.availability.EndpointAvailability;
+import org.cardamomthread.policy.availability.EndpointAvailability.Incarnation;
+import org.cardamomthread.policy.availability.EndpointAvailability.ReportedState;
 
-/** Tracks the local state of each endpoint in the view. Not thread-safe. */
+/**
+ * Tracks the local state of each endpoint in the view, and whether this gateway may send requests
+ * to it. Not thread-safe.
+ */
 final class EndpointTable {
 
     private final Map<EndpointId, TrackedEndpoint> trackedEndpoints = new HashMap<>();
+    private final EndpointAvailability availability = new EndpointAvailability();
     private final ForwardingLog log;
+    private GatewayView view = GatewayView.EMPTY;
 
     EndpointTable(ForwardingLog log) {
         this.log = log;
     }
 
-    void apply(GatewayView view) {
+    /** Returns the view that was applied last. */
+    GatewayView view() {
+        return view;
+    }
+
+    void apply(GatewayView newView) {
+        view = newView;
         for (TrackedEndpoint tracked : List.copyOf(trackedEndpoints.values())) {
             if (!view.endpoints().containsKey(tracked.id())) {
                 trackedEndpoints.remove(tracked.id());
@@ -48,6 +66,68 @@
         }
     }
 
+    /** Returns whether requests may be sent to an endpoint, by the view applied last. */
+    Availability assess(TrackedEndpoint endpoint, long nowMs) {
+        EndpointReport report = endpoint.knownEndpoint().report();
+        ReportedState reported = ReportedState.ACCEPTING;
+        if (report.isDraining()) {
+            reported = ReportedState.DRAINING;
+        } else if (view.drainedDataCentres().contains(report.dataCentre())) {
+            reported = ReportedState.OUT_OF_SERVICE;
+        }
+        return availability.assess(incarnationOf(report), reported, nowMs);
+    }
+
+    /**
+     * Returns the time until an endpoint of a service is available again, in milliseconds, or empty
+     * if one is available or none is merely held back.
+     */
+    OptionalLong pauseMs(ServiceId service, long nowMs) {
+        OptionalLong shortestMs = OptionalLong.empty();
+        for (TrackedEndpoint endpoint : findByService(service)) {
+            Availability assessed = assess(endpoint, nowMs);
+            if (assessed.isAvailable()) {
+                return OptionalLong.empty();
+            }
+            if (assessed.state() == State.HELD_BACK) {
+                long pauseMs = assessed.availableAtMs() - nowMs;
+                shortestMs = OptionalLong.of(Math.min(pauseMs, shortestMs.orElse(pauseMs)));
+            }
+        }
+        return shortestMs;
+    }
+
+    /** Records that an endpoint states that it leaves; returns false if that was known. */
+    boolean recordLeaving(TrackedEndpoint endpoint, long nowMs) {
+        return availability.recordLeaving(incarnationOf(endpoint.knownEndpoint().report()), nowMs);
+    }
+
+    /** Records that an endpoint wants no requests for the given time. */
+    void recordPause(TrackedEndpoint endpoint, long pauseMs, long nowMs) {
+        availability.recordPause(incarnationOf(endpoint.knownEndpoint().report()), pauseMs, nowMs);
+    }
+
+    /**
+     * Returns the endpoints that have stated that they leave and that the view still holds as
+     * accepting requests.
+     */
+    List<Incarnation> listUnreportedLeaving() {
+        return availability.listLeaving().stream()
+                .filter(
+                        incarnation -> {
+                            TrackedEndpoint tracked = trackedEndpoints.get(incarnation.endpoint());
+                            return tracked != null
+                                    && !tracked.knownEndpoint().report().isDraining()
+                                    && incarnationOf(tracked.knownEndpoint().report())
+                                            .equals(incarnation);
+                        })
+                .toList();
+    }
+
+    private static Incarnation incarnationOf(EndpointReport report) {
+        return new Incarnation(report.id(), report.startTimeMs());
+    }
+
     List<TrackedEndpoint> findByService(ServiceId service) {
         return trackedEndpoints.values().stream()
                 .filter(tracked -> tracked.knownEndpoint().report().service().equals(service))
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -10,6 +10,7 @@
 import org.cardamomthread.daemon.dispatch.EndpointFailureException;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
+import org.cardamomthread.daemon.http.RetryAfter;
 
 /**
  * Handles the response of one attempt of a {@link ForwardedCall}, whose events may arrive on the
@@ -23,6 +24,7 @@
     private static final int STATUS_OK = 200;
     private static final int STATUS_SUCCESS_END = 300;
     private static final int STATUS_SERVER_ERROR = 500;
+    private static final int STATUS_UNAVAILABLE = 503;
 
     private final ForwardedCall call;
     private final ForwardingContext context;
@@ -145,6 +147,7 @@
     private void handleHead() {
         long nowMs = context.timeSource().monotonicMs();
         head.load().ifPresent(load -> endpoint.updateLoad(load, nowMs));
+        recordStatements(nowMs);
         call.recordFirstByte(nowMs);
         measurement.recordFirstByte();
         head.coldMs().ifPresent(coldMs -> endpoint.extendCold(nowMs + coldMs));
@@ -163,6 +166,26 @@
         }
     }
 
+    /** Records what the response states on the requests that the endpoint wants from now on. */
+    private void recordStatements(long nowMs) {
+        if (head.isLeaving() && context.endpoints().recordLeaving(endpoint, nowMs)) {
+            context.forwardingLog().logLeaving(request, endpoint.knownEndpoint(), status);
+        }
+        if (status != STATUS_UNAVAILABLE) {
+            return;
+        }
+        RetryAfter retryAfter = RetryAfter.of(headers);
+        if (!retryAfter.ignoredValues().isEmpty()) {
+            context.forwardingLog()
+                    .logIgnoredRetryAfter(request, endpoint.id(), retryAfter.ignoredValues());
+        }
+        if (retryAfter.delayMs().isPresent()) {
+            long pauseMs = retryAfter.delayMs().getAsLong();
+            context.endpoints().recordPause(endpoint, pauseMs, nowMs);
+            context.forwardingLog().logPause(request, endpoint.id(), pauseMs);
+        }
+    }
+
     private void markDone() {
         if (!done) {
             done = true;
@@ -255,7 +278,10 @@
                         request, endpoint.id(), kind, String.valueOf(failure.getMessage()));
         if (failure.isNotSent()) {
             measurement.recordNoResult();
-            endpoint.recordConnectionFailure(context.timeSource().monotonicMs());
+            long nowMs = context.timeSource().monotonicMs();
+            if (context.endpoints().assess(endpoint, nowMs).isAvailable()) {
+                endpoint.recordConnectionFailure(nowMs);
+            }
             call.retryAfterUnsentAttempt();
             return;
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -108,7 +108,6 @@
         Optional<TrackedEndpoint> selected =
                 context.endpointSelector()
                         .select(
-                                request.view(),
                                 request.service(),
                                 isOnTrial ? Optional.empty() : request.affinityKey(),
                                 triedEndpoints);
@@ -151,7 +150,7 @@
                                 && request.route().requestKind().isRetryable(),
                         remainingMs,
                         remainingMs,
-                        this::maySend,
+                        () -> maySend(endpoint),
                         new ResponseAcceptancePolicy(
                                 context.dialect().correlationHeader(), true, true));
         ForwardedAttempt listener = new ForwardedAttempt(this, context, request, relay, endpoint);
@@ -164,10 +163,20 @@
     }
 
     /**
-     * Returns whether the request may still be sent. A request with a key must not be sent once the
-     * view is too old to know that the key has not been revoked.
+     * Returns whether the request may still be sent, given what has changed since its placement.
      */
-    private boolean maySend() {
+    private boolean maySend(TrackedEndpoint endpoint) {
+        return isKeyCurrent()
+                && context.endpoints()
+                        .assess(endpoint, context.timeSource().monotonicMs())
+                        .isAvailable();
+    }
+
+    /**
+     * Returns false for a request with a key once the view is too old to know that the key has not
+     * been revoked.
+     */
+    private boolean isKeyCurrent() {
         return request.account().isEmpty() || context.viewLease().isHeld();
     }
 
@@ -196,7 +205,11 @@
      * aborted response.
      */
     void failWith(String reason, String detail) {
-        failWith(reason, detail, UNAVAILABLE_RETRY_AFTER_MS);
+        long pauseMs =
+                context.endpoints()
+                        .pauseMs(request.service().id(), context.timeSource().monotonicMs())
+                        .orElse(0);
+        failWith(reason, detail, Math.max(UNAVAILABLE_RETRY_AFTER_MS, pauseMs));
     }
 
     private void failWith(String reason, String detail, long retryAfterMs) {
@@ -254,8 +267,7 @@
 
     void retryAfterUnsentAttempt() {
         unsentAttempts++;
-        boolean isViewLeaseLost = !maySend();
-        if (unsentAttempts < MAX_UNSENT_ATTEMPTS && !isViewLeaseLost) {
+        if (unsentAttempts < MAX_UNSENT_ATTEMPTS && isKeyCurrent()) {
             tryNextEndpoint();
         } else {
             failWith(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -12,6 +12,7 @@
 import org.cardamomthread.daemon.view.QuotaPoolClient;
 import org.cardamomthread.daemon.view.TrialClient;
 import org.cardamomthread.daemon.view.ViewLease;
+import org.cardamomthread.daemon.view.generated.LeavingEndpoint;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 
 /**
@@ -20,6 +21,10 @@
  */
 public final class Forwarder {
 
+    /** Endpoints in one report; the others follow once the leader has marked these. */
+    private static final int MAX_REPORTED_LEAVING = 256;
+
+    private final EndpointTable endpoints;
     private final LocalQuotaShares quotaShares;
     private final UsageCounter usage;
     private final VersionResultCounter versionResults;
@@ -67,7 +72,7 @@
         TimeSource timeSource = dependencies.timeSource();
         ForwardingLog forwardingLog =
                 new ForwardingLog(dependencies.decisionLog(), dependencies.viewLease());
-        EndpointTable endpoints = new EndpointTable(forwardingLog);
+        endpoints = new EndpointTable(forwardingLog);
         serviceLoads = new ServiceLoadTracker(timeSource);
         quotaShares = new LocalQuotaShares(timeSource, dependencies.limits().quotaAllocation());
         versionResults = new VersionResultCounter(timeSource);
@@ -120,8 +125,8 @@
     }
 
     /**
-     * Adds quota demands, usage counts, results by version, service loads and evidence on prompt
-     * parts to a report for the leader.
+     * Adds quota demands, usage counts, results by version, service loads, evidence on prompt parts
+     * and leaving endpoints to a report for the leader.
      *
      * @param request the report to extend
      */
@@ -132,5 +137,13 @@
         request.addAllVersions(versionResults.snapshot());
         request.addAllLoads(serviceLoads.snapshot());
         promptPartGuard.addReport(request);
+        endpoints.listUnreportedLeaving().stream()
+                .limit(MAX_REPORTED_LEAVING)
+                .forEach(
+                        leaving ->
+                                request.addLeaving(
+                                        LeavingEndpoint.newBuilder()
+                                                .setId(leaving.endpoint().value())
+                                                .setBornMs(leaving.number())));
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
@@ -54,16 +54,13 @@
     /**
      * Selects an endpoint, or returns empty if none may take the request.
      *
-     * @param view the view by which the request was admitted
      * @param service the service that the request is for
      * @param affinityKey the key of the shared prompt part, or empty to balance by load only
      * @param triedEndpoints endpoints that must not be selected again
      */
     Optional<TrackedEndpoint> select(
-            GatewayView view,
-            TrafficService service,
-            Optional<String> affinityKey,
-            Set<EndpointId> triedEndpoints) {
+            TrafficService service, Optional<String> affinityKey, Set<EndpointId> triedEndpoints) {
+        GatewayView view = endpoints.view();
         long nowMs = timeSource.monotonicMs();
         List<TrackedEndpoint> usable = new ArrayList<>();
         List<TrackedEndpoint> inBackoff = new ArrayList<>();
@@ -72,7 +69,7 @@
                         service.id(),
                         view.versionMoves().get(service.id()),
                         view.gatewayCount(),
-                        listEligible(view, service, triedEndpoints))) {
+                        listEligible(service, triedEndpoints, nowMs))) {
             (endpoint.isInBackoff(nowMs) ? inBackoff : usable).add(endpoint);
         }
         List<TrackedEndpoint> candidates = usable.isEmpty() ? inBackoff : usable;
@@ -98,13 +95,9 @@
     }
 
     private List<TrackedEndpoint> listEligible(
-            GatewayView view, TrafficService service, Set<EndpointId> triedEndpoints) {
+            TrafficService service, Set<EndpointId> triedEndpoints, long nowMs) {
         return endpoints.findByService(service.id()).stream()
-                .filter(endpoint -> !endpoint.knownEndpoint().report().isDraining())
-                .filter(
-                        endpoint ->
-                                !view.drainedDataCentres()
-                                        .contains(endpoint.knownEndpoint().report().dataCentre()))
+                .filter(endpoint -> endpoints.assess(endpoint, nowMs).isAvailable())
                 .filter(endpoint -> !triedEndpoints.contains(endpoint.id()))
                 .toList();
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -95,6 +95,47 @@
                 viewLease.ageMs());
     }
 
+    void logLeaving(AdmittedRequest request, KnownEndpoint endpoint, int status) {
+        log.log(
+                "endpoint-leaving",
+                "endpoint",
+                endpoint.report().id(),
+                "service",
+                endpoint.report().service(),
+                "bornMs",
+                endpoint.report().startTimeMs(),
+                "request",
+                request.head().requestId(),
+                "status",
+                status);
+    }
+
+    void logPause(AdmittedRequest request, EndpointId endpoint, long pauseMs) {
+        log.log(
+                "endpoint-held-back",
+                "endpoint",
+                endpoint,
+                "service",
+                request.service().id(),
+                "request",
+                request.head().requestId(),
+                "pauseMs",
+                pauseMs);
+    }
+
+    void logIgnoredRetryAfter(AdmittedRequest request, EndpointId endpoint, List<String> values) {
+        log.log(
+                "retry-after-ignored",
+                "endpoint",
+                endpoint,
+                "request",
+                request.head().requestId(),
+                "values",
+                values.stream().limit(MAX_LOGGED_PARTS).toList(),
+                "reason",
+                "the value is no number of seconds: have the endpoint send one");
+    }
+
     void logFailedAttempt(
             AdmittedRequest request, EndpointId endpoint, String result, String detail) {
         log.log(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointRegistry.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/EndpointRegistry.java
@@ -122,6 +122,26 @@
         return Optional.of(known);
     }
 
+    /**
+     * Marks an endpoint as draining, because it has stated this elsewhere than in its reports.
+     * Later reports of the incarnation do not undo it.
+     *
+     * @param endpoint the endpoint
+     * @param startTimeMs the start time of the incarnation, in milliseconds since 1970
+     * @return false if nothing has changed, since that incarnation is not known, is gone, or drains
+     */
+    public boolean drain(EndpointId endpoint, long startTimeMs) {
+        RegisteredEndpoint known = endpoints.get(endpoint);
+        if (known == null
+                || known.report().startTimeMs() != startTimeMs
+                || known.isRemoved()
+                || known.report().isDraining()) {
+            return false;
+        }
+        endpoints.put(endpoint, known.asDraining(++revision));
+        return true;
+    }
+
     /**
      * Marks endpoints whose reports are overdue as timed out, and drops entries and removals after
      * the retention period.
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/RegisteredEndpoint.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/registry/RegisteredEndpoint.java
@@ -36,6 +36,11 @@
                 report.asDraining(), true, isTimedOut, newReceivedMs, coldUntilMs, newRevision);
     }
 
+    RegisteredEndpoint asDraining(long newRevision) {
+        return new RegisteredEndpoint(
+                report.asDraining(), isRemoved, isTimedOut, receivedMs, coldUntilMs, newRevision);
+    }
+
     RegisteredEndpoint asTimedOut(long newRevision) {
         return new RegisteredEndpoint(
                 report, isRemoved, true, receivedMs, coldUntilMs, newRevision);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
@@ -41,6 +41,7 @@
     private final Supplier<Optional<ReplicationGroup>> group;
     private final EndpointRegistry registry;
     private final GatewayReports reports;
+    private final LeavingEndpointReports leavingEndpoints;
     private final QuarantineServer quarantine;
     private final Supplier<List<NodeId>> controlNodes;
     private final ControlThread controlThread;
@@ -56,6 +57,7 @@
      * @param group this node's member of the replication group, empty if it has none
      * @param registry the registered endpoints, accessed on the control thread only
      * @param reports the gateways' reports, accessed on the control thread only
+     * @param leavingEndpoints applies what gateways report on endpoints that leave
      * @param quarantine the quarantined prompt parts, accessed on the control thread only
      * @param controlNodes supplies the known control nodes
      * @param controlThread the thread on which responses are created
@@ -67,6 +69,7 @@
             Supplier<Optional<ReplicationGroup>> group,
             EndpointRegistry registry,
             GatewayReports reports,
+            LeavingEndpointReports leavingEndpoints,
             QuarantineServer quarantine,
             Supplier<List<NodeId>> controlNodes,
             ControlThread controlThread,
@@ -76,6 +79,7 @@
         this.group = group;
         this.registry = registry;
         this.reports = reports;
+        this.leavingEndpoints = leavingEndpoints;
         this.quarantine = quarantine;
         this.controlNodes = controlNodes;
         this.controlThread = controlThread;
@@ -126,6 +130,7 @@
     private byte[] respond(NodeId from, ViewRequest request, ReplicationGroup local) {
         updateTerm(local.status().term());
         reports.accept(from, request);
+        leavingEndpoints.accept(from, request);
         quarantine.accept(from, request);
         TrafficState state = replica.getState();
         ViewResponse.Builder response =
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -1,45 +1,25 @@
 package org.cardamomthread.daemon.forwarding;
 
+import static org.cardamomthread.daemon.forwarding.ForwarderFixture.bytes;
+import static org.cardamomthread.daemon.forwarding.ForwarderFixture.completeStream;
+import static org.cardamomthread.daemon.forwarding.ForwarderFixture.fail;
+import static org.cardamomthread.daemon.forwarding.ForwarderFixture.headers;
+import static org.cardamomthread.daemon.forwarding.ForwarderFixture.interruptedStream;
+import static org.cardamomthread.daemon.forwarding.ForwarderFixture.respondWith;
+import static org.cardamomthread.daemon.forwarding.ForwarderFixture.signed;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.cardamomthread.configuration.traffic.RequestKind;
-import org.cardamomthread.configuration.traffic.RouteTable;
-import org.cardamomthread.configuration.traffic.TrafficAccount;
-import org.cardamomthread.configuration.traffic.TrafficDocument;
-import org.cardamomthread.configuration.traffic.TrafficRoute;
-import org.cardamomthread.configuration.traffic.TrafficService;
-import org.cardamomthread.configuration.traffic.WeightedService;
-import org.cardamomthread.core.id.ClientAccountId;
-import org.cardamomthread.core.id.RouteId;
-import org.cardamomthread.core.id.ServiceId;
-import org.cardamomthread.core.time.ManualTimeSource;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
-import org.cardamomthread.daemon.telemetry.DecisionLog;
-import org.cardamomthread.daemon.telemetry.NodeForwardingMetrics;
-import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.testing.FakeEndpointClient;
 import org.cardamomthread.daemon.testing.RecordedExchange;
-import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.testing.TestPlatformDialect;
-import org.cardamomthread.daemon.view.GatewayView;
-import org.cardamomthread.daemon.view.QuotaAllocation;
-import org.cardamomthread.daemon.view.QuotaPoolClient;
-import org.cardamomthread.daemon.view.TrialClient;
-import org.cardamomthread.daemon.view.ViewLease;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -50,43 +30,16 @@
  */
 public class ForwardedCallTests {
 
-    private static final ServiceId CHAT = new ServiceId("chat");
-    private static final long LEASE_MS = 3_750;
     private static final int PART_BYTES = 64 * 1024;
     private static final int ENDLESS_PARTS = 40;
 
-    private ManualTimeSource time;
+    private ForwarderFixture fixture;
     private FakeEndpointClient client;
-    private ViewLease viewLease;
-    private Forwarder forwarder;
 
     @BeforeMethod
     public void createForwarder() {
-        time = new ManualTimeSource();
-        time.advanceMs(10_000);
-        client = new FakeEndpointClient();
-        viewLease = new ViewLease(time, LEASE_MS);
-        forwarder =
-                new Forwarder(
-                        new Forwarder.Dependencies(
-                                new TestPlatformDialect(),
-                                client,
-                                new EmbeddedChannel().eventLoop(),
-                                time,
-                                viewLease,
-                                new QuotaPoolClient(null, Optional::empty, Runnable::run, time),
-                                new TrialClient(null, Optional::empty, Runnable::run),
-                                new ForwardingLimits(
-                                        0.2,
-                                        54,
-                                        10,
-                                        new QuotaAllocation(8, 0.1, 1_000),
-                                        5,
-                                        new CanaryAllocation(0.1, 50)),
-                                new DecisionLog(time),
-                                new NodeForwardingMetrics(new NodeMetrics()),
-                                new SplittableRandom(1)));
-        viewLease.renew(time.monotonicMs());
+        fixture = new ForwarderFixture();
+        client = fixture.client();
     }
 
     @DataProvider
@@ -340,7 +293,7 @@
 
     @Test
     public void rejectsKeyedRequestWithoutViewLease() {
-        time.advanceMs(LEASE_MS);
+        fixture.time().advanceMs(ForwarderFixture.LEASE_MS);
         RecordedExchange exchange = send(RequestKind.REPEATABLE, 1);
         assertEquals(exchange.getStatus(), 503);
         assertEquals(client.getAttemptCount(), 0);
@@ -351,7 +304,7 @@
         client.addScript(listener -> {});
         send(RequestKind.REPEATABLE, 1);
         assertTrue(client.getRequest(0).maySend().getAsBoolean());
-        time.advanceMs(LEASE_MS);
+        fixture.time().advanceMs(ForwarderFixture.LEASE_MS);
         assertFalse(client.getRequest(0).maySend().getAsBoolean());
     }
 
@@ -366,92 +319,27 @@
 
     @Test(dataProvider = "rejections")
     public void rejectsUnknownRouteOrKey(String path, String key, int expectedStatus) {
-        forwarder.applyView(view(RequestKind.REPEATABLE, 1));
+        fixture.forwarder().applyView(ForwarderFixture.view(RequestKind.REPEATABLE, 1));
         RecordedExchange exchange = new RecordedExchange(path, "", headers(key));
-        forwarder.getHandler().handle(exchange);
+        fixture.forwarder().getHandler().handle(exchange);
         assertEquals(exchange.getStatus(), expectedStatus);
     }
 
     @Test
     public void returns503BeforeFirstDocument() {
         RecordedExchange exchange = new RecordedExchange("/a/x", "", headers("key"));
-        forwarder.getHandler().handle(exchange);
+        fixture.forwarder().getHandler().handle(exchange);
         assertEquals(exchange.getStatus(), 503);
     }
 
     private RecordedExchange send(RequestKind requestKind, int maxAttempts) {
-        forwarder.applyView(view(requestKind, maxAttempts));
-        RecordedExchange exchange = new RecordedExchange("/a/x", "body", headers("key"));
-        forwarder.getHandler().handle(exchange);
-        return exchange;
-    }
-
-    private static HttpHeaders headers(String key) {
-        HttpHeaders headers =
-                new DefaultHttpHeaders().set("host", "ice.example").set("x-request-id", "r1");
-        return key == null ? headers : headers.set("authorization", "Bearer " + key);
-    }
-
-    private GatewayView view(RequestKind requestKind, int maxAttempts) {
-        TrafficRoute route =
-                new TrafficRoute(
-                        new RouteId("r"),
-                        "ice.example",
-                        "/a/",
-                        requestKind,
-                        5_000,
-                        100,
-                        100,
-                        1,
-                        List.of(new WeightedService(CHAT, 1)),
-                        maxAttempts,
-                        false);
-        TrafficDocument document =
-                new TrafficDocument(
-                        1,
-                        List.of(route),
-                        List.of(new TrafficService(CHAT, "/h", 10, 0, false, Optional.empty())),
-                        List.of(
-                                new TrafficAccount(
-                                        new ClientAccountId("bars"),
-                                        List.of("key"),
-                                        OptionalInt.empty(),
-                                        false,
-                                        0,
-                                        0,
-                                        0)));
-        return new GatewayView(
-                1,
-                Optional.of(new RouteTable(document)),
-                Set.of(),
-                Map.of(),
-                TestEndpoints.createEndpoints(CHAT, 4, false),
-                1,
-                Map.of(),
-                Map.of());
-    }
-
-    private static HttpHeaders signed() {
-        return new DefaultHttpHeaders().set(TestPlatformDialect.SIGNATURE, "s");
-    }
-
-    private static HttpHeaders signed(String contentType) {
-        return signed().set("content-type", contentType);
+        return fixture.send(requestKind, maxAttempts);
     }
 
     private static Consumer<EndpointResponseListener> streamOf(String stream) {
         return respondWith(200, signed("text/event-stream"), stream);
     }
 
-    private static Consumer<EndpointResponseListener> respondWith(
-            int status, HttpHeaders headers, String body) {
-        return listener -> {
-            listener.onHead(status, headers);
-            listener.onBodyPart(bytes(body));
-            listener.onComplete();
-        };
-    }
-
     private static Consumer<EndpointResponseListener> respond(
             int status, boolean isSigned, boolean isStatedNotRun) {
         return listener -> {
@@ -473,28 +361,4 @@
             }
         };
     }
-
-    private static Consumer<EndpointResponseListener> completeStream() {
-        return listener -> {
-            listener.onHead(200, signed());
-            listener.onBodyPart(bytes("id: 1\ndata: a\n\n"));
-            listener.onComplete();
-        };
-    }
-
-    private static Consumer<EndpointResponseListener> interruptedStream(String delivered) {
-        return listener -> {
-            listener.onHead(200, signed());
-            listener.onBodyPart(bytes(delivered));
-            listener.onFailure(FakeEndpointClient.createFailure(Kind.CONNECTION_LOST));
-        };
-    }
-
-    private static Consumer<EndpointResponseListener> fail(Kind kind) {
-        return listener -> listener.onFailure(FakeEndpointClient.createFailure(kind));
-    }
-
-    private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.UTF_8);
-    }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
@@ -88,7 +88,7 @@
 
     private static Optional<TrackedEndpoint> select(
             ForwardingEndpointSelector selector, String sharedPart) {
-        return selector.select(view(false), service(), Optional.of(sharedPart), Set.of());
+        return selector.select(service(), Optional.of(sharedPart), Set.of());
     }
 
     private EndpointTable createTable() {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/SimulatedFleet.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/SimulatedFleet.java
@@ -19,6 +19,7 @@
 import org.cardamomthread.daemon.testing.FakeReplicationGroup;
 import org.cardamomthread.daemon.testing.TestPlatformDialect;
 import org.cardamomthread.daemon.view.GatewayReports;
+import org.cardamomthread.daemon.view.LeavingEndpointReports;
 import org.cardamomthread.daemon.view.QuarantineServer;
 import org.cardamomthread.daemon.view.TrialClient;
 import org.cardamomthread.daemon.view.ViewLease;
@@ -150,6 +151,8 @@
                             () -> Optional.of(group),
                             registry,
                             new GatewayReports(simulation.time(), 2_000),
+                            new LeavingEndpointReports(
+                                    registry, new DecisionLog(simulation.time())),
                             quarantine,
                             List::of,
                             controlThread,
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/TestPlatformDialect.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/TestPlatformDialect.java
@@ -30,6 +30,9 @@
     /** The header of a response that states that the request was not run. */
     public static final String NOT_RUN = "x-test-not-run";
 
+    /** The header of a response of an endpoint that leaves. */
+    public static final String LEAVING = "x-test-leaving";
+
     /** The request header with the ids of the prompt's parts, separated by commas. */
     public static final String PROMPT_PARTS = "x-test-prompt-parts";
 
@@ -64,7 +67,8 @@
                 headers.contains(SIGNATURE),
                 headers.contains(NOT_RUN),
                 Optional.empty(),
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                headers.contains(LEAVING));
     }
 
     @Override
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
@@ -21,6 +21,7 @@
 import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.testing.TestPlatformDialect;
 import org.cardamomthread.daemon.view.generated.EndpointEntry;
+import org.cardamomthread.daemon.view.generated.LeavingEndpoint;
 import org.cardamomthread.daemon.view.generated.PromptPartEvidence;
 import org.cardamomthread.daemon.view.generated.PromptPartEvidence.Kind;
 import org.cardamomthread.daemon.view.generated.QuarantinedPart;
@@ -101,6 +102,43 @@
         assertTrue(updater.view().endpoints().containsKey(REMAINING_ENDPOINT));
     }
 
+    @Test
+    public void tellsGatewaysOfEndpointThatStatedToOneThatItLeaves() throws Exception {
+        ControlNode leader = createNode("one");
+        leader.registry().accept(report(REMAINING_ENDPOINT, 1));
+        poll(leader);
+        ViewRequest.Builder request = ViewRequest.newBuilder();
+        request.addLeaving(leaving(REMAINING_ENDPOINT.value(), 1));
+        request.addLeaving(leaving("unknown", 1));
+        request.addLeaving(leaving("not a valid id", 1));
+        leader.server()
+                .handle(new NodeId("other"), request.build().toByteArray())
+                .toCompletableFuture()
+                .get();
+        leader.registry().accept(report(REMAINING_ENDPOINT, 2));
+        poll(leader);
+        assertTrue(updater.view().endpoints().get(REMAINING_ENDPOINT).report().isDraining());
+    }
+
+    @DataProvider
+    public Object[][] otherIncarnations() {
+        return new Object[][] {{0L}, {2L}};
+    }
+
+    @Test(dataProvider = "otherIncarnations")
+    public void keepsEndpointOpenOfWhichAnotherIncarnationLeaves(long startTimeMs)
+            throws Exception {
+        ControlNode leader = createNode("one");
+        leader.registry().accept(report(REMAINING_ENDPOINT));
+        assertFalse(leader.registry().drain(REMAINING_ENDPOINT, startTimeMs));
+        poll(leader);
+        assertFalse(updater.view().endpoints().get(REMAINING_ENDPOINT).report().isDraining());
+    }
+
+    private static LeavingEndpoint leaving(String id, long startTimeMs) {
+        return LeavingEndpoint.newBuilder().setId(id).setBornMs(startTimeMs).build();
+    }
+
     /**
      * The registry of a new leader is complete only after every endpoint has reported to it; until
      * then, unknown endpoints must stay in the view.
@@ -294,6 +332,7 @@
                         () -> Optional.of(new FakeReplicationGroup()),
                         registry,
                         new GatewayReports(time, 2_000),
+                        new LeavingEndpointReports(registry, new DecisionLog(time)),
                         quarantine,
                         List::of,
                         controlThread,
