Drop requests whose clients left while the gateway stood still

A request is now handled only after the next poll of the connections, and is dropped, with a log line and a metric, if its client has left by then. The time limit of a request counts from its receipt, no longer from its admission, which may wait for quota.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -8,6 +8,7 @@
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.AfterPendingReads;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.dispatch.AsyncEndpointClient;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
@@ -74,6 +75,7 @@
                                 dialect,
                                 client,
                                 eventLoop,
+                                new AfterPendingReads(eventLoop),
                                 timeSource,
                                 viewLease,
                                 new QuotaPoolClient(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.forwarding;
 
 import io.netty.channel.EventLoop;
+import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
@@ -38,6 +39,8 @@
      * @param dialect converts between platform messages and internal types
      * @param client sends requests to endpoints
      * @param loop the event loop on which all components run
+     * @param afterPendingReads runs a task on the loop once what had arrived on the clients'
+     *     connections has been read
      * @param timeSource supplies monotonic and wall clock time
      * @param viewLease determines whether the view is recent enough to admit requests that carry an
      *     API key
@@ -54,6 +57,7 @@
             PlatformDialect dialect,
             EndpointClient client,
             EventLoop loop,
+            Executor afterPendingReads,
             TimeSource timeSource,
             ViewLease viewLease,
             QuotaPoolClient quotaPoolClient,
@@ -103,7 +107,12 @@
                         serviceLoads,
                         forwardingLog,
                         dependencies.metrics());
-        handler = new ForwardingHandler(context, endpoints, dependencies.random());
+        handler =
+                new ForwardingHandler(
+                        context,
+                        endpoints,
+                        dependencies.afterPendingReads(),
+                        dependencies.random());
     }
 
     /**
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.cardamomthread.configuration.traffic.RouteTable;
 import org.cardamomthread.configuration.traffic.TrafficAccount;
@@ -21,6 +23,9 @@
  * Admits client requests by route, API key and quota, and forwards the admitted ones to an
  * endpoint.
  *
+ * <p>A request is handled only once the closes that had arrived with it have been read: after a
+ * pause of the process, the clients of most requests that waited have left.
+ *
  * <p>All methods, including {@link #applyView}, must be called on the same event loop.
  */
 public final class ForwardingHandler implements HttpHandler {
@@ -40,12 +45,18 @@
 
     private final ForwardingContext context;
     private final EndpointTable endpoints;
+    private final Executor afterPendingReads;
     private final RandomGenerator random;
     private GatewayView view = GatewayView.EMPTY;
 
-    ForwardingHandler(ForwardingContext context, EndpointTable endpoints, RandomGenerator random) {
+    ForwardingHandler(
+            ForwardingContext context,
+            EndpointTable endpoints,
+            Executor afterPendingReads,
+            RandomGenerator random) {
         this.context = context;
         this.endpoints = endpoints;
+        this.afterPendingReads = afterPendingReads;
         this.random = random;
     }
 
@@ -67,10 +78,11 @@
 
     @Override
     public void handle(HttpExchange exchange) {
-        ServerRequest request = exchange.getRequest();
-        RequestHead head;
+        long receivedMs = context.timeSource().monotonicMs();
+        ReceivedRequest received;
         try {
-            head = context.dialect().decodeRequestHead(request);
+            RequestHead head = context.dialect().decodeRequestHead(exchange.getRequest());
+            received = new ReceivedRequest(exchange, head, receivedMs);
         } catch (MalformedMessageException e) {
             RequestHead headWithoutId =
                     new RequestHead(
@@ -80,31 +92,50 @@
                             0,
                             List.of());
             reject(
-                    exchange,
-                    headWithoutId,
+                    new ReceivedRequest(exchange, headWithoutId, receivedMs),
                     GatewayError.of(400, "malformed-request", "Malformed request", e.getMessage()));
             return;
         }
+        AtomicBoolean hasClientLeft = new AtomicBoolean();
+        exchange.onDisconnect(() -> hasClientLeft.set(true));
+        afterPendingReads.execute(
+                () -> {
+                    if (hasClientLeft.get()) {
+                        drop(received);
+                    } else {
+                        handle(received);
+                    }
+                });
+    }
+
+    /** Drops a request whose client left before the request was handled. */
+    private void drop(ReceivedRequest received) {
+        context.metrics().countRefusal("client-left");
+        context.forwardingLog()
+                .logDrop(
+                        received.head(),
+                        context.timeSource().monotonicMs() - received.receivedMs());
+    }
+
+    private void handle(ReceivedRequest received) {
         if (view.routes().isEmpty()) {
             reject(
-                    exchange,
-                    head,
+                    received,
                     noCurrentView(
                             "this gateway has not received a traffic document yet: send the"
                                     + " request again later"));
             return;
         }
-        route(exchange, head, view.routes().get());
+        route(received, view.routes().get());
     }
 
-    private void route(HttpExchange exchange, RequestHead head, RouteTable routes) {
-        ServerRequest request = exchange.getRequest();
+    private void route(ReceivedRequest received, RouteTable routes) {
+        ServerRequest request = received.exchange().getRequest();
         Optional<TrafficRoute> route =
                 routes.findRoute(request.getHeader("host").orElse(""), request.path());
         if (route.isEmpty()) {
             reject(
-                    exchange,
-                    head,
+                    received,
                     replaceIfViewIsStale(
                             GatewayError.of(
                                     404,
@@ -119,8 +150,7 @@
             account = request.getBearerToken().flatMap(routes::findAccountByKey);
             if (!context.viewLease().isHeld()) {
                 reject(
-                        exchange,
-                        head,
+                        received,
                         noCurrentView(
                                 "this gateway has lost contact with the control nodes: send the"
                                         + " request again later"));
@@ -128,8 +158,7 @@
             }
             if (account.isEmpty()) {
                 reject(
-                        exchange,
-                        head,
+                        received,
                         GatewayError.of(
                                 401,
                                 "unknown-key",
@@ -139,25 +168,21 @@
                 return;
             }
         }
-        admit(exchange, head, route.get(), account);
+        admit(received, route.get(), account);
     }
 
     private void admit(
-            HttpExchange exchange,
-            RequestHead head,
-            TrafficRoute route,
-            Optional<TrafficAccount> account) {
+            ReceivedRequest received, TrafficRoute route, Optional<TrafficAccount> account) {
         Optional<TrafficService> service = selectService(route);
         if (service.isEmpty()) {
             reject(
-                    exchange,
-                    head,
+                    received,
                     noCurrentView("the traffic document does not define a service for this route"));
             return;
         }
-        double quotaAmount = account.map(keyOwner -> quotaAmount(keyOwner, head)).orElse(0.0);
-        Runnable forward =
-                () -> forward(exchange, head, route, service.get(), account, quotaAmount);
+        double quotaAmount =
+                account.map(keyOwner -> quotaAmount(keyOwner, received.head())).orElse(0.0);
+        Runnable forward = () -> forward(received, route, service.get(), account, quotaAmount);
         if (account.isEmpty()
                 || context.quotaShares().tryConsumeAboveReserve(account.get(), quotaAmount)) {
             forward.run();
@@ -174,25 +199,23 @@
                                 forward.run();
                             } else {
                                 rejectOverQuota(
-                                        exchange, head, account.get(), quotaAmount, grant.waitMs());
+                                        received, account.get(), quotaAmount, grant.waitMs());
                             }
                         });
     }
 
     private void rejectOverQuota(
-            HttpExchange exchange,
-            RequestHead head,
+            ReceivedRequest received,
             TrafficAccount account,
             double quotaAmount,
             OptionalLong poolWaitMs) {
         long ownWaitMs = context.quotaShares().waitMs(account, quotaAmount);
         long waitMs = Math.min(ownWaitMs, poolWaitMs.orElse(ownWaitMs));
-        context.forwardingLog().logQuotaRejection(head, account, quotaAmount, waitMs);
+        context.forwardingLog().logQuotaRejection(received.head(), account, quotaAmount, waitMs);
         long retryAfterMs =
                 Math.min(MAX_QUOTA_RETRY_AFTER_MS, Math.max(MIN_QUOTA_RETRY_AFTER_MS, waitMs));
         reject(
-                exchange,
-                head,
+                received,
                 new GatewayError(
                         429,
                         "quota-exceeded",
@@ -203,19 +226,25 @@
     }
 
     private void forward(
-            HttpExchange exchange,
-            RequestHead head,
+            ReceivedRequest received,
             TrafficRoute route,
             TrafficService service,
             Optional<TrafficAccount> account,
             double quotaAmount) {
-        long nowMs = context.timeSource().monotonicMs();
-        long timeoutMs = Math.min(route.timeoutMs(), head.timeoutMs().orElse(route.timeoutMs()));
+        long timeoutMs =
+                Math.min(route.timeoutMs(), received.head().timeoutMs().orElse(route.timeoutMs()));
         AdmittedRequest request =
                 new AdmittedRequest(
-                        head, view, route, service, account, quotaAmount, nowMs, nowMs + timeoutMs);
+                        received.head(),
+                        view,
+                        route,
+                        service,
+                        account,
+                        quotaAmount,
+                        received.receivedMs(),
+                        received.receivedMs() + timeoutMs);
         context.metrics().beginRequest(service.id());
-        new ForwardedCall(context, exchange, request).start();
+        new ForwardedCall(context, received.exchange(), request).start();
     }
 
     private Optional<TrafficService> selectService(TrafficRoute route) {
@@ -249,9 +278,12 @@
         return GatewayError.unavailable("no-view", detail, NO_VIEW_RETRY_AFTER_MS);
     }
 
-    private void reject(HttpExchange exchange, RequestHead head, GatewayError error) {
+    private void reject(ReceivedRequest received, GatewayError error) {
         context.metrics().countRefusal(error.type());
-        context.forwardingLog().logRejection(head, error.type(), error.status(), view.revision());
-        exchange.respond(GatewayErrorRenderer.toResponse(context.dialect(), head, error));
+        context.forwardingLog()
+                .logRejection(received.head(), error.type(), error.status(), view.revision());
+        received.exchange()
+                .respond(
+                        GatewayErrorRenderer.toResponse(context.dialect(), received.head(), error));
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -40,6 +40,17 @@
                 viewLease.ageMs());
     }
 
+    void logDrop(RequestHead head, long waitedMs) {
+        log.log(
+                "request-dropped",
+                "request",
+                head.requestId(),
+                "reason",
+                "client-left",
+                "waitedMs",
+                waitedMs);
+    }
+
     void logQuotaRejection(
             RequestHead head, TrafficAccount account, double quotaAmount, long waitMs) {
         log.log(
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwarderFixture.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwarderFixture.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon.forwarding;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -10,6 +11,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.cardamomthread.configuration.traffic.RequestKind;
 import org.cardamomthread.configuration.traffic.RouteTable;
@@ -56,6 +58,10 @@
     private final Forwarder forwarder;
 
     ForwarderFixture() {
+        this(new EmbeddedChannel().eventLoop(), Runnable::run);
+    }
+
+    ForwarderFixture(EventLoop loop, Executor afterPendingReads) {
         time.advanceMs(10_000);
         viewLease = new ViewLease(time, LEASE_MS);
         forwarder =
@@ -63,7 +69,8 @@
                         new Forwarder.Dependencies(
                                 new TestPlatformDialect(),
                                 client,
-                                new EmbeddedChannel().eventLoop(),
+                                loop,
+                                afterPendingReads,
                                 time,
                                 viewLease,
                                 new QuotaPoolClient(null, Optional::empty, Runnable::run, time),
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/PromptPartForwardingTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/PromptPartForwardingTests.java
@@ -72,6 +72,7 @@
                                 new TestPlatformDialect(),
                                 client,
                                 new EmbeddedChannel().eventLoop(),
+                                Runnable::run,
                                 time,
                                 viewLease,
                                 new QuotaPoolClient(null, Optional::empty, Runnable::run, time),
