Answer every request that a stopping gateway cannot serve

Reported by other operators and shown here by a process test: in a planned stop of one gateway, requests that came late in the grace were taken and passed on, and cut off without an answer at its end, requests that may run only once among them. Cause: nothing compared the time that a request needs with the time left; requests open at the end were closed; new connections were reset after 2.5 s.

A stopping gateway now takes a request only if the longest recent duration of its route, with a margin, or else its time limit, fits into the time left. Others get a 503 that says they did not run, to be sent again at once, on a connection that is closed after it; the listener stays open to the end for them. What is open at the end gets 502, as it may have run, or breaks off if its stream had begun.

StoppingGatewayTests and ShutdownAdmissionTests cover the decision.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -49,8 +49,12 @@
 
     private static final long DRAIN_POLL_INTERVAL_MS = 20;
 
+    /** Time to write the responses to requests that are ended because the gateway stops. */
+    private static final long FINAL_RESPONSE_PERIOD_MS = 200;
+
     private final NodeComponents components;
     private final PlatformDialect dialect;
+    private final EventLoop eventLoop;
     private final EndpointClient client;
     private final ViewLease viewLease;
     private final Forwarder forwarder;
@@ -66,7 +70,7 @@
         this.dialect = dialect;
         FleetSettings settings = components.settings();
         TimeSource timeSource = components.timeSource();
-        EventLoop eventLoop = (EventLoop) components.eventLoops().next();
+        eventLoop = (EventLoop) components.eventLoops().next();
         client = new AsyncEndpointClient(components.eventLoops(), timeSource, CONNECT_TIMEOUT);
         viewLease = new ViewLease(timeSource, settings.limits().viewLeaseMs());
         forwarder =
@@ -138,17 +142,20 @@
                 startMs + components.settings().limits().shutdownTimeoutMs() - CLOSE_RESERVE_MS;
         stopping.set(true);
         callerServer.startDraining();
+        eventLoop.execute(() -> forwarder.stopAt(endMs));
         LOGGER.atInfo()
                 .addKeyValue("event", "node-stopping")
                 .addKeyValue("requests", callerServer.getRequestsInProgress())
                 .log("gateway is stopping; waiting for open requests");
         sleepUntil(startMs + UNREADY_PERIOD_MS);
-        callerServer.stopAcceptingRequests();
-        while (callerServer.getRequestsInProgress() > 0
-                && components.timeSource().monotonicMs() < endMs) {
-            sleep(DRAIN_POLL_INTERVAL_MS);
-        }
+        eventLoop.execute(() -> forwarder.stopAt(components.timeSource().monotonicMs()));
+        callerServer.closeIdleConnections();
+        awaitOpenRequests(endMs);
         int openRequests = callerServer.getRequestsInProgress();
+        if (openRequests > 0) {
+            eventLoop.execute(forwarder::endOpenRequests);
+            awaitOpenRequests(endMs + FINAL_RESPONSE_PERIOD_MS);
+        }
         LOGGER.atInfo()
                 .addKeyValue("event", "node-stopped")
                 .addKeyValue("openRequests", openRequests)
@@ -194,6 +201,13 @@
                         : ServerResponse.createText(503, "not ready\n"));
     }
 
+    private void awaitOpenRequests(long untilMs) {
+        while (callerServer.getRequestsInProgress() > 0
+                && components.timeSource().monotonicMs() < untilMs) {
+            sleep(DRAIN_POLL_INTERVAL_MS);
+        }
+    }
+
     private void sleepUntil(long untilMs) {
         long remainingMs = untilMs - components.timeSource().monotonicMs();
         if (remainingMs > 0) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -73,6 +73,7 @@
         long remainingMs = request.deadlineMs() - context.timeSource().monotonicMs();
         deadline = context.loop().schedule(this::onDeadline, remainingMs, TimeUnit.MILLISECONDS);
         context.serviceLoads().recordStart(request.service().id(), request.head().promptTokens());
+        context.openCalls().add(this);
         exchange.onDisconnect(() -> runOnLoop(this::onClientDisconnect));
         if (!finished) {
             tryNextEndpoint();
@@ -212,6 +213,15 @@
         failWith(reason, detail, Math.max(UNAVAILABLE_RETRY_AFTER_MS, pauseMs));
     }
 
+    /** Ends the call, whose current attempt counts as one that may have run. */
+    void endBecauseGatewayStops() {
+        mayHaveRun |= currentAttempt != null;
+        failWith(
+                "gateway-stopped",
+                "the gateway stops before the response is complete: send the request again only if"
+                        + " it may be repeated");
+    }
+
     private void failWith(String reason, String detail, long retryAfterMs) {
         if (relay.hasStarted()) {
             relay.abort();
@@ -225,6 +235,7 @@
 
     private void finish(String outcome, GatewayError error) {
         finished = true;
+        context.openCalls().remove(this);
         context.serviceLoads().recordEnd(request.service().id());
         deadline.cancel(false);
         if (currentAttempt != null) {
@@ -281,6 +292,8 @@
     void complete(String outcome, int status, HttpHeaders headers) {
         currentAttempt = null;
         relay.finish(status, context.dialect().encodeResponseHeaders(headers));
+        long nowMs = context.timeSource().monotonicMs();
+        context.routeDurations().record(request.route().id(), nowMs - request.receivedMs(), nowMs);
         finish(outcome, null);
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -15,6 +15,8 @@
 import org.cardamomthread.daemon.view.ViewLease;
 import org.cardamomthread.daemon.view.generated.LeavingEndpoint;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
+import org.cardamomthread.policy.admission.RouteDurations;
+import org.cardamomthread.policy.admission.ShutdownAdmission;
 
 /**
  * Creates and connects the components that forward requests on one gateway. Its methods must be
@@ -31,6 +33,8 @@
     private final VersionResultCounter versionResults;
     private final ServiceLoadTracker serviceLoads;
     private final PromptPartGuard promptPartGuard;
+    private final OpenCalls openCalls = new OpenCalls();
+    private final ShutdownAdmission shutdownAdmission;
     private final ForwardingHandler handler;
 
     /**
@@ -83,6 +87,8 @@
         promptPartGuard =
                 new PromptPartGuard(dependencies.trialClient(), timeSource, forwardingLog);
         usage = new UsageCounter(timeSource, dependencies.limits().usageWindowS());
+        RouteDurations routeDurations = new RouteDurations();
+        shutdownAdmission = new ShutdownAdmission(routeDurations);
         ForwardingContext context =
                 new ForwardingContext(
                         dependencies.dialect(),
@@ -105,12 +111,15 @@
                         usage,
                         versionResults,
                         serviceLoads,
+                        openCalls,
+                        routeDurations,
                         forwardingLog,
                         dependencies.metrics());
         handler =
                 new ForwardingHandler(
                         context,
                         endpoints,
+                        shutdownAdmission,
                         dependencies.afterPendingReads(),
                         dependencies.random());
     }
@@ -133,6 +142,21 @@
         handler.applyView(view);
     }
 
+    /**
+     * Begins the stop of the gateway, or brings its end forward: requests that are not likely to
+     * end before are rejected as not run.
+     *
+     * @param endMs when the open requests are ended, in monotonic milliseconds
+     */
+    public void stopAt(long endMs) {
+        shutdownAdmission.stopAt(endMs);
+    }
+
+    /** Ends the open requests with a response that tells whether they may have run. */
+    public void endOpenRequests() {
+        openCalls.endAll();
+    }
+
     /**
      * Adds quota demands, usage counts, results by version, service loads, evidence on prompt parts
      * and leaving endpoints to a report for the leader.
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingContext.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingContext.java
@@ -7,6 +7,7 @@
 import org.cardamomthread.daemon.telemetry.ForwardingMetrics;
 import org.cardamomthread.daemon.view.QuotaPoolClient;
 import org.cardamomthread.daemon.view.ViewLease;
+import org.cardamomthread.policy.admission.RouteDurations;
 
 /**
  * Groups the components that forwarded calls share. Immutable.
@@ -26,6 +27,8 @@
  * @param usageCounter counts requests that started to run
  * @param versionResults counts responses by version
  * @param serviceLoads measures the load sent to each service
+ * @param openCalls the calls that have not ended
+ * @param routeDurations tracks how long the requests of each route take
  * @param forwardingLog writes an entry for each decision
  * @param metrics receives request and attempt counts
  */
@@ -44,5 +47,7 @@
         UsageCounter usageCounter,
         VersionResultCounter versionResults,
         ServiceLoadTracker serviceLoads,
+        OpenCalls openCalls,
+        RouteDurations routeDurations,
         ForwardingLog forwardingLog,
         ForwardingMetrics metrics) {}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
@@ -18,6 +18,7 @@
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.ServerRequest;
 import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.policy.admission.ShutdownAdmission;
 
 /**
  * Admits client requests by route, API key and quota, and forwards the admitted ones to an
@@ -43,8 +44,12 @@
 
     private static final long MAX_QUOTA_RETRY_AFTER_MS = 5_000;
 
+    /** Retry delay for clients of a gateway that stops; the others can take the request at once. */
+    private static final long STOPPING_RETRY_AFTER_MS = 0;
+
     private final ForwardingContext context;
     private final EndpointTable endpoints;
+    private final ShutdownAdmission shutdownAdmission;
     private final Executor afterPendingReads;
     private final RandomGenerator random;
     private GatewayView view = GatewayView.EMPTY;
@@ -52,10 +57,12 @@
     ForwardingHandler(
             ForwardingContext context,
             EndpointTable endpoints,
+            ShutdownAdmission shutdownAdmission,
             Executor afterPendingReads,
             RandomGenerator random) {
         this.context = context;
         this.endpoints = endpoints;
+        this.shutdownAdmission = shutdownAdmission;
         this.afterPendingReads = afterPendingReads;
         this.random = random;
     }
@@ -145,6 +152,17 @@
                                             + " check both")));
             return;
         }
+        if (!shutdownAdmission.mayTake(
+                route.get().id(), timeLimitMs(received, route.get()), received.receivedMs())) {
+            reject(
+                    received,
+                    GatewayError.unavailable(
+                            "gateway-stopping",
+                            "this gateway is being stopped: send the request again on a new"
+                                    + " connection",
+                            STOPPING_RETRY_AFTER_MS));
+            return;
+        }
         Optional<TrafficAccount> account = Optional.empty();
         if (routes.hasAccounts() && !route.get().isPublic()) {
             account = request.getBearerToken().flatMap(routes::findAccountByKey);
@@ -231,8 +249,6 @@
             TrafficService service,
             Optional<TrafficAccount> account,
             double quotaAmount) {
-        long timeoutMs =
-                Math.min(route.timeoutMs(), received.head().timeoutMs().orElse(route.timeoutMs()));
         AdmittedRequest request =
                 new AdmittedRequest(
                         received.head(),
@@ -242,7 +258,7 @@
                         account,
                         quotaAmount,
                         received.receivedMs(),
-                        received.receivedMs() + timeoutMs);
+                        received.receivedMs() + timeLimitMs(received, route));
         context.metrics().beginRequest(service.id());
         new ForwardedCall(context, received.exchange(), request).start();
     }
@@ -258,6 +274,10 @@
         return Optional.empty();
     }
 
+    private static long timeLimitMs(ReceivedRequest received, TrafficRoute route) {
+        return Math.min(route.timeoutMs(), received.head().timeoutMs().orElse(route.timeoutMs()));
+    }
+
     private static double quotaAmount(TrafficAccount account, RequestHead head) {
         return account.countsTokens() ? head.maxTotalTokens().orElse(account.defaultTokens()) : 1;
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
@@ -101,11 +101,10 @@
     }
 
     /**
-     * Closes the listening socket, and each open connection as soon as no request is in progress on
-     * it, so that no request is accepted for which the remaining time may not suffice.
+     * Starts draining and closes each connection as soon as no request is in progress on it. New
+     * connections are still accepted, so that their requests get a response.
      */
-    public void stopAcceptingRequests() {
-        stopAcceptingConnections();
+    public void closeIdleConnections() {
         state.startClosingIdleConnections();
         connections.forEach(
                 connection ->
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/HttpServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/HttpServerTests.java
@@ -115,7 +115,7 @@
             assertTrue(idle.getInputStream().read() >= 0);
             busy.getOutputStream().write(bytes("GET /hold HTTP/1.1\r\n\r\n"));
             heldExchange.get();
-            stopping.stopAcceptingRequests();
+            stopping.closeIdleConnections();
             String idleResponse =
                     new String(idle.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(idleResponse.startsWith("TTP/1.1 200"), idleResponse);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/StreamEndTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/StreamEndTests.java
@@ -136,7 +136,7 @@
                 started.finish();
             }
             case FINISH_WHILE_STOPPING -> {
-                server.stopAcceptingRequests();
+                server.closeIdleConnections();
                 started.finish();
             }
             case ABORT -> started.abort();
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/Fleet.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/Fleet.java
@@ -31,6 +31,7 @@
 
     private static final long START_TIMEOUT_MS = 30_000;
     private static final Path JAR = Path.of("..", "target", "cardamomthread.jar");
+    private static final String TIME_LIMIT_HEADER = "X-Cardamomthread-Deadline-Ms";
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
 
     private final Path folder;
@@ -151,11 +152,22 @@
                 HttpResponse.BodyHandlers.discarding());
     }
 
+    /** Sends a request with a long time limit through a gateway. */
+    HttpResponse<String> callSlowly(int index, String path, String requestId, Duration timeLimit)
+            throws IOException, InterruptedException {
+        return http.send(
+                createCall(index, path, requestId, ACCOUNT_KEY)
+                        .setHeader(TIME_LIMIT_HEADER, Long.toString(timeLimit.toMillis()))
+                        .timeout(timeLimit)
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
     private HttpRequest.Builder createCall(int index, String path, String requestId, String key) {
         return HttpRequest.newBuilder(
                         URI.create("http://" + gatewayIp(index) + ":" + callersPort + path))
                 .header("X-Cardamomthread-Attempt-Id", requestId)
-                .header("X-Cardamomthread-Deadline-Ms", "2500")
+                .header(TIME_LIMIT_HEADER, "2500")
                 .header("Authorization", "Bearer " + key)
                 .POST(HttpRequest.BodyPublishers.ofString("body of " + requestId));
     }
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/RunnerStandIn.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/RunnerStandIn.java
@@ -31,6 +31,9 @@
     /** Number of events in a stream, sent at intervals of {@link #EVENT_INTERVAL_MS}. */
     static final int EVENTS_PER_STREAM = 20;
 
+    /** Time after which a request whose path ends with {@code /slow} is answered. */
+    static final long SLOW_RESPONSE_MS = 9_000;
+
     private static final long EVENT_INTERVAL_MS = 60;
     private static final long ANNOUNCEMENT_INTERVAL_MS = 300;
     private static final String ID_HEADER = "X-Cardamomthread-Attempt-Id";
@@ -118,6 +121,9 @@
             sendUntilDisconnected(exchange);
             return;
         }
+        if (exchange.getRequestURI().getPath().endsWith("/slow")) {
+            sleep(SLOW_RESPONSE_MS);
+        }
         if (exchange.getRequestURI().getPath().startsWith("/stream/")) {
             stream(exchange, requestId);
             return;
@@ -158,6 +164,14 @@
         }
     }
 
+    private static void sleep(long durationMs) {
+        try {
+            Thread.sleep(durationMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void announce() {
         sequence++;
         String report =
