Heed the pauses of endpoints in the form with homes

A 503 with Retry-After was forgotten with its attempt there as well. The form with homes now asks the same EndpointAvailability: candidates leave out endpoints that want a pause, a request that waits for a connection is withdrawn, and a request whose service has only such endpoints, for longer than it may wait, is refused at once with the true time to come back.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptDispatcher.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptDispatcher.java
@@ -21,10 +21,13 @@
 final class AttemptDispatcher {
 
     private final EndpointClient client;
+    private final EndpointAvailabilityTracker availability;
     private final NodeTracing tracing;
 
-    AttemptDispatcher(EndpointClient client, NodeTracing tracing) {
+    AttemptDispatcher(
+            EndpointClient client, EndpointAvailabilityTracker availability, NodeTracing tracing) {
         this.client = client;
+        this.availability = availability;
         this.tracing = tracing;
     }
 
@@ -61,9 +64,10 @@
                         context.getTarget().isRepeatable() && !isRetry,
                         context.getTarget().traffic().getFirstByteTimeoutMs(),
                         context.getTarget().traffic().getGapTimeoutMs(),
-                        reservation::maySend,
+                        () -> availability.maySend(reservation),
                         ResponseAcceptancePolicy.STANDARD);
-        return client.start(request, new SpanEndingListener(span, listener));
+        return client.start(
+                request, availability.observe(reservation, new SpanEndingListener(span, listener)));
     }
 
     /** Returns a copy of the endpoint's response headers without hop-by-hop headers. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CandidateProvider.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CandidateProvider.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.id.VersionId;
@@ -27,11 +28,17 @@
     private static final double REMOTE_NETWORK_ROUND_TRIP_MS = 1.5;
 
     private final CreditPool pool;
+    private final EndpointAvailabilityTracker availability;
     private final EndpointPricing pricing;
     private final DataCentreId ownDataCentre;
 
-    CandidateProvider(CreditPool pool, EndpointPricing pricing, DataCentreId ownDataCentre) {
+    CandidateProvider(
+            CreditPool pool,
+            EndpointAvailabilityTracker availability,
+            EndpointPricing pricing,
+            DataCentreId ownDataCentre) {
         this.pool = pool;
+        this.availability = availability;
         this.pricing = pricing;
         this.ownDataCentre = ownDataCentre;
     }
@@ -51,7 +58,7 @@
         List<EndpointCandidate> candidates = new ArrayList<>();
         Map<EndpointId, EndpointSnapshot> endpoints = new HashMap<>();
         for (EndpointSnapshot endpoint : pool.endpoints()) {
-            if (canServe(endpoint, request, version)) {
+            if (availability.isAvailable(endpoint) && canServe(endpoint, request, version)) {
                 candidates.add(createCandidate(endpoint, version));
                 endpoints.put(endpoint.endpoint(), endpoint);
             }
@@ -59,18 +66,28 @@
         return new Candidates(candidates, endpoints);
     }
 
+    /**
+     * Returns the time until an endpoint can take a request, in milliseconds, or empty unless all
+     * that could have asked this node for a pause.
+     */
+    OptionalLong pauseMs(PlacementRequest request, VersionId version) {
+        return availability.pauseMs(
+                pool.endpoints().stream()
+                        .filter(endpoint -> canServe(endpoint, request, version))
+                        .toList());
+    }
+
     private static boolean canServe(
             EndpointSnapshot endpoint, PlacementRequest request, VersionId version) {
         if (request.needsResume()
                 && !endpoint.description().capabilities().contains(Capability.RESUME)) {
             return false;
         }
-        return endpoint.description().state().acceptsRequests()
-                && endpoint.description().services().stream()
-                        .anyMatch(
-                                served ->
-                                        served.service().equals(request.target().service())
-                                                && served.version().equals(version));
+        return endpoint.description().services().stream()
+                .anyMatch(
+                        served ->
+                                served.service().equals(request.target().service())
+                                        && served.version().equals(version));
     }
 
     private EndpointCandidate createCandidate(EndpointSnapshot endpoint, VersionId version) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditBasedPlacement.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CreditBasedPlacement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -38,6 +39,7 @@
 
     private static final int MAX_REFUSALS_PER_ATTEMPT = 3;
     private static final long RETRY_AFTER_S = 1;
+    private static final long MS_PER_S = 1_000;
 
     private final CreditPool pool;
     private final CandidateProvider candidates;
@@ -83,16 +85,21 @@
         long nowMs = timeSource.monotonicMs();
         QueuedAttempt attempt;
         Optional<EndpointReservation> placed;
+        OptionalLong pauseMs = OptionalLong.empty();
         List<QueuedAttempt> refused = List.of();
         synchronized (this) {
             attempt = createQueuedAttempt(request, listener, nowMs);
             ServiceQueue queue = getOrCreateQueue(request.target().service());
             placed = queue.size() == 0 ? tryPlace(request) : Optional.empty();
             if (placed.isEmpty()) {
+                pauseMs = pauseBeyondMaxWaitMs(request);
+            }
+            if (placed.isEmpty() && pauseMs.isEmpty()) {
                 refused = queue.offer(attempt, nowMs);
             }
         }
         placed.ifPresent(listener::onPlaced);
+        pauseMs.ifPresent(waitMs -> refuseHeldBack(attempt, waitMs));
         refused.forEach(CreditBasedPlacement::refuseQueueFull);
         return () -> remove(attempt);
     }
@@ -249,6 +256,34 @@
                                 .withRetryAfterS(RETRY_AFTER_S));
     }
 
+    /**
+     * Returns the time until an endpoint may be sent requests again, if it is longer than the
+     * request may wait: it cannot be served, and is refused instead of queued.
+     */
+    private OptionalLong pauseBeyondMaxWaitMs(PlacementRequest request) {
+        VersionId version =
+                versionRouter.selectVersion(request.target(), request.isRetry(), random);
+        OptionalLong pauseMs = candidates.pauseMs(request, version);
+        return pauseMs.orElse(0) > request.target().traffic().maxWaitMs()
+                ? pauseMs
+                : OptionalLong.empty();
+    }
+
+    private static void refuseHeldBack(QueuedAttempt attempt, long pauseMs) {
+        attempt.listener()
+                .onRefused(
+                        ProblemDetail.createNotRun(
+                                        503,
+                                        "endpoints-held-back",
+                                        "Endpoints want a pause",
+                                        String.format(
+                                                "all endpoints of service \"%s\" have rejected"
+                                                        + " requests and asked for a pause of %d ms"
+                                                        + " more: retry after it",
+                                                attempt.request().target().service(), pauseMs))
+                                .withRetryAfterS((pauseMs + MS_PER_S - 1) / MS_PER_S));
+    }
+
     private static void refuseTimedOut(QueuedAttempt attempt) {
         CallTarget target = attempt.request().target();
         attempt.listener()
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/Gateway.java
@@ -31,12 +31,16 @@
      * @param dependencies the components that the gateway uses
      */
     public Gateway(GatewayDependencies dependencies) {
-        placement = createPlacement(dependencies);
+        EndpointAvailabilityTracker availability =
+                new EndpointAvailabilityTracker(dependencies.telemetry().timeSource());
+        placement = createPlacement(dependencies, availability);
         CallDependencies callDependencies =
                 new CallDependencies(
                         placement,
                         new AttemptDispatcher(
-                                dependencies.client(), dependencies.telemetry().tracing()),
+                                dependencies.client(),
+                                availability,
+                                dependencies.telemetry().tracing()),
                         new BudgetRetryPolicy(dependencies.telemetry().timeSource()),
                         dependencies.promptGuard(),
                         dependencies.telemetry().timeSource());
@@ -132,11 +136,15 @@
         return placement.getWaitingCount();
     }
 
-    private static CreditBasedPlacement createPlacement(GatewayDependencies dependencies) {
+    private static CreditBasedPlacement createPlacement(
+            GatewayDependencies dependencies, EndpointAvailabilityTracker availability) {
         return new CreditBasedPlacement(
                 dependencies.pool(),
                 new CandidateProvider(
-                        dependencies.pool(), dependencies.pricing(), dependencies.dataCentre()),
+                        dependencies.pool(),
+                        availability,
+                        dependencies.pricing(),
+                        dependencies.dataCentre()),
                 dependencies.selector(),
                 new SelectionRequestFactory(),
                 dependencies.versionRouter(),
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/AtMostOnceCallRunnerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/AtMostOnceCallRunnerTests.java
@@ -142,7 +142,10 @@
         CallDependencies dependencies =
                 new CallDependencies(
                         new FakePlacement(),
-                        new AttemptDispatcher(new SendingClient(), tracing),
+                        new AttemptDispatcher(
+                                new SendingClient(),
+                                new EndpointAvailabilityTracker(timeSource),
+                                tracing),
                         new BudgetRetryPolicy(timeSource),
                         PromptGuards.createWithoutPeers(timeSource),
                         timeSource);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
@@ -36,11 +36,15 @@
 
     private FakeEndpointClient endpoints;
     private RecordedExchange caller;
+    private FakePlacement placement;
+    private ManualTimeSource timeSource;
 
     @BeforeMethod
     public void reset() {
         endpoints = new FakeEndpointClient();
         caller = new RecordedExchange("/stock", "");
+        placement = new FakePlacement();
+        timeSource = new ManualTimeSource();
     }
 
     @Test
@@ -74,6 +78,25 @@
         assertFalse(endpoints.getRequest(1).mayReuseConnection());
     }
 
+    @Test
+    public void withdrawsRequestToEndpointThatAskedForAPauseMeanwhile() {
+        endpoints.addScript(
+                listener -> {
+                    listener.onHead(503, new DefaultHttpHeaders().set("retry-after", "2.5"));
+                    listener.onComplete();
+                });
+        endpoints.addScript(
+                listener -> {
+                    listener.onHead(200, new DefaultHttpHeaders());
+                    listener.onComplete();
+                });
+        start();
+        assertFalse(endpoints.getRequest(0).maySend().getAsBoolean());
+        assertTrue(endpoints.getRequest(1).maySend().getAsBoolean());
+        timeSource.advanceMs(2_500);
+        assertTrue(endpoints.getRequest(0).maySend().getAsBoolean());
+    }
+
     @Test
     public void passesALongResponseOn() {
         endpoints.addScript(send(200).andThen(EndpointResponseListener::onComplete));
@@ -127,7 +150,6 @@
     private void start(HttpExchange exchange) {
         NodeTracing tracing = new NodeTracing(new NodeId("node-a"), Optional.empty());
         Span span = tracing.startServerSpan("test", new DefaultHttpHeaders());
-        ManualTimeSource timeSource = new ManualTimeSource();
         CallContext context =
                 new CallContext(
                         exchange,
@@ -142,8 +164,9 @@
                                 new PlacementHistory(timeSource)));
         CallDependencies dependencies =
                 new CallDependencies(
-                        new FakePlacement(),
-                        new AttemptDispatcher(endpoints, tracing),
+                        placement,
+                        new AttemptDispatcher(
+                                endpoints, new EndpointAvailabilityTracker(timeSource), tracing),
                         new BudgetRetryPolicy(timeSource),
                         PromptGuards.createWithoutPeers(timeSource),
                         timeSource);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/QuarantinedPromptTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/QuarantinedPromptTests.java
@@ -209,7 +209,8 @@
         CallDependencies dependencies =
                 new CallDependencies(
                         placement,
-                        new AttemptDispatcher(endpoints, tracing),
+                        new AttemptDispatcher(
+                                endpoints, new EndpointAvailabilityTracker(timeSource), tracing),
                         new BudgetRetryPolicy(timeSource),
                         promptGuard,
                         timeSource);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/StreamingModelCallTests.java
@@ -259,7 +259,8 @@
         CallDependencies dependencies =
                 new CallDependencies(
                         placement,
-                        new AttemptDispatcher(endpoints, tracing),
+                        new AttemptDispatcher(
+                                endpoints, new EndpointAvailabilityTracker(timeSource), tracing),
                         retryPolicy,
                         PromptGuards.createWithoutPeers(timeSource),
                         timeSource);
