Never state that a lost call was not run

In the form with homes, a call whose attempt was lost after it had been sent, and for which no other endpoint was found, was refused with 503 and "not-run", although the endpoint may have run it: the refusal of the second placement was passed on as it came. It is now a 502 with "unknown". A call of which nothing was sent is reported as not run, also after several attempts.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
@@ -40,6 +40,7 @@
     private long sentMs;
     private boolean isTrial;
     private boolean hasAnswer;
+    private boolean mayHaveRun;
     private boolean ended;
 
     AbstractRetryableCall(CallContext context, CallDependencies dependencies, PromptPrefix prefix) {
@@ -77,7 +78,7 @@
         synchronized (this) {
             if (!ended) {
                 ended = true;
-                reportFailure(problem);
+                reportFailure(mayHaveRun ? problem.asMayHaveRun() : problem);
             }
         }
     }
@@ -154,6 +155,7 @@
                     .addKeyValue("attempt", attemptCount)
                     .log("attempt failed: {}", failure.getMessage());
             boolean wasCanary = reservation.isCanary();
+            mayHaveRun |= !failure.isNotSent();
             boolean isSuspect = recordLoss(failure);
             releaseReservation(report);
             if (isSuspect) {
@@ -244,7 +246,7 @@
     /** Ends a call whose prompt is quarantined. */
     private void reject(long retryAfterMs) {
         ended = true;
-        boolean isNotRun = attemptCount == 0;
+        boolean isNotRun = !mayHaveRun;
         reportFailure(
                 new ProblemDetail(
                         isNotRun ? 503 : 502,
@@ -336,10 +338,7 @@
     }
 
     private ProblemDetail createProblem(EndpointFailureException failure) {
-        ExecutionStatus execution =
-                failure.isNotSent() && attemptCount == 1
-                        ? ExecutionStatus.NOT_RUN
-                        : ExecutionStatus.UNKNOWN;
+        ExecutionStatus execution = mayHaveRun ? ExecutionStatus.UNKNOWN : ExecutionStatus.NOT_RUN;
         return new ProblemDetail(
                 502,
                 "endpoints-failed",
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ProblemDetail.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ProblemDetail.java
@@ -28,6 +28,7 @@
         OptionalLong retryAfterS) {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int STATUS_BAD_GATEWAY = 502;
     private static final String TYPE_PREFIX = "urn:cardamomthread:problem:";
 
     /**
@@ -54,6 +55,16 @@
         return new ProblemDetail(status, type, title, detail, execution, OptionalLong.of(delayS));
     }
 
+    /**
+     * Returns a copy for a call that may have run.
+     *
+     * @return the copy, with a status that does not state that the call was not run
+     */
+    public ProblemDetail asMayHaveRun() {
+        return new ProblemDetail(
+                STATUS_BAD_GATEWAY, type, title, detail, ExecutionStatus.UNKNOWN, retryAfterS);
+    }
+
     /**
      * Renders the problem as a JSON document.
      *
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
@@ -23,6 +23,7 @@
 import org.cardamomthread.daemon.testing.PromptGuards;
 import org.cardamomthread.daemon.testing.RecordedExchange;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests the limits of {@link BufferedCall} with scripted endpoints. */
@@ -78,6 +79,26 @@
         assertFalse(endpoints.getRequest(1).mayReuseConnection());
     }
 
+    @DataProvider
+    public Object[][] firstFailures() {
+        return new Object[][] {
+            {Kind.CONNECTION_LOST, 502, "unknown"},
+            {Kind.FIRST_BYTE_TIMEOUT, 502, "unknown"},
+            {Kind.NOT_SENT, 503, "not-run"},
+        };
+    }
+
+    @Test(dataProvider = "firstFailures")
+    public void neverStatesThatCallDidNotRunAfterAnAttemptThatMayHave(
+            Kind first, int expectedStatus, String expectedExecution) {
+        placement.refuseAfter(1);
+        endpoints.addScript(
+                listener -> listener.onFailure(FakeEndpointClient.createFailure(first)));
+        start();
+        assertEquals(caller.getStatus(), expectedStatus);
+        assertTrue(caller.getBody().contains(expectedExecution), caller.getBody());
+    }
+
     @Test
     public void withdrawsRequestToEndpointThatAskedForAPauseMeanwhile() {
         endpoints.addScript(
