--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwarderFixture.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwarderFixture.java
@@ -26,6 +26,8 @@
 import org.cardamomthread.core.id.RouteId;
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.concurrent.AfterPendingReads;
+import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
@@ -53,7 +55,7 @@
     static final long ROUTE_TIMEOUT_MS = 5_000;
 
     private final ManualTimeSource time = new ManualTimeSource();
-    private final FakeEndpointClient client = new FakeEndpointClient();
+    private final FakeEndpointClient client;
     private final ViewLease viewLease;
     private final Forwarder forwarder;
 
@@ -62,13 +64,32 @@
     }
 
     ForwarderFixture(EventLoop loop, Executor afterPendingReads) {
+        this(loop, afterPendingReads, new FakeEndpointClient());
+    }
+
+    private ForwarderFixture(
+            EventLoop loop, Executor afterPendingReads, FakeEndpointClient fakeClient) {
+        this(loop, afterPendingReads, fakeClient, fakeClient);
+    }
+
+    /** Creates a forwarder that sends attempts to real endpoints. */
+    ForwarderFixture(EventLoop loop, EndpointClient endpointClient) {
+        this(loop, new AfterPendingReads(loop), endpointClient, null);
+    }
+
+    private ForwarderFixture(
+            EventLoop loop,
+            Executor afterPendingReads,
+            EndpointClient endpointClient,
+            FakeEndpointClient fakeClient) {
+        client = fakeClient;
         time.advanceMs(10_000);
         viewLease = new ViewLease(time, LEASE_MS);
         forwarder =
                 new Forwarder(
                         new Forwarder.Dependencies(
                                 new TestPlatformDialect(),
-                                client,
+                                endpointClient,
                                 loop,
                                 afterPendingReads,
                                 time,
