--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
@@ -90,6 +90,26 @@
         assertEnd(name, response, ending, expected);
     }
 
+    @DataProvider
+    public Object[][] endingsInsideTheHead() {
+        return new Object[][] {
+            {CHUNKED, Ending.CLOSE}, {CHUNKED, Ending.RESET},
+            {UNFRAMED, Ending.CLOSE}, {UNFRAMED, Ending.RESET},
+            {UNFRAMED_1_0, Ending.CLOSE}, {UNFRAMED_1_0, Ending.RESET},
+        };
+    }
+
+    @Test(dataProvider = "endingsInsideTheHead")
+    public void failsResponseThatEndsInsideItsHead(String head, Ending ending) throws Exception {
+        for (int position = 0; position < head.length(); position++) {
+            assertEnd(
+                    "position " + position,
+                    head.substring(0, position),
+                    ending,
+                    Kind.CONNECTION_LOST);
+        }
+    }
+
     @DataProvider
     public Object[][] endingsByLength() {
         String notModified = "HTTP/1.1 304 Not Modified\r\nx-request-id: r1\r\n";
