Wait for the counts of all gateways before a usage window is closed

A window was closed 1.5 s after its end, 8.5 s before it is due, with what the leader had: after a change of leader or a cut, some gateways had not reported to it yet.

A window is closed early only if this node has led since its start and every gateway that may have counted in it has reported since its end.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/UsageReportController.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/UsageReportController.java
@@ -31,11 +31,8 @@
  */
 public final class UsageReportController {
 
-    /**
-     * Time after the end of a window for the gateways' last counts to arrive; covers several of
-     * their reports.
-     */
-    private static final Duration REPORT_GRACE_PERIOD = Duration.ofMillis(1_500);
+    /** Allows for clocks of gateways that are behind the clock of this node. */
+    private static final long MAX_CLOCK_DIFFERENCE_MS = 500;
 
     private static final Duration RUN_INTERVAL = Duration.ofMillis(500);
     private static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(2);
@@ -50,8 +47,7 @@
     private final FencedPlatformClient platform;
     private final TimeSource timeSource;
     private final DecisionLog log;
-    private final long windowMs;
-    private final long reportDeadlineMs;
+    private final UsageWindowClosing closing;
     private final Set<Long> inProgress = new HashSet<>();
 
     /**
@@ -95,8 +91,10 @@
         platform = dependencies.platform();
         timeSource = dependencies.timeSource();
         log = dependencies.log();
-        windowMs = Duration.ofSeconds(windowS).toMillis();
-        reportDeadlineMs = Duration.ofSeconds(deadlineS).toMillis();
+        closing =
+                new UsageWindowClosing(
+                        Duration.ofSeconds(windowS).toMillis(),
+                        Duration.ofSeconds(deadlineS).toMillis());
     }
 
     /**
@@ -113,15 +111,26 @@
             return;
         }
         long nowMs = timeSource.millis();
-        long newest = (nowMs - REPORT_GRACE_PERIOD.toMillis()) / windowMs - 1;
-        long oldest = (nowMs - reportDeadlineMs) / windowMs;
-        for (long window = oldest; window <= newest; window++) {
-            if (!inProgress.contains(window) && !isDelivered(window)) {
+        long newest = closing.newestWindow(nowMs);
+        for (long window = closing.oldestWindow(nowMs); window <= newest; window++) {
+            if (!inProgress.contains(window)
+                    && !isDelivered(window)
+                    && closing.isFinal(window, isComplete(window, nowMs), nowMs)) {
                 process(window, controlThread);
             }
         }
     }
 
+    /**
+     * Returns whether every gateway that may have counted in a window has reported since its end.
+     */
+    private boolean isComplete(long window, long nowMs) {
+        long endMs = timeSource.monotonicMs() - (nowMs - closing.endMs(window));
+        long startMs = endMs - closing.windowMs();
+        return viewServer.hasLedSince(startMs)
+                && gatewayReports.haveAllReportedSince(startMs, endMs + MAX_CLOCK_DIFFERENCE_MS);
+    }
+
     private boolean isDelivered(long window) {
         return findClosedWindow(window).filter(UsageWindow::getDelivered).isPresent();
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayReports.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayReports.java
@@ -142,6 +142,21 @@
         return sums;
     }
 
+    /**
+     * Returns whether the counts of an accounting window are complete.
+     *
+     * @param startMs start of the window, in monotonic milliseconds
+     * @param endMs time since which each gateway must have reported, in monotonic milliseconds
+     * @return true if every gateway that may have served requests in the window has
+     */
+    public boolean haveAllReportedSince(long startMs, long endMs) {
+        return reports.values().stream()
+                .allMatch(
+                        report ->
+                                report.receivedMs >= endMs
+                                        || report.receivedMs < startMs - presenceTimeoutMs);
+    }
+
     /**
      * Returns the results of one version, added up over the gateways.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
@@ -127,6 +127,16 @@
                 && timeSource.monotonicMs() - leaderSinceMs >= SETTLING_PERIOD.toMillis();
     }
 
+    /**
+     * Returns whether gateways have reported to this node as the leader since a point in time.
+     *
+     * @param sinceMs monotonic time, in milliseconds
+     * @return false if another node may have received their reports at that time
+     */
+    public boolean hasLedSince(long sinceMs) {
+        return leaderTerm >= 0 && leaderSinceMs <= sinceMs;
+    }
+
     private byte[] respond(NodeId from, ViewRequest request, ReplicationGroup local) {
         updateTerm(local.status().term());
         reports.accept(from, request);
