Keep the counts of a gateway that is restarted within a window

The counts of the restarted process replaced those that its former process had reported for the same usage window, so that a restart lost up to a window's requests of that gateway. They are added up now, and a late report of the former process is ignored. GatewayReportsTests: 3 of 5 rows failed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayReports.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/GatewayReports.java
@@ -38,16 +38,40 @@
     private final long presenceTimeoutMs;
     private final Map<NodeId, GatewayReport> reports = new HashMap<>();
 
-    /** Holds the report of one incarnation of a gateway. */
+    /** Holds the report of one incarnation of a gateway, and the counts of earlier ones. */
     private static final class GatewayReport {
         private final long incarnation;
         private final Map<Long, UsageWindow> windows = new TreeMap<>();
+        private final Map<Long, Map<String, Long>> earlierCounts = new TreeMap<>();
         private ViewRequest latestRequest;
         private long receivedMs;
 
         GatewayReport(long incarnation) {
             this.incarnation = incarnation;
         }
+
+        void addEarlier(GatewayReport earlier) {
+            earlierCounts.putAll(earlier.earlierCounts);
+            earlier.windows.forEach(
+                    (number, window) ->
+                            earlierCounts.merge(number, window.getCountsMap(), GatewayReport::add));
+        }
+
+        Map<String, Long> countsOf(long number) {
+            UsageWindow current = windows.getOrDefault(number, UsageWindow.getDefaultInstance());
+            return add(earlierCounts.getOrDefault(number, Map.of()), current.getCountsMap());
+        }
+
+        void dropWindowsBefore(long oldest) {
+            windows.keySet().removeIf(number -> number < oldest);
+            earlierCounts.keySet().removeIf(number -> number < oldest);
+        }
+
+        private static Map<String, Long> add(Map<String, Long> first, Map<String, Long> second) {
+            Map<String, Long> sums = new TreeMap<>(first);
+            second.forEach((account, count) -> sums.merge(account, count, Long::sum));
+            return sums;
+        }
     }
 
     /**
@@ -63,17 +87,21 @@
     }
 
     /**
-     * Stores a gateway's report, which replaces its previous one.
+     * Stores a gateway's report, which replaces its previous one. The counts of earlier
+     * incarnations are kept, and a late report of one is ignored.
      *
      * @param gateway the gateway that reports
      * @param request the request that carries the report
      */
     public void accept(NodeId gateway, ViewRequest request) {
         GatewayReport report = reports.get(gateway);
+        if (report != null && request.getIncarnation() < report.incarnation) {
+            return;
+        }
         if (report == null || report.incarnation != request.getIncarnation()) {
             GatewayReport replacement = new GatewayReport(request.getIncarnation());
             if (report != null) {
-                replacement.windows.putAll(report.windows);
+                replacement.addEarlier(report);
             }
             report = replacement;
             reports.put(gateway, report);
@@ -83,9 +111,7 @@
         for (UsageWindow window : request.getWindowsList()) {
             report.windows.put(window.getWindow(), window);
         }
-        report.windows
-                .keySet()
-                .removeIf(number -> number < newestWindow(request) - RETAINED_WINDOWS);
+        report.dropWindowsBefore(newestWindow(request) - RETAINED_WINDOWS);
         long oldestMs = report.receivedMs - REPORT_RETENTION_MS;
         reports.values().removeIf(stored -> stored.receivedMs < oldestMs);
     }
@@ -133,11 +159,8 @@
     public Map<String, Long> sumUsage(long window) {
         Map<String, Long> sums = new TreeMap<>();
         for (GatewayReport report : reports.values()) {
-            UsageWindow counts = report.windows.get(window);
-            if (counts != null) {
-                counts.getCountsMap()
-                        .forEach((account, count) -> sums.merge(account, count, Long::sum));
-            }
+            report.countsOf(window)
+                    .forEach((account, count) -> sums.merge(account, count, Long::sum));
         }
         return sums;
     }
