--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
@@ -18,6 +18,7 @@
 import org.cardamomthread.daemon.fleet.FleetNode;
 import org.cardamomthread.daemon.fleet.FleetNodeFactory;
 import org.cardamomthread.daemon.http.ListenerBindException;
+import org.cardamomthread.daemon.telemetry.DaemonLogConfigurator;
 import org.cardamomthread.replication.StorageException;
 import org.cardamomthread.transport.TransportStartException;
 import org.slf4j.Logger;
@@ -52,6 +53,7 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        DaemonLogConfigurator.enable();
         DaemonExitCode code = run(arguments, System.out, System.err);
         if (code != DaemonExitCode.STOPPED) {
             System.exit(code.getCode());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
@@ -7,7 +7,9 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLEngine;
 import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.AsyncHttpClientConfig;
 import org.asynchttpclient.DefaultAsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Request;
@@ -100,6 +102,7 @@
                         .setKeepAlive(keepAlive)
                         .setMaxRequestRetry(0)
                         .setFollowRedirect(false)
+                        .setSslEngineFactory(AsyncEndpointClient::refuseTls)
                         .setEnableAutomaticDecompression(false)
                         .setDisableUrlEncodingForBoundRequests(true)
                         .setCookieStore(null)
@@ -111,6 +114,12 @@
                         .build());
     }
 
+    /** Spares the default factory, which loads the TLS provider whenever a client is created. */
+    private static SSLEngine refuseTls(AsyncHttpClientConfig config, String host, int port) {
+        throw new UnsupportedOperationException(
+                "endpoint " + host + ":" + port + " must be called over plain HTTP");
+    }
+
     private static void addHandlers(Channel channel) {
         ResponseByteLimiter.addTo(channel);
         OrderlyCloseGuard.addTo(channel);
