Keep quotas on fleets of a hundred gateways, and long requests within them

Cause: a bucket admits an amount above its capacity when it is full and goes into debt; the shares of that many gateways are smaller than one long request, so that each of them overdrew by one. The bound holds with few gateways, where shares are larger.

Shares are never overdrawn now. What would be divided into shares too small for a long request, with more than 12 gateways, goes to the leader's pool; the sum of both stays what it was. A share that can never cover a request states no time to come back, so that the pool's is told.

Long requests at six tenths of an account's rate are admitted as by one bucket with 7 to 400 gateways.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -133,6 +133,7 @@
                 new QuotaPool(
                         documentCache::currentRoutes,
                         this::isLeader,
+                        gatewayReports::countPresent,
                         settings.limits().quotaAllocation(),
                         controlThread,
                         components.timeSource());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/LocalQuotaShares.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/LocalQuotaShares.java
@@ -67,13 +67,17 @@
     }
 
     /**
-     * Takes the amount of a request from the account's share, including the reserve, if enough is
-     * available.
+     * Takes the amount of a request from the account's share, including the reserve, if all of it
+     * is available. Shares are never overdrawn: those of many gateways together would exceed the
+     * quota by as many requests.
      */
     boolean tryConsume(TrafficAccount account, double amount) {
+        long nowMs = timeSource.monotonicMs();
         TokenBucket bucket = buckets.get(account.id());
         return account.ratePerS() <= 0
-                || bucket != null && bucket.tryConsume(amount, timeSource.monotonicMs());
+                || bucket != null
+                        && bucket.availableTokens(nowMs) >= amount
+                        && bucket.tryConsume(amount, nowMs);
     }
 
     /** Returns the amount taken for a request that will never run. */
@@ -85,12 +89,17 @@
     }
 
     /**
-     * Returns the time in milliseconds until the account's share covers the amount, or 0 if the
-     * account has no bucket.
+     * Returns the time in milliseconds until the account's share covers the amount, {@link
+     * Long#MAX_VALUE} if it never does, or 0 if the account has no bucket.
      */
     long waitMs(TrafficAccount account, double amount) {
         TokenBucket bucket = buckets.get(account.id());
-        return bucket == null ? 0 : bucket.waitMs(amount, timeSource.monotonicMs());
+        if (bucket == null) {
+            return 0;
+        }
+        return amount > bucket.capacity()
+                ? Long.MAX_VALUE
+                : bucket.waitMs(amount, timeSource.monotonicMs());
     }
 
     /** Passes the demand of each account to the consumer, in quota units per second. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaAllocation.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaAllocation.java
@@ -22,7 +22,8 @@
     private static final double POOLED_RATE_FRACTION = 0.8;
 
     /**
-     * Fraction of each burst that the leader's pool holds; the gateways hold the rest in reserve.
+     * Fraction of each burst that the leader's pool holds in a small fleet; the gateways hold the
+     * rest in reserve.
      */
     private static final double POOLED_BURST_FRACTION = 0.3;
 
@@ -44,6 +45,12 @@
     /** Fraction of the allowed excess that all gateways together hold when they start. */
     private static final double GATEWAY_INITIAL_EXCESS_FRACTION = 0.1;
 
+    /**
+     * Number of gateways up to which the reserve of each is large enough for a long request. With
+     * more, the part that would be divided into shares too small to be used goes to the pool.
+     */
+    private static final double MAX_FULL_RESERVES = 12;
+
     /**
      * Holds the parameters of one token bucket.
      *
@@ -57,14 +64,19 @@
      * Returns the bucket limits of the leader's pool for an account.
      *
      * @param account the client account
+     * @param gatewayCount the number of gateways that hold shares
      * @return the part of its quota that the leader grants on request
      */
-    public BucketLimits poolLimits(TrafficAccount account) {
+    public BucketLimits poolLimits(TrafficAccount account, int gatewayCount) {
         double excess = allowedExcess(account);
         return new BucketLimits(
                 account.ratePerS() * POOLED_RATE_FRACTION
                         + excess * POOL_REFILL_EXCESS_FRACTION / windowS,
-                account.burst() * POOLED_BURST_FRACTION + excess * POOL_CAPACITY_EXCESS_FRACTION,
+                account.burst() * (1 - reservedBurstFraction(gatewayCount))
+                        + excess
+                                * (POOL_CAPACITY_EXCESS_FRACTION
+                                        + GATEWAY_CAPACITY_EXCESS_FRACTION
+                                        - reservedExcessFraction(gatewayCount)),
                 0);
     }
 
@@ -80,11 +92,23 @@
         double excess = allowedExcess(account) / gatewayCount;
         return new BucketLimits(
                 account.ratePerS() * share * (1 - POOLED_RATE_FRACTION),
-                account.burst() * share * (1 - POOLED_BURST_FRACTION)
-                        + excess * GATEWAY_CAPACITY_EXCESS_FRACTION,
+                account.burst() * share * reservedBurstFraction(gatewayCount)
+                        + excess * reservedExcessFraction(gatewayCount),
                 excess * GATEWAY_INITIAL_EXCESS_FRACTION);
     }
 
+    private static double reservedBurstFraction(int gatewayCount) {
+        return (1 - POOLED_BURST_FRACTION) * usableReserve(gatewayCount);
+    }
+
+    private static double reservedExcessFraction(int gatewayCount) {
+        return GATEWAY_CAPACITY_EXCESS_FRACTION * usableReserve(gatewayCount);
+    }
+
+    private static double usableReserve(int gatewayCount) {
+        return Math.min(1, MAX_FULL_RESERVES / Math.max(1, gatewayCount));
+    }
+
     private double allowedExcess(TrafficAccount account) {
         double quotaPerWindow = account.ratePerS() * windowS + account.burst();
         return overshoot * quotaPerWindow + (account.countsTokens() ? slack : 0);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaPool.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/QuotaPool.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.cardamomthread.configuration.traffic.RouteTable;
 import org.cardamomthread.configuration.traffic.TrafficAccount;
@@ -32,6 +33,7 @@
 
     private final Supplier<Optional<RouteTable>> routes;
     private final BooleanSupplier isLeader;
+    private final IntSupplier gatewayCount;
     private final QuotaAllocation allocation;
     private final ControlThread controlThread;
     private final TimeSource timeSource;
@@ -42,6 +44,7 @@
      *
      * @param routes supplies the current traffic document with the accounts
      * @param isLeader returns whether this node may grant quota
+     * @param gatewayCount supplies the number of gateways that share the quotas
      * @param allocation determines the part of each quota that the pool grants
      * @param controlThread the thread on which requests are handled
      * @param timeSource supplies monotonic time
@@ -49,11 +52,13 @@
     public QuotaPool(
             Supplier<Optional<RouteTable>> routes,
             BooleanSupplier isLeader,
+            IntSupplier gatewayCount,
             QuotaAllocation allocation,
             ControlThread controlThread,
             TimeSource timeSource) {
         this.routes = routes;
         this.isLeader = isLeader;
+        this.gatewayCount = gatewayCount;
         this.allocation = allocation;
         this.controlThread = controlThread;
         this.timeSource = timeSource;
@@ -85,7 +90,8 @@
             return QuotaResponse.getDefaultInstance();
         }
         long nowMs = timeSource.monotonicMs();
-        QuotaAllocation.BucketLimits limits = allocation.poolLimits(account.get());
+        QuotaAllocation.BucketLimits limits =
+                allocation.poolLimits(account.get(), gatewayCount.getAsInt());
         TokenBucket bucket =
                 buckets.computeIfAbsent(
                         request.getAccount(),
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaSharingTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/QuotaSharingTests.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon.forwarding;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -37,17 +38,22 @@
     private static final int STEP_MS = 10;
     private static final int STEPS = 4_000;
 
+    /** Time in which all buckets fill when there are no requests. */
+    private static final int FILL_MS = 10_000;
+
     private ManualTimeSource time;
     private ControlThread controlThread;
     private TrafficAccount account;
     private QuotaPool pool;
+    private int presentGateways;
 
     @BeforeMethod
     public void setUp() {
         time = new ManualTimeSource();
         controlThread = new ControlThread("quota-tests");
-        account = account(true);
+        account = account(true, RATE);
         pool = createPool(account);
+        presentGateways = 6;
     }
 
     @AfterMethod
@@ -90,10 +96,58 @@
         assertTrue(rejected <= admitted / 100, rejected + " of " + admitted + " requests rejected");
     }
 
-    @Test(dataProvider = "seeds")
-    public void staysWithinQuotaInEveryWindow(long seed) throws Exception {
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {
+            {7, 40_000.0}, {24, 40_000.0}, {94, 40_000.0}, {94, 100_000.0}, {400, 40_000.0},
+        };
+    }
+
+    /**
+     * A small account sends long requests at six tenths of its rate, to as many gateways as there
+     * are: what a single bucket with its quota admits must not depend on their number.
+     */
+    @Test(dataProvider = "fleets")
+    public void admitsLongRequestsBelowQuotaHoweverManyGatewaysThereAre(
+            int gatewayCount, double ratePerS) throws Exception {
+        account = account(true, ratePerS);
+        pool = createPool(account);
+        presentGateways = gatewayCount;
+        Random random = new Random(1);
+        List<LocalQuotaShares> gateways = createGateways(gatewayCount);
+        time.advanceMs(10_000);
+        TokenBucket singleBucket = new TokenBucket(ratePerS, ratePerS, ratePerS, 10_000);
+        int admitted = 0;
+        int rejected = 0;
+        for (int step = 0; step < STEPS; step++) {
+            double amount = 10_000 + random.nextInt(4_000);
+            if (random.nextDouble() < 0.6 * ratePerS * STEP_MS / 1_000 / 12_000) {
+                if (singleBucket.tryConsume(amount, time.monotonicMs())) {
+                    admitted++;
+                    LocalQuotaShares gateway = gateways.get(random.nextInt(gateways.size()));
+                    rejected += tryConsume(gateway, amount) ? 0 : 1;
+                }
+            }
+            time.advanceMs(STEP_MS);
+        }
+        assertTrue(rejected <= admitted / 100, rejected + " of " + admitted + " requests rejected");
+    }
+
+    @DataProvider
+    public Object[][] windows() {
+        Object[][] rows = new Object[20][];
+        for (int i = 0; i < rows.length; i++) {
+            rows[i] = new Object[] {(long) i, i < 10 ? 1 + i : 10 * i};
+        }
+        return rows;
+    }
+
+    @Test(dataProvider = "windows")
+    public void staysWithinQuotaInEveryWindow(long seed, int gatewayCount) throws Exception {
         Random random = new Random(seed);
-        List<LocalQuotaShares> gateways = createGateways(1 + random.nextInt(12));
+        presentGateways = gatewayCount;
+        List<LocalQuotaShares> gateways = createGateways(gatewayCount);
+        time.advanceMs(FILL_MS);
         double[] admitted = new double[STEPS];
         for (int step = 0; step < STEPS; step++) {
             LocalQuotaShares gateway = gateways.get(random.nextInt(gateways.size()));
@@ -141,6 +195,15 @@
                 rejected <= requested / 10, rejected + " of " + requested + " requests rejected");
     }
 
+    @Test
+    public void statesNoTimeAfterWhichATooSmallShareWouldSuffice() throws Exception {
+        LocalQuotaShares gateway = createGateways(94).get(0);
+        time.advanceMs(FILL_MS);
+        assertFalse(gateway.tryConsume(account, 27_000));
+        assertEquals(gateway.waitMs(account, 27_000), Long.MAX_VALUE);
+        assertTrue(gateway.waitMs(account, 100) < FILL_MS);
+    }
+
     /**
      * A new leader does not know what its predecessor has granted, so it must start with nothing.
      */
@@ -185,7 +248,11 @@
         assertTrue(
                 smallAdmitted >= 0.95 * small,
                 smallAdmitted + " of " + small + " small requests admitted");
-        double poolRefill = ALLOCATION.poolLimits(account).ratePerS() * STEPS * STEP_MS / 1_000;
+        double poolRefill =
+                ALLOCATION.poolLimits(account, presentGateways).ratePerS()
+                        * STEPS
+                        * STEP_MS
+                        / 1_000;
         double available = poolRefill - smallAdmitted * 1_500;
         assertTrue(
                 largeAdmitted >= 0.9 * available,
@@ -194,7 +261,8 @@
 
     @Test
     public void tokenSlackDoesNotApplyToRequestQuotas() {
-        QuotaAllocation.BucketLimits limits = ALLOCATION.poolLimits(account(false));
+        QuotaAllocation.BucketLimits limits =
+                ALLOCATION.poolLimits(account(false, RATE), presentGateways);
         assertTrue(limits.capacity() < RATE * 2, "capacity " + limits.capacity());
     }
 
@@ -237,21 +305,26 @@
     private QuotaPool createPool(TrafficAccount account) {
         RouteTable routes = createTable(account);
         return new QuotaPool(
-                () -> Optional.of(routes), () -> true, ALLOCATION, controlThread, time);
+                () -> Optional.of(routes),
+                () -> true,
+                () -> presentGateways,
+                ALLOCATION,
+                controlThread,
+                time);
     }
 
     private static RouteTable createTable(TrafficAccount account) {
         return new RouteTable(new TrafficDocument(1, List.of(), List.of(), List.of(account)));
     }
 
-    private static TrafficAccount account(boolean countsTokens) {
+    private static TrafficAccount account(boolean countsTokens, double ratePerS) {
         return new TrafficAccount(
                 new ClientAccountId("bars"),
                 List.of("k"),
                 OptionalInt.empty(),
                 countsTokens,
                 200,
-                RATE,
-                RATE);
+                ratePerS,
+                ratePerS);
     }
 }
