--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/TruncatedHeadTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/TruncatedHeadTests.java
@@ -45,7 +45,8 @@
     private static final int SOCKET_TIMEOUT_MS = 10_000;
     private static final String REQUEST =
             "POST /a/x HTTP/1.1\r\nhost: ice.example\r\nx-request-id: r1\r\n"
-                    + "authorization: Bearer key\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody";
+                    + "authorization: Bearer key\r\nconnection: close\r\n"
+                    + "content-length: 4\r\n\r\nbody";
     private static final String REQUEST_BODY = "\r\n\r\nbody";
     private static final String OK_HEAD =
             "HTTP/1.1 200 OK\r\nx-test-signature: s\r\nx-request-id: r1\r\n";
