--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -169,6 +169,7 @@
     /** Records what the response states on the requests that the endpoint wants from now on. */
     private void recordStatements(long nowMs) {
         if (head.isLeaving() && context.endpoints().recordLeaving(endpoint, nowMs)) {
+            context.metrics().countEndpointStatement(request.service().id(), "leaving");
             context.forwardingLog().logLeaving(request, endpoint.knownEndpoint(), status);
         }
         if (status != STATUS_UNAVAILABLE) {
@@ -182,6 +183,7 @@
         if (retryAfter.delayMs().isPresent()) {
             long pauseMs = retryAfter.delayMs().getAsLong();
             context.endpoints().recordPause(endpoint, pauseMs, nowMs);
+            context.metrics().countEndpointStatement(request.service().id(), "pause");
             context.forwardingLog().logPause(request, endpoint.id(), pauseMs);
         }
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/ForwardingMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/ForwardingMetrics.java
@@ -29,6 +29,14 @@
      */
     void countAttempt(ServiceId service, String result);
 
+    /**
+     * Counts a response in which an endpoint states that it wants no requests.
+     *
+     * @param service the requested service
+     * @param statement the statement, from a fixed set
+     */
+    void countEndpointStatement(ServiceId service, String statement);
+
     /**
      * Counts a request that was refused before it was admitted.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeForwardingMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeForwardingMetrics.java
@@ -31,6 +31,11 @@
         metrics.countAttempt(service, result);
     }
 
+    @Override
+    public void countEndpointStatement(ServiceId service, String statement) {
+        metrics.countEndpointStatement(service, statement);
+    }
+
     @Override
     public void countRefusal(String reason) {
         metrics.countRefusal(reason);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
@@ -31,6 +31,7 @@
     private final Histogram duration;
     private final Histogram firstByte;
     private final Counter attempts;
+    private final Counter endpointStatements;
     private final Counter recomputedTokens;
     private final Counter tokens;
     private final Counter peerBytes;
@@ -59,6 +60,13 @@
                         "Attempts on endpoints, by service and result",
                         SERVICE_LABEL,
                         "result");
+        endpointStatements =
+                createCounter(
+                        "cardamomthread_endpoint_statements_total",
+                        "Responses in which endpoints state that they want no requests, by service"
+                                + " and statement",
+                        SERVICE_LABEL,
+                        "statement");
         recomputedTokens =
                 createCounter(
                         "cardamomthread_recomputed_tokens_total",
@@ -128,6 +136,16 @@
         attempts.labelValues(service.value(), result).inc();
     }
 
+    /**
+     * Counts a response in which an endpoint states that it wants no requests.
+     *
+     * @param service the requested service
+     * @param statement the statement, from a fixed set
+     */
+    public void countEndpointStatement(ServiceId service, String statement) {
+        endpointStatements.labelValues(service.value(), statement).inc();
+    }
+
     /**
      * Counts a request that was refused before it was admitted.
      *
