--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
@@ -11,7 +11,6 @@
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.KnownEndpoint;
 import org.cardamomthread.policy.availability.Availability;
-import org.cardamomthread.policy.availability.Availability.State;
 import org.cardamomthread.policy.availability.EndpointAvailability;
 import org.cardamomthread.policy.availability.EndpointAvailability.Incarnation;
 import org.cardamomthread.policy.availability.EndpointAvailability.ReportedState;
@@ -83,18 +82,9 @@
      * if one is available or none is merely held back.
      */
     OptionalLong pauseMs(ServiceId service, long nowMs) {
-        OptionalLong shortestMs = OptionalLong.empty();
-        for (TrackedEndpoint endpoint : findByService(service)) {
-            Availability assessed = assess(endpoint, nowMs);
-            if (assessed.isAvailable()) {
-                return OptionalLong.empty();
-            }
-            if (assessed.state() == State.HELD_BACK) {
-                long pauseMs = assessed.availableAtMs() - nowMs;
-                shortestMs = OptionalLong.of(Math.min(pauseMs, shortestMs.orElse(pauseMs)));
-            }
-        }
-        return shortestMs;
+        return Availability.pauseMs(
+                findByService(service).stream().map(endpoint -> assess(endpoint, nowMs)).toList(),
+                nowMs);
     }
 
     /** Records that an endpoint states that it leaves; returns false if that was known. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/EndpointAvailabilityTracker.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/EndpointAvailabilityTracker.java
@@ -9,7 +9,6 @@
 import org.cardamomthread.daemon.http.RetryAfter;
 import org.cardamomthread.membership.gateway.EndpointSnapshot;
 import org.cardamomthread.policy.availability.Availability;
-import org.cardamomthread.policy.availability.Availability.State;
 import org.cardamomthread.policy.availability.EndpointAvailability;
 import org.cardamomthread.policy.availability.EndpointAvailability.Incarnation;
 import org.cardamomthread.policy.availability.EndpointAvailability.ReportedState;
@@ -53,19 +52,8 @@
      * one is available or none is merely held back.
      */
     OptionalLong pauseMs(Collection<EndpointSnapshot> endpoints) {
-        long nowMs = timeSource.monotonicMs();
-        OptionalLong shortestMs = OptionalLong.empty();
-        for (EndpointSnapshot endpoint : endpoints) {
-            Availability assessed = assess(endpoint);
-            if (assessed.isAvailable()) {
-                return OptionalLong.empty();
-            }
-            if (assessed.state() == State.HELD_BACK) {
-                long pauseMs = Math.max(0, assessed.availableAtMs() - nowMs);
-                shortestMs = OptionalLong.of(Math.min(pauseMs, shortestMs.orElse(pauseMs)));
-            }
-        }
-        return shortestMs;
+        return Availability.pauseMs(
+                endpoints.stream().map(this::assess).toList(), timeSource.monotonicMs());
     }
 
     /** Returns a listener that records the pause that a response asks for, then delegates. */
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/availability/Availability.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/availability/Availability.java
@@ -1,6 +1,8 @@
 package org.cardamomthread.policy.availability;
 
+import java.util.Collection;
 import java.util.Objects;
+import java.util.OptionalLong;
 
 /**
  * Tells whether a node may send requests to an endpoint. Immutable.
@@ -36,6 +38,23 @@
         return new Availability(state, 0);
     }
 
+    /**
+     * Returns the time until the first of the endpoints of a service is available again.
+     *
+     * @param endpoints the availability of each of them
+     * @param nowMs monotonic time, in milliseconds
+     * @return the time in milliseconds, or empty if one is available, or none is merely held back
+     */
+    public static OptionalLong pauseMs(Collection<Availability> endpoints, long nowMs) {
+        if (endpoints.stream().anyMatch(Availability::isAvailable)) {
+            return OptionalLong.empty();
+        }
+        return endpoints.stream()
+                .filter(endpoint -> endpoint.state() == State.HELD_BACK)
+                .mapToLong(endpoint -> Math.max(0, endpoint.availableAtMs() - nowMs))
+                .min();
+    }
+
     /**
      * Returns whether requests may be sent.
      *
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/availability/EndpointAvailabilityTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/availability/EndpointAvailabilityTests.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.policy.availability.Availability.State;
 import org.cardamomthread.policy.availability.EndpointAvailability.Incarnation;
@@ -62,6 +63,28 @@
         assertTrue(assess(NOW_MS + 2_000).isAvailable());
     }
 
+    @DataProvider
+    public Object[][] services() {
+        Availability available = new Availability(State.AVAILABLE, 0);
+        Availability leaving = new Availability(State.LEAVING, 0);
+        Availability pausing = new Availability(State.HELD_BACK, NOW_MS + 300);
+        Availability longer = new Availability(State.HELD_BACK, NOW_MS + 900);
+        Availability passed = new Availability(State.HELD_BACK, NOW_MS - 1);
+        return new Object[][] {
+            {List.of(), OptionalLong.empty()},
+            {List.of(leaving), OptionalLong.empty()},
+            {List.of(longer, pausing, leaving), OptionalLong.of(300)},
+            {List.of(longer, passed), OptionalLong.of(0)},
+            {List.of(longer, available), OptionalLong.empty()},
+        };
+    }
+
+    @Test(dataProvider = "services")
+    public void statesShortestPauseOfServiceWithoutAvailableEndpoint(
+            List<Availability> endpoints, OptionalLong expectedMs) {
+        assertEquals(Availability.pauseMs(endpoints, NOW_MS), expectedMs);
+    }
+
     @Test
     public void listsEachLeavingEndpointOnce() {
         assertTrue(availability.recordLeaving(FIRST, NOW_MS));
