Refuse unknown routes and keys for good only by a current view

Clients do not repeat a request after 404 or 401, so that the refusal of a stale view is final for them.

A view that the leader has not confirmed for 1 s, about four polls, now gives 503 with a time to come back in place of 404 and 401. ForwardedCallTests: two of five rows failed before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
@@ -37,6 +37,12 @@
      */
     private static final long NO_VIEW_RETRY_AFTER_MS = 500;
 
+    /**
+     * Age of the view, about four polls, from which on a missing route or key is no longer taken
+     * for unknown: clients do not repeat a request after such a refusal.
+     */
+    private static final long MAX_DEFINITIVE_VIEW_AGE_MS = 1_000;
+
     /**
      * Shortest retry delay after a request over quota, so that clients do not retry immediately.
      */
@@ -177,12 +183,13 @@
             if (account.isEmpty()) {
                 reject(
                         received,
-                        GatewayError.of(
-                                401,
-                                "unknown-key",
-                                "Unknown key",
-                                "the request carries no key of a known client account: send a"
-                                        + " valid bearer token"));
+                        replaceIfViewIsStale(
+                                GatewayError.of(
+                                        401,
+                                        "unknown-key",
+                                        "Unknown key",
+                                        "the request carries no key of a known client account: send"
+                                                + " a valid bearer token")));
                 return;
             }
         }
@@ -284,10 +291,11 @@
 
     /**
      * Returns the error if the view is current, and otherwise one that asks the client to retry,
-     * since the route may be missing only because the view is stale.
+     * since the route or the key may be missing only because the view is stale.
      */
     private GatewayError replaceIfViewIsStale(GatewayError error) {
-        return context.viewLease().isHeld()
+        long ageMs = context.viewLease().ageMs();
+        return ageMs >= 0 && ageMs < MAX_DEFINITIVE_VIEW_AGE_MS
                 ? error
                 : noCurrentView(
                         "this gateway has lost contact with the control nodes: send the request"
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedCallTests.java
@@ -325,6 +325,27 @@
         assertEquals(exchange.getStatus(), expectedStatus);
     }
 
+    @DataProvider
+    public Object[][] viewAges() {
+        return new Object[][] {
+            {"/none/x", "key", 999L, 404}, {"/none/x", "key", 1_000L, 503},
+            {"/a/x", "other", 999L, 401}, {"/a/x", "other", 1_000L, 503},
+            {"/a/x", "key", 1_000L, 200},
+        };
+    }
+
+    /** A change that the view does not have yet may have added the route or the key. */
+    @Test(dataProvider = "viewAges")
+    public void refusesForGoodOnlyByACurrentView(
+            String path, String key, long viewAgeMs, int expectedStatus) {
+        client.addScript(respond(200, true, false));
+        fixture.forwarder().applyView(ForwarderFixture.view(RequestKind.REPEATABLE, 1));
+        fixture.time().advanceMs(viewAgeMs);
+        RecordedExchange exchange = new RecordedExchange(path, "", headers(key));
+        fixture.forwarder().getHandler().handle(exchange);
+        assertEquals(exchange.getStatus(), expectedStatus);
+    }
+
     @Test
     public void returns503BeforeFirstDocument() {
         RecordedExchange exchange = new RecordedExchange("/a/x", "", headers("key"));
