Kill processes of tests that end while they are closed

Traced: a gateway that an aborted run of FleetShutdownTests had left an hour before still listened there. That run had closed its fleet while gateway-0 ended by itself; the SIGCONT to it failed, so that the processes after it were not closed. A process that is killed need not be resumed first: close only kills now, and cannot fail between the look and the signal.

--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/Cluster.java
@@ -223,7 +223,7 @@
     }
 
     @Override
-    public void close() throws IOException, InterruptedException {
+    public void close() throws InterruptedException {
         for (ManagedProcess process : processes.values()) {
             process.close();
         }
--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/ManagedProcess.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/ManagedProcess.java
@@ -110,12 +110,10 @@
         return process.exitValue();
     }
 
+    /** Kills the process, which may be suspended, or may end at the same time. */
     @Override
-    public void close() throws IOException, InterruptedException {
-        if (process.isAlive()) {
-            resume();
-            process.destroyForcibly().waitFor(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        }
+    public void close() throws InterruptedException {
+        process.destroyForcibly().waitFor(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
     private void signal(String option) throws IOException, InterruptedException {
