--- a/review/standin/review/PathCase.java
+++ b/review/standin/review/PathCase.java
@@ -35,19 +35,22 @@
                             Documents.route("r-book", "/lohu930/", "non_idempotent", 2_000, false)));
             Runner runner = new Runner(fleet, "i-1", "app", "lisboa-a", 5);
             Runner.sleep(3_000);
-            String[] targets =
+            String[] requests =
                     isTroubled
                             ? new String[] {
-                                "/puxa403/2f", "/puxa403/../lohu930/2f", "/puxa403/./2f",
-                                "/puxa403/a/.."
+                                "GET /puxa403/2f", "GET /puxa403/../lohu930/2f",
+                                "POST /puxa403/../hold-take", "DELETE /puxa403/../kv-pin/5c1e07a2",
+                                "GET /puxa403/./2f", "GET /puxa403/a/.."
                             }
                             : new String[] {
-                                "/puxa403/2f", "/puxa403/..lohu930/2f", "/puxa403/.2f",
-                                "/puxa403/a..", "/puxa403//2f?a=%41"
+                                "GET /puxa403/2f", "GET /puxa403/..lohu930/2f",
+                                "POST /puxa403/hold-take", "DELETE /puxa403/kv-pin/5c1e07a2",
+                                "GET /puxa403/.2f", "GET /puxa403/a..",
+                                "GET /puxa403//2f?a=%41"
                             };
             int changed = 0;
             int index = 0;
-            for (String target : targets) {
+            for (String request : requests) {
                 Map<String, String> headers = new LinkedHashMap<>();
                 headers.put("Host", Documents.HOST);
                 String id = String.format("%016x", 0x55000000L + index++);
@@ -55,16 +58,16 @@
                 headers.put("X-Cardamomthread-Deadline-Ms", "2000");
                 Http.Message answer =
                         Http.call(Fleet.gatewayIp(0), fleet.callersPort,
-                                "GET " + target + " HTTP/1.1", headers, new byte[0], 3_000);
+                                request + " HTTP/1.1", headers, new byte[0], 3_000);
                 String ran =
                         runner.runs.stream()
                                 .filter(run -> run.id().equals(id))
                                 .map(Runner.Run::requestLine)
                                 .findFirst()
                                 .orElse("nothing");
-                record.say("client without a key: GET %s -> %s; the runner ran: %s", target,
+                record.say("client without a key: %s -> %s; the runner ran: %s", request,
                         answer == null ? "closed" : answer.status(), ran);
-                if (!ran.equals("nothing") && !ran.equals("GET " + target + " HTTP/1.1")) {
+                if (!ran.equals("nothing") && !ran.equals(request + " HTTP/1.1")) {
                     changed++;
                 }
             }
