--- a/review/standin/review/PathCase.java
+++ b/review/standin/review/PathCase.java
@@ -40,7 +40,7 @@
                             ? new String[] {
                                 "GET /puxa403/2f", "GET /puxa403/../lohu930/2f",
                                 "POST /puxa403/../hold-take", "DELETE /puxa403/../kv-pin/5c1e07a2",
-                                "GET /puxa403/./2f", "GET /puxa403/a/.."
+                                "GET /puxa403/./2f", "GET /puxa403/a/..", "GET /puxa403/2f?"
                             }
                             : new String[] {
                                 "GET /puxa403/2f", "GET /puxa403/..lohu930/2f",
