Bound the replicated log in bytes

Cause: entries hold whole documents, but the log was bounded by the number of its entries only: in memory, on disk, at a start, in what a leader sends to a member that does not respond, and in commands that wait for their commit. Ruled out: the size of one document, which fits.

Beyond them a command is refused as not appended. An Error in the replica's thread is no longer lost.

--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationSettings.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationSettings.java
@@ -13,6 +13,8 @@
  * @param heartbeatMs the interval of a leader's messages to a follower without new entries
  * @param maxClockDriftRatio the maximum relative deviation of any node's clock rate, from 0 to 0.2
  * @param snapshotIntervalEntries the number of applied entries after which a snapshot is taken
+ * @param snapshotIntervalBytes the total size of applied entries after which a snapshot is taken;
+ *     it bounds the log in memory, on disk and at a restart
  * @param maxBatchBytes the maximum total size of the entries in one message
  * @param snapshotChunkBytes the maximum size of a chunk in which a snapshot is transferred
  * @param maxPendingProposals the maximum number of commands that wait for their commit
@@ -23,6 +25,7 @@
         long heartbeatMs,
         double maxClockDriftRatio,
         int snapshotIntervalEntries,
+        int snapshotIntervalBytes,
         int maxBatchBytes,
         int snapshotChunkBytes,
         int maxPendingProposals) {
@@ -33,6 +36,7 @@
     private static final double DEFAULT_MAX_CLOCK_DRIFT_RATIO = 0.01;
     private static final double MAX_CLOCK_DRIFT_RATIO_LIMIT = 0.2;
     private static final int DEFAULT_SNAPSHOT_INTERVAL_ENTRIES = 10_000;
+    private static final int DEFAULT_SNAPSHOT_INTERVAL_BYTES = 2 * 1024 * 1024;
     private static final int DEFAULT_MAX_BATCH_BYTES = 512 * 1024;
     private static final int DEFAULT_SNAPSHOT_CHUNK_BYTES = 256 * 1024;
     private static final int DEFAULT_MAX_PENDING_PROPOSALS = 10_000;
@@ -57,6 +61,7 @@
                 maxClockDriftRatio >= 0 && maxClockDriftRatio <= MAX_CLOCK_DRIFT_RATIO_LIMIT,
                 "maxClockDriftRatio " + maxClockDriftRatio + " must be between 0 and 0.2");
         require(snapshotIntervalEntries > 0, "snapshotIntervalEntries must be positive");
+        require(snapshotIntervalBytes > 0, "snapshotIntervalBytes must be positive");
         require(maxBatchBytes > 0, "maxBatchBytes must be positive");
         require(snapshotChunkBytes > 0, "snapshotChunkBytes must be positive");
         require(maxPendingProposals > 0, "maxPendingProposals must be positive");
@@ -75,6 +80,7 @@
                 DEFAULT_HEARTBEAT_MS,
                 DEFAULT_MAX_CLOCK_DRIFT_RATIO,
                 DEFAULT_SNAPSHOT_INTERVAL_ENTRIES,
+                DEFAULT_SNAPSHOT_INTERVAL_BYTES,
                 DEFAULT_MAX_BATCH_BYTES,
                 DEFAULT_SNAPSHOT_CHUNK_BYTES,
                 DEFAULT_MAX_PENDING_PROPOSALS);
@@ -95,6 +101,7 @@
                 otherHeartbeatMs,
                 maxClockDriftRatio,
                 snapshotIntervalEntries,
+                snapshotIntervalBytes,
                 maxBatchBytes,
                 snapshotChunkBytes,
                 maxPendingProposals);
@@ -113,6 +120,7 @@
                 heartbeatMs,
                 maxClockDriftRatio,
                 entries,
+                snapshotIntervalBytes,
                 maxBatchBytes,
                 snapshotChunkBytes,
                 maxPendingProposals);
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/EntrySender.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/EntrySender.java
@@ -12,6 +12,9 @@
 
     private static final long MAX_UNACKNOWLEDGED_ENTRIES = 16_384;
 
+    /** Several times what is sent in one round trip; bounds the messages queued for a member. */
+    private static final long MAX_UNACKNOWLEDGED_BYTES = 2 * 1024 * 1024;
+
     private final ReplicaContext context;
 
     EntrySender(ReplicaContext context) {
@@ -54,7 +57,8 @@
 
     private void replicate(MemberProgress progress) {
         while (progress.nextIndex() <= context.log().lastIndex()
-                && progress.nextIndex() - progress.matchIndex() <= MAX_UNACKNOWLEDGED_ENTRIES) {
+                && progress.nextIndex() - progress.matchIndex() <= MAX_UNACKNOWLEDGED_ENTRIES
+                && unacknowledgedBytes(progress) <= MAX_UNACKNOWLEDGED_BYTES) {
             int maxBytes = context.settings().maxBatchBytes();
             List<Entry> entries = context.log().entriesFrom(progress.nextIndex(), maxBytes);
             sendEntries(progress, entries);
@@ -62,6 +66,11 @@
         }
     }
 
+    private long unacknowledgedBytes(MemberProgress progress) {
+        long afterIndex = Math.max(progress.matchIndex(), context.log().baseIndex());
+        return context.log().bytesBetween(afterIndex, progress.nextIndex() - 1);
+    }
+
     private void sendEntries(MemberProgress progress, List<Entry> entries) {
         long previousIndex = progress.nextIndex() - 1;
         AppendRequest request =
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Replica.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Replica.java
@@ -8,6 +8,7 @@
 import org.cardamomthread.replication.MembershipChangeException;
 import org.cardamomthread.replication.NotLeaderException;
 import org.cardamomthread.replication.ReplicaRole;
+import org.cardamomthread.replication.ReplicaUnavailableException;
 import org.cardamomthread.replication.ReplicationSettings;
 import org.cardamomthread.replication.ReplicationStatus;
 import org.cardamomthread.replication.VoterId;
@@ -39,6 +40,12 @@
     /** Maximum number of entries that a leader retains for lagging members, in intervals. */
     private static final int MAX_RETAINED_INTERVALS = 8;
 
+    /** Maximum size of the entries that a leader retains for lagging members, in intervals. */
+    private static final int MAX_RETAINED_BYTE_INTERVALS = 4;
+
+    /** Two of the largest commands, beside those that are committed meanwhile. */
+    private static final long MAX_UNCOMMITTED_BYTES = 4 * 1024 * 1024;
+
     private final ReplicaContext context;
     private final ElectionLog electionLog;
     private final ElectionManager electionManager;
@@ -225,9 +232,22 @@
      * @param nowMs the current monotonic time in milliseconds
      * @return the position of the entry; another leader may replace it before it is committed
      * @throws NotLeaderException if this replica is not the leader
+     * @throws ReplicaUnavailableException if too many bytes wait for their commit; nothing is
+     *     appended
      */
-    public LogPosition propose(byte[] command, long nowMs) throws NotLeaderException {
+    public LogPosition propose(byte[] command, long nowMs)
+            throws NotLeaderException, ReplicaUnavailableException {
         requireLeadership(nowMs);
+        long uncommittedBytes =
+                context.log().bytesBetween(context.commitIndex(), context.log().lastIndex());
+        if (uncommittedBytes > MAX_UNCOMMITTED_BYTES) {
+            throw new ReplicaUnavailableException(
+                    context.self().groupId(),
+                    uncommittedBytes
+                            + " bytes of commands wait for their commit; the maximum is "
+                            + MAX_UNCOMMITTED_BYTES
+                            + "; retry later");
+        }
         long index = leaderState.append(EntryKind.COMMAND, ByteString.copyFrom(command));
         return new LogPosition(index, context.term());
     }
@@ -361,9 +381,20 @@
      */
     public void compactLog(SnapshotHeader header) {
         int interval = context.settings().snapshotIntervalEntries();
-        long retainedBaseIndex = header.getIndex() - interval / RETAINED_INTERVAL_DIVISOR;
+        long intervalBytes = context.settings().snapshotIntervalBytes();
+        ReplicaLog log = context.log();
+        long retainedBaseIndex =
+                Math.max(
+                        header.getIndex() - interval / RETAINED_INTERVAL_DIVISOR,
+                        log.firstIndexWithin(
+                                header.getIndex(), intervalBytes / RETAINED_INTERVAL_DIVISOR));
         if (leaderState != null) {
-            long lowestBaseIndex = header.getIndex() - (long) MAX_RETAINED_INTERVALS * interval;
+            long lowestBaseIndex =
+                    Math.max(
+                            header.getIndex() - (long) MAX_RETAINED_INTERVALS * interval,
+                            log.firstIndexWithin(
+                                    header.getIndex(),
+                                    MAX_RETAINED_BYTE_INTERVALS * intervalBytes));
             retainedBaseIndex =
                     Math.min(
                             retainedBaseIndex,
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ReplicaLog.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/ReplicaLog.java
@@ -14,25 +14,29 @@
  * Holds the log entries after a base position in memory, and the memberships that they set.
  *
  * <p>Invariants: indexes are consecutive from the base; the base is at or before the snapshot's
- * index. Not thread-safe.
+ * index; there is one end offset per entry. Not thread-safe.
  */
 final class ReplicaLog {
 
-    private final List<Entry> entries;
+    private final List<Entry> entries = new ArrayList<>();
+
+    /** Total size of the data from the first entry ever held up to and including each entry. */
+    private final List<Long> endOffsets = new ArrayList<>();
+
     private final TreeMap<Long, GroupMembership> membershipsByIndex = new TreeMap<>();
     private SnapshotHeader snapshotHeader;
     private long baseIndex;
     private long baseTerm;
+    private long baseOffset;
     private long firstUnsyncedIndex;
 
     ReplicaLog(RecoveredState recovered) {
         snapshotHeader = recovered.snapshotHeader();
         baseIndex = snapshotHeader.getIndex();
         baseTerm = snapshotHeader.getTerm();
-        entries = new ArrayList<>(recovered.entries());
         membershipsByIndex.put(
                 baseIndex, GroupMembership.fromMessage(snapshotHeader.getMembership()));
-        entries.forEach(this::recordMembership);
+        recovered.entries().forEach(this::append);
         firstUnsyncedIndex = lastIndex() + 1;
     }
 
@@ -110,12 +114,32 @@
                             + " must directly follow the last entry "
                             + lastIndex());
         }
+        endOffsets.add(endOffset(lastIndex()) + entry.getData().size());
         entries.add(entry);
         recordMembership(entry);
     }
 
+    private long endOffset(long index) {
+        return index == baseIndex ? baseOffset : endOffsets.get((int) (index - baseIndex - 1));
+    }
+
+    /** Returns the total size of the data of entries; the range must be in the log. */
+    long bytesBetween(long afterIndex, long toIndex) {
+        return endOffset(toIndex) - endOffset(afterIndex);
+    }
+
+    /** Returns the lowest index after which entries up to another index have a limited size. */
+    long firstIndexWithin(long toIndex, long maxBytes) {
+        long index = toIndex;
+        while (index > baseIndex && bytesBetween(index - 1, toIndex) <= maxBytes) {
+            index--;
+        }
+        return index;
+    }
+
     void truncateFrom(long index) {
         entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        endOffsets.subList((int) (index - baseIndex - 1), endOffsets.size()).clear();
         membershipsByIndex.tailMap(index, true).clear();
         firstUnsyncedIndex = Math.min(firstUnsyncedIndex, index);
     }
@@ -156,7 +180,9 @@
         long newBaseIndex = Math.max(baseIndex, requestedBaseIndex);
         GroupMembership membership = membershipAt(newBaseIndex);
         baseTerm = termAt(newBaseIndex);
+        baseOffset = endOffset(newBaseIndex);
         entries.subList(0, (int) (newBaseIndex - baseIndex)).clear();
+        endOffsets.subList(0, (int) (newBaseIndex - baseIndex)).clear();
         baseIndex = newBaseIndex;
         membershipsByIndex.headMap(newBaseIndex, true).clear();
         membershipsByIndex.put(newBaseIndex, membership);
@@ -165,6 +191,8 @@
     /** Discards all entries and restarts the log after a snapshot. */
     void resetToSnapshot(SnapshotHeader header) {
         entries.clear();
+        endOffsets.clear();
+        baseOffset = 0;
         membershipsByIndex.clear();
         snapshotHeader = header;
         baseIndex = header.getIndex();
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/DefaultReplicationGroup.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/DefaultReplicationGroup.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cardamomthread.core.id.NodeId;
@@ -40,6 +41,13 @@
     private static final int MAX_QUEUED_INPUTS = 16_384;
     private static final int TICKS_PER_HEARTBEAT = 3;
     private static final int MAX_COMMAND_BYTES = 2 * 1024 * 1024;
+
+    /** Commands of the maximum size from two callers, or hundreds of small ones. */
+    private static final long MAX_PENDING_BYTES = 2L * MAX_COMMAND_BYTES;
+
+    /** Twice what a leader sends before it waits for a response; lost messages are sent again. */
+    private static final long MAX_QUEUED_MESSAGE_BYTES = 4 * 1024 * 1024;
+
     private static final long CLOSE_TIMEOUT_MS = 5000;
 
     private final GroupId groupId;
@@ -48,6 +56,8 @@
     private final ReplicaDriver driver;
     private final BlockingQueue<Runnable> inputs = new LinkedBlockingQueue<>();
     private final AtomicInteger pendingProposalCount = new AtomicInteger();
+    private final AtomicLong pendingProposalBytes = new AtomicLong();
+    private final AtomicLong queuedMessageBytes = new AtomicLong();
     private final Thread thread;
     private volatile boolean isClosing;
     private volatile PublishedStatus publishedStatus;
@@ -127,7 +137,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             stop("the replica's thread was interrupted; start the node again");
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.error("Group {}: replica stopped after an internal error", groupId, e);
             stop(
                     "internal error: "
@@ -200,14 +210,19 @@
 
     @Override
     public void receive(NodeId from, byte[] message) {
-        if (inputs.size() < MAX_QUEUED_INPUTS && !isStopped()) {
-            inputs.add(
-                    () -> {
-                        if (!isStopped()) {
-                            driver.receive(from, message);
-                        }
-                    });
+        if (inputs.size() >= MAX_QUEUED_INPUTS
+                || queuedMessageBytes.get() > MAX_QUEUED_MESSAGE_BYTES
+                || isStopped()) {
+            return;
         }
+        queuedMessageBytes.addAndGet(message.length);
+        inputs.add(
+                () -> {
+                    queuedMessageBytes.addAndGet(-message.length);
+                    if (!isStopped()) {
+                        driver.receive(from, message);
+                    }
+                });
     }
 
     @Override
@@ -223,15 +238,31 @@
                                     + MAX_COMMAND_BYTES));
             return future;
         }
-        if (pendingProposalCount.incrementAndGet() > settings.maxPendingProposals()) {
-            pendingProposalCount.decrementAndGet();
+        long bytes = pendingProposalBytes.addAndGet(command.length);
+        int count = pendingProposalCount.incrementAndGet();
+        CompletableFuture<byte[]> outcome =
+                future.whenComplete((result, failure) -> releasePending(command.length));
+        if (count > settings.maxPendingProposals() || bytes > MAX_PENDING_BYTES) {
             future.completeExceptionally(
                     new ReplicaUnavailableException(
-                            groupId, "too many commands are pending; retry later"));
-            return future;
+                            groupId,
+                            count
+                                    + " commands of "
+                                    + bytes
+                                    + " bytes are pending; the maximum is "
+                                    + settings.maxPendingProposals()
+                                    + " commands of "
+                                    + MAX_PENDING_BYTES
+                                    + " bytes; retry later"));
+            return outcome;
         }
         submit(future, result -> driver.propose(command, result));
-        return future.whenComplete((result, failure) -> pendingProposalCount.decrementAndGet());
+        return outcome;
+    }
+
+    private void releasePending(int commandBytes) {
+        pendingProposalCount.decrementAndGet();
+        pendingProposalBytes.addAndGet(-commandBytes);
     }
 
     @Override
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/ReplicaDriver.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/ReplicaDriver.java
@@ -13,6 +13,7 @@
 import org.cardamomthread.replication.GroupId;
 import org.cardamomthread.replication.MembershipChangeException;
 import org.cardamomthread.replication.NotLeaderException;
+import org.cardamomthread.replication.ReplicaUnavailableException;
 import org.cardamomthread.replication.ReplicationException;
 import org.cardamomthread.replication.ReplicationSettings;
 import org.cardamomthread.replication.ReplicationStatus;
@@ -64,6 +65,7 @@
     private Replica replica;
     private long appliedIndex;
     private long snapshotIndex;
+    private long appliedBytesSinceSnapshot;
 
     /**
      * Creates a driver; {@link #open()} must be called first.
@@ -200,7 +202,9 @@
     private void append(AppendAction action, CompletableFuture<byte[]> future) {
         try {
             pendingProposals.add(action.run(), future);
-        } catch (NotLeaderException | MembershipChangeException e) {
+        } catch (NotLeaderException
+                | ReplicaUnavailableException
+                | MembershipChangeException e) {
             future.completeExceptionally(e);
         }
     }
@@ -208,7 +212,8 @@
     /** Appends an entry to the replica's log. */
     @FunctionalInterface
     private interface AppendAction {
-        LogPosition run() throws NotLeaderException, MembershipChangeException;
+        LogPosition run()
+                throws NotLeaderException, ReplicaUnavailableException, MembershipChangeException;
     }
 
     /**
@@ -277,10 +282,12 @@
         stateMachine.restore(state);
         appliedIndex = snapshot.header().getIndex();
         snapshotIndex = appliedIndex;
+        appliedBytesSinceSnapshot = 0;
     }
 
     private void apply(Entry entry) {
         byte[] result = null;
+        appliedBytesSinceSnapshot += entry.getData().size();
         if (entry.getKind() == EntryKind.COMMAND) {
             result = stateMachine.apply(entry.getIndex(), entry.getData().toByteArray());
         }
@@ -289,7 +296,10 @@
     }
 
     private void saveSnapshotIfDue() throws StorageException {
-        long intervals = (appliedIndex - snapshotIndex) / settings.snapshotIntervalEntries();
+        long intervals =
+                Math.max(
+                        (appliedIndex - snapshotIndex) / settings.snapshotIntervalEntries(),
+                        appliedBytesSinceSnapshot / settings.snapshotIntervalBytes());
         if (intervals < (replica.isSendingSnapshot() ? SNAPSHOT_INTERVALS_DURING_TRANSFER : 1)) {
             return;
         }
@@ -302,6 +312,7 @@
         storage.saveSnapshot(header, state);
         replica.compactLog(header);
         snapshotIndex = appliedIndex;
+        appliedBytesSinceSnapshot = 0;
     }
 
     private void completePending() {
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FileLogStorage.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FileLogStorage.java
@@ -31,7 +31,7 @@
  */
 public final class FileLogStorage implements LogStorage {
 
-    private static final long DEFAULT_MAX_SEGMENT_BYTES = 8L * 1024 * 1024;
+    private static final long DEFAULT_MAX_SEGMENT_BYTES = 2L * 1024 * 1024;
     private static final String LOCK_FILE_NAME = "lock";
 
     private final Path folder;
@@ -127,14 +127,14 @@
     }
 
     private List<Entry> readSegments() throws IOException, StorageException {
+        long snapshotIndex = snapshotFileHeader.getHeader().getIndex();
         SegmentReader reader =
-                new SegmentReader(folder, fileAccess, snapshotFileHeader.getFirstSegment());
+                new SegmentReader(
+                        folder, fileAccess, snapshotFileHeader.getFirstSegment(), snapshotIndex);
         reader.readAll(segmentNumbers());
         segments.addAll(reader.segments());
         termState = reader.termState();
-        long snapshotIndex = snapshotFileHeader.getHeader().getIndex();
-        List<Entry> entries =
-                reader.entries().stream().filter(e -> e.getIndex() > snapshotIndex).toList();
+        List<Entry> entries = reader.entries();
         if (!entries.isEmpty() && entries.get(0).getIndex() != snapshotIndex + 1) {
             throw new StorageCorruptedException(
                     folder.toString(),
@@ -216,16 +216,17 @@
     }
 
     private void writeEntries(List<Entry> entries) throws IOException {
-        byte[][] frames = new byte[entries.size()][];
-        int size = 0;
-        for (int i = 0; i < frames.length; i++) {
-            LogRecord logRecord = LogRecord.newBuilder().setEntry(entries.get(i)).build();
-            frames[i] = RecordFrame.encode(logRecord.toByteArray());
-            size += frames[i].length;
-        }
+        List<LogRecord> logRecords =
+                entries.stream()
+                        .map(entry -> LogRecord.newBuilder().setEntry(entry).build())
+                        .toList();
+        int size =
+                logRecords.stream()
+                        .mapToInt(r -> RecordFrame.HEADER_BYTES + r.getSerializedSize())
+                        .sum();
         ByteBuffer buffer = ByteBuffer.allocate(size);
-        for (byte[] frame : frames) {
-            buffer.put(frame);
+        for (LogRecord logRecord : logRecords) {
+            buffer.put(RecordFrame.encode(logRecord.toByteArray()));
         }
         fileAccess.write(segmentChannel, buffer.flip());
         long highestIndex = entries.get(entries.size() - 1).getIndex();
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/SegmentReader.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/SegmentReader.java
@@ -19,6 +19,7 @@
     private final Path folder;
     private final FileAccess fileAccess;
     private final long firstSegmentNumber;
+    private final long snapshotIndex;
     private final List<Segment> segments = new ArrayList<>();
     private final List<Entry> entries = new ArrayList<>();
     private TermState termState = TermState.getDefaultInstance();
@@ -29,11 +30,14 @@
      * @param folder the folder that contains the segments
      * @param fileAccess performs file operations
      * @param firstSegmentNumber the number of the first segment whose entries belong to the log
+     * @param snapshotIndex the index up to which entries are contained in the snapshot, so that
+     *     they are not kept in memory
      */
-    SegmentReader(Path folder, FileAccess fileAccess, long firstSegmentNumber) {
+    SegmentReader(Path folder, FileAccess fileAccess, long firstSegmentNumber, long snapshotIndex) {
         this.folder = folder;
         this.fileAccess = fileAccess;
         this.firstSegmentNumber = firstSegmentNumber;
+        this.snapshotIndex = snapshotIndex;
     }
 
     /**
@@ -122,6 +126,10 @@
     }
 
     private void addEntry(Path file, Entry entry) throws StorageCorruptedException {
+        if (entry.getIndex() <= snapshotIndex) {
+            entries.clear();
+            return;
+        }
         if (!entries.isEmpty()) {
             long firstIndex = entries.get(0).getIndex();
             long retainedCount = Math.max(0, entry.getIndex() - firstIndex);
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/consensus/ReplicaTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/consensus/ReplicaTests.java
@@ -14,6 +14,7 @@
 import org.cardamomthread.replication.MembershipChangeException;
 import org.cardamomthread.replication.ReplicaMember;
 import org.cardamomthread.replication.ReplicaRole;
+import org.cardamomthread.replication.ReplicaUnavailableException;
 import org.cardamomthread.replication.ReplicationSettings;
 import org.cardamomthread.replication.VoterId;
 import org.cardamomthread.replication.generated.AppendRequest;
@@ -37,6 +38,9 @@
     private static final long ELECTION_TIMEOUT_MS = 1000;
     private static final long START_MS = 5000;
 
+    /** The maximum size of a frame of the transport. */
+    private static final long MAX_MESSAGE_BYTES = 4L * 1024 * 1024;
+
     private Replica replica;
 
     @BeforeMethod
@@ -258,6 +262,53 @@
         assertTrue(replica.takeOutput().immediateMessages().isEmpty());
     }
 
+    @DataProvider
+    public Object[][] commandSizes() {
+        return new Object[][] {{100}, {100_000}, {2_000_000}};
+    }
+
+    /** Guards against a slow member for which the whole log is copied into messages. */
+    @Test(dataProvider = "commandSizes")
+    public void limitsTheBytesSentToAMemberThatDoesNotRespond(int commandBytes) throws Exception {
+        long nowMs = becomeLeader();
+        replica.receive(acceptedAppend(2, 3, 5, nowMs), nowMs);
+        replica.receive(acceptedAppend(3, 3, 5, nowMs), nowMs);
+        long sentBytes = 0;
+        for (int index = 6; index < 56; index++) {
+            replica.propose(new byte[commandBytes], nowMs);
+            sentBytes += bytesTo(3, persistOutput());
+            replica.receive(acceptedAppend(2, 3, index, nowMs), nowMs);
+            sentBytes += bytesTo(3, persistOutput());
+        }
+        assertEquals(replica.status(0, nowMs).commitIndex(), 55);
+        assertTrue(sentBytes <= 2 * MAX_MESSAGE_BYTES, sentBytes + " bytes sent");
+    }
+
+    private static long bytesTo(int number, ReplicaOutput output) {
+        return output.immediateMessages().stream()
+                .filter(message -> message.to().equals(node(number)))
+                .mapToLong(message -> message.message().getSerializedSize())
+                .sum();
+    }
+
+    /** Guards against commands that fill the memory of a leader without a majority. */
+    @Test(dataProvider = "commandSizes")
+    public void rejectsCommandsWhileTooManyBytesAreUncommitted(int commandBytes) {
+        long nowMs = becomeLeader();
+        replica.receive(acceptedAppend(2, 3, 5, nowMs), nowMs);
+        int count = (int) (3 * MAX_MESSAGE_BYTES / commandBytes);
+        ReplicaUnavailableException failure =
+                expectThrows(
+                        ReplicaUnavailableException.class,
+                        () -> {
+                            for (int i = 0; i < count; i++) {
+                                replica.propose(new byte[commandBytes], nowMs);
+                            }
+                        });
+        assertTrue(failure.isGuaranteedNotAppended());
+        assertTrue(failure.getMessage().contains("retry later"));
+    }
+
     /**
      * The other voters may need it in the previous membership, and its log is the most complete.
      */
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedCluster.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedCluster.java
@@ -53,6 +53,7 @@
                         HEARTBEAT_MS,
                         MAX_CLOCK_DRIFT_RATIO,
                         8,
+                        512,
                         64,
                         64,
                         1000);
