Open the storage of a replica again after it failed

Cause: a replica stopped for good at its first failed write, and nothing opened its storage again.

Change: the replica is suspended and opens its storage again, after 100 ms and then at most each second. Opening writes the last segment anew, since what a failed sync has left on the disk is unknown. The state machine keeps what it has applied. A segment without its first record is completed. An internal error ends the process, which is started again, instead of leaving it without its replica.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
@@ -54,12 +54,30 @@
      */
     public static void main(String[] arguments) {
         DaemonLogConfigurator.enable();
+        Thread.setDefaultUncaughtExceptionHandler(Cardamomthreadd::exitAfterUncaughtError);
         DaemonExitCode code = run(arguments, System.out, System.err);
         if (code != DaemonExitCode.STOPPED) {
             System.exit(code.getCode());
         }
     }
 
+    /**
+     * Ends the process, which its supervisor starts again, instead of continuing without one of its
+     * threads.
+     */
+    private static void exitAfterUncaughtError(Thread thread, Throwable failure) {
+        try {
+            LoggerFactory.getLogger(Cardamomthreadd.class)
+                    .error(
+                            "an error ended thread {}; the process exits",
+                            thread.getName(),
+                            failure);
+            DaemonLogConfigurator.stop();
+        } finally {
+            Runtime.getRuntime().halt(DaemonExitCode.INTERNAL_FAILURE.getCode());
+        }
+    }
+
     private static DaemonExitCode run(String[] arguments, PrintStream out, PrintStream err) {
         Options options = new Options().addOption(SETTINGS).addOption(HELP).addOption(VERSION);
         CommandLine commandLine;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -28,6 +28,7 @@
 import org.cardamomthread.daemon.view.QuotaPool;
 import org.cardamomthread.daemon.view.ViewServer;
 import org.cardamomthread.replication.ReplicaMember;
+import org.cardamomthread.replication.ReplicaRole;
 import org.cardamomthread.replication.ReplicationGroup;
 import org.cardamomthread.replication.ReplicationStatus;
 import org.cardamomthread.replication.StorageException;
@@ -317,6 +318,7 @@
 
     private boolean isVoter() {
         return replicationGroup().map(ReplicationGroup::status).stream()
+                .filter(status -> status.role() != ReplicaRole.STOPPED)
                 .flatMap(
                         status ->
                                 status.members().stream()
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/DaemonLogConfigurator.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/DaemonLogConfigurator.java
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.spi.ConfiguratorRank;
 import ch.qos.logback.core.spi.ContextAwareBase;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.slf4j.LoggerFactory;
 
 /**
  * Configures logging at the first use of a logger in the daemon's own process; leaves it to
@@ -26,6 +27,11 @@
         ENABLED.set(true);
     }
 
+    /** Writes what is still queued, for at most a second, and stops logging. */
+    public static void stop() {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    }
+
     @Override
     public ExecutionStatus configure(LoggerContext context) {
         if (!ENABLED.get()) {
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Replica.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Replica.java
@@ -413,6 +413,17 @@
         return leaderState != null && context.term() == term;
     }
 
+    /**
+     * Returns whether this replica knows that an entry is committed. After the storage was opened
+     * again, the state machine may be ahead of that.
+     *
+     * @param index the index of the entry
+     * @return true if the entry and all earlier ones are committed
+     */
+    public boolean hasCommitted(long index) {
+        return index <= context.commitIndex();
+    }
+
     /**
      * Returns whether the current snapshot is being transferred. A new snapshot would restart the
      * transfer.
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/DefaultReplicationGroup.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/DefaultReplicationGroup.java
@@ -24,6 +24,8 @@
 import org.cardamomthread.replication.StorageException;
 import org.cardamomthread.replication.VoterId;
 import org.cardamomthread.replication.storage.LogStorage;
+import org.cardamomthread.replication.storage.StorageCorruptedException;
+import org.cardamomthread.replication.storage.StorageIdentityException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,8 +33,10 @@
  * Runs a replica on a dedicated thread, which processes queued inputs in batches with one sync
  * each.
  *
- * <p>After a failure of the storage or an internal error the replica stops permanently: it sends no
- * messages and rejects commands, and its status contains the reason. Thread-safe.
+ * <p>After a failure of the storage the replica is suspended: it sends no messages and rejects
+ * commands, its status contains the reason, and the storage is opened again until that succeeds.
+ * After an internal error, or if the stored data is corrupt, the replica stops permanently; an
+ * internal error is also passed to the uncaught exception handler of the thread. Thread-safe.
  */
 public final class DefaultReplicationGroup implements ReplicationGroup {
 
@@ -49,6 +53,11 @@
     private static final long MAX_QUEUED_MESSAGE_BYTES = 4 * 1024 * 1024;
 
     private static final long CLOSE_TIMEOUT_MS = 5000;
+    private static final long MIN_REOPEN_DELAY_MS = 100;
+
+    /** Opening reads the whole log again, so it is not tried more often. */
+    private static final long MAX_REOPEN_DELAY_MS = 1000;
+
 
     private final GroupId groupId;
     private final ReplicationSettings settings;
@@ -60,6 +69,7 @@
     private final AtomicLong queuedMessageBytes = new AtomicLong();
     private final Thread thread;
     private volatile boolean isClosing;
+    private volatile boolean isTerminated;
     private volatile PublishedStatus publishedStatus;
 
     /** Holds a status and the monotonic time at which it was published. */
@@ -117,6 +127,31 @@
 
     private void run() {
         List<Runnable> batch = new ArrayList<>();
+        try {
+            while (!isClosing) {
+                processInputsUntilStorageFails(batch);
+            }
+            terminate("the replica was closed; start the node again");
+        } catch (StorageException e) {
+            LOG.error("Group {}: replica stopped: {}", groupId, e.getMessage(), e);
+            terminate(e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            terminate("the replica's thread was interrupted; start the node again");
+        } catch (RuntimeException | Error e) {
+            LOG.error("Group {}: replica stopped after an internal error", groupId, e);
+            terminate(
+                    "internal error: "
+                            + e
+                            + "; report it together with the log, then restart the node");
+            throw e;
+        } finally {
+            batch.forEach(Runnable::run);
+        }
+    }
+
+    private void processInputsUntilStorageFails(List<Runnable> batch)
+            throws InterruptedException, StorageException {
         try {
             while (!isClosing) {
                 awaitInputs(batch);
@@ -126,25 +161,15 @@
                 driver.flush();
                 publishStatus();
             }
-            stop("the replica was closed; start the node again");
         } catch (StorageException e) {
             LOG.error(
-                    "Group {}: replica stopped after a storage failure: {}",
+                    "Group {}: replica suspended until its storage works again: {}",
                     groupId,
                     e.getMessage(),
                     e);
-            stop(e.getMessage());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            stop("the replica's thread was interrupted; start the node again");
-        } catch (RuntimeException | Error e) {
-            LOG.error("Group {}: replica stopped after an internal error", groupId, e);
-            stop(
-                    "internal error: "
-                            + e
-                            + "; report it together with the log, then restart the node");
+            suspend("since " + timeSource.instant() + ": " + e.getMessage());
+            awaitStorage();
         }
-        batch.forEach(Runnable::run);
     }
 
     private void awaitInputs(List<Runnable> batch) throws InterruptedException {
@@ -156,11 +181,52 @@
         }
     }
 
+    /** Rejects inputs and opens the storage again, with increasing delays, until that succeeds. */
+    private void awaitStorage() throws InterruptedException, StorageException {
+        long suspendedAtMs = timeSource.monotonicMs();
+        long delayMs = MIN_REOPEN_DELAY_MS;
+        rejectInputsFor(delayMs);
+        while (!isClosing) {
+            try {
+                driver.open();
+                publishStatus();
+                LOG.info(
+                        "Group {}: replica resumed, its storage failed for {} ms",
+                        groupId,
+                        timeSource.monotonicMs() - suspendedAtMs);
+                return;
+            } catch (StorageCorruptedException | StorageIdentityException e) {
+                throw e;
+            } catch (StorageException e) {
+                LOG.debug("Group {}: the storage still fails: {}", groupId, e.getMessage());
+                driver.close(e.getMessage());
+                delayMs = Math.min(2 * delayMs, MAX_REOPEN_DELAY_MS);
+                rejectInputsFor(delayMs);
+            }
+        }
+    }
+
+    private void rejectInputsFor(long durationMs) throws InterruptedException {
+        long endMs = timeSource.monotonicMs() + durationMs;
+        List<Runnable> batch = new ArrayList<>();
+        while (!isClosing && timeSource.monotonicMs() < endMs) {
+            awaitInputs(batch);
+            batch.forEach(Runnable::run);
+            batch.clear();
+        }
+    }
+
     private void publishStatus() {
         publishedStatus = new PublishedStatus(driver.status(), timeSource.monotonicMs());
     }
 
-    private void stop(String reason) {
+    private void terminate(String reason) {
+        suspend(reason);
+        isTerminated = true;
+        rejectQueuedInputs();
+    }
+
+    private void suspend(String reason) {
         ReplicationStatus lastStatus = publishedStatus.status();
         publishedStatus =
                 new PublishedStatus(
@@ -180,11 +246,11 @@
                                 Optional.of(reason)),
                         timeSource.monotonicMs());
         driver.close(reason);
-        rejectQueuedInputs();
     }
 
     /**
-     * Runs inputs that arrived after the stop; each finds the replica stopped and fails its future.
+     * Runs inputs that arrived after the end of the thread; each finds the replica stopped and fails
+     * its future.
      */
     private void rejectQueuedInputs() {
         Runnable input = inputs.poll();
@@ -281,7 +347,7 @@
                         action.accept(future);
                     }
                 });
-        if (isStopped()) {
+        if (isTerminated) {
             rejectQueuedInputs();
         }
     }
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/ReplicaDriver.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/ReplicaDriver.java
@@ -43,7 +43,10 @@
  * Processes the output of a {@link Replica}: persists, sends and applies it, and takes snapshots.
  *
  * <p>The effects of inputs are collected until {@link #flush()}, which syncs them together. After
- * an exception the driver must not be used again. Not thread-safe.
+ * an exception the driver must be closed, and can then be opened again.
+ *
+ * <p>Invariant: the state machine never returns to an earlier state; it keeps what it has applied
+ * while the storage is opened again. Not thread-safe.
  */
 public final class ReplicaDriver {
 
@@ -100,7 +103,8 @@
     }
 
     /**
-     * Opens the storage and restores the state machine from its snapshot.
+     * Opens the storage and restores the state machine from its snapshot, unless the state machine
+     * has already applied more.
      *
      * @throws StorageException if the storage is corrupt, unreadable or belongs to another node or
      *     group
@@ -108,11 +112,12 @@
     public void open() throws StorageException {
         RecoveredState recovered = storage.open(groupId, nodeId);
         SnapshotHeader header = recovered.snapshotHeader();
-        if (header.getIndex() > 0) {
+        if (header.getIndex() > appliedIndex) {
             stateMachine.restore(storage.readSnapshot(0, (int) header.getSizeBytes()));
+            appliedIndex = header.getIndex();
         }
-        appliedIndex = header.getIndex();
         snapshotIndex = header.getIndex();
+        appliedBytesSinceSnapshot = 0;
         ReplicaIdentity self = new ReplicaIdentity(groupId, nodeId, recovered.voterId());
         replica = new Replica(self, settings, recovered, random, nowMs());
     }
@@ -279,15 +284,20 @@
     private void installSnapshot(ReceivedSnapshot snapshot) throws StorageException {
         byte[] state = snapshot.state().toByteArray();
         storage.installSnapshot(snapshot.header(), state);
-        stateMachine.restore(state);
-        appliedIndex = snapshot.header().getIndex();
-        snapshotIndex = appliedIndex;
+        snapshotIndex = snapshot.header().getIndex();
+        if (snapshotIndex > appliedIndex) {
+            stateMachine.restore(state);
+            appliedIndex = snapshotIndex;
+        }
         appliedBytesSinceSnapshot = 0;
     }
 
     private void apply(Entry entry) {
-        byte[] result = null;
         appliedBytesSinceSnapshot += entry.getData().size();
+        if (entry.getIndex() <= appliedIndex) {
+            return;
+        }
+        byte[] result = null;
         if (entry.getKind() == EntryKind.COMMAND) {
             result = stateMachine.apply(entry.getIndex(), entry.getData().toByteArray());
         }
@@ -300,7 +310,8 @@
                 Math.max(
                         (appliedIndex - snapshotIndex) / settings.snapshotIntervalEntries(),
                         appliedBytesSinceSnapshot / settings.snapshotIntervalBytes());
-        if (intervals < (replica.isSendingSnapshot() ? SNAPSHOT_INTERVALS_DURING_TRANSFER : 1)) {
+        if (intervals < (replica.isSendingSnapshot() ? SNAPSHOT_INTERVALS_DURING_TRANSFER : 1)
+                || !replica.hasCommitted(appliedIndex)) {
             return;
         }
         byte[] state = stateMachine.snapshot();
@@ -349,7 +360,8 @@
     }
 
     /**
-     * Fails all pending proposals and reads, and closes the storage.
+     * Fails all pending proposals and reads, and closes the storage, which {@link #open()} opens
+     * again.
      *
      * @param reason the reason reported for proposals whose outcome is unknown
      */
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FileLogStorage.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FileLogStorage.java
@@ -26,13 +26,14 @@
  * Stores a replica's data in one folder: an identity file, log segments and one snapshot.
  *
  * <p>Invariants: every segment starts with the term state, so that earlier segments can be deleted;
- * all segments except the last one are synced; after a failed operation all further writes fail.
- * Not thread-safe.
+ * all segments except the last one are synced; after a failed operation all further writes fail
+ * until the storage is opened again. Not thread-safe.
  */
 public final class FileLogStorage implements LogStorage {
 
     private static final long DEFAULT_MAX_SEGMENT_BYTES = 2L * 1024 * 1024;
     private static final String LOCK_FILE_NAME = "lock";
+    private static final String TEMPORARY_SEGMENT_FILE_NAME = "temporary-segment";
 
     private final Path folder;
     private final FileAccess fileAccess;
@@ -65,12 +66,17 @@
 
     @Override
     public RecoveredState open(GroupId groupId, NodeId nodeId) throws StorageException {
+        boolean isReopened = failed;
+        reset();
         try {
             createFolder(folder.toAbsolutePath());
             acquireLock();
             VoterId voterId = readOrCreateIdentity(groupId, nodeId);
             snapshotFileHeader = snapshotStore.readNewest().orElse(snapshotFileHeader);
             List<Entry> entries = readSegments();
+            if (isReopened) {
+                rewriteLastSegment();
+            }
             openLastSegment();
             return new RecoveredState(voterId, termState, snapshotFileHeader.getHeader(), entries);
         } catch (IOException e) {
@@ -78,6 +84,14 @@
         }
     }
 
+    private void reset() {
+        close();
+        segments.clear();
+        snapshotFileHeader = SnapshotFileHeader.getDefaultInstance();
+        termState = TermState.getDefaultInstance();
+        failed = false;
+    }
+
     /**
      * Creates a folder and its parents and syncs them, so that they survive a crash of the host.
      */
@@ -155,6 +169,26 @@
         }
     }
 
+    /**
+     * Writes the last segment to a new file. After a failed sync the file system may report data as
+     * stored that it has dropped, and only a new write makes sure that the disk takes data again.
+     */
+    private void rewriteLastSegment() throws IOException {
+        if (segments.isEmpty()) {
+            return;
+        }
+        Path file = segments.getLast().filePath(folder);
+        Path temporary = folder.resolve(TEMPORARY_SEGMENT_FILE_NAME);
+        fileAccess.delete(temporary);
+        try (FileChannel channel =
+                FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            fileAccess.write(channel, ByteBuffer.wrap(Files.readAllBytes(file)));
+            fileAccess.force(channel);
+        }
+        fileAccess.moveAtomically(temporary, file);
+        fileAccess.syncFolder(folder);
+    }
+
     private void openLastSegment() throws IOException {
         if (segments.isEmpty()
                 || segments.getLast().number() < snapshotFileHeader.getFirstSegment()) {
@@ -162,6 +196,10 @@
             return;
         }
         segmentChannel = openForAppend(segments.getLast());
+        if (segmentChannel.size() == 0) {
+            writeRecord(LogRecord.newBuilder().setTermState(termState).build());
+            fileAccess.force(segmentChannel);
+        }
     }
 
     private FileChannel openForAppend(Segment segment) throws IOException {
@@ -298,6 +336,8 @@
     public void close() {
         closeQuietly(segmentChannel);
         closeQuietly(lockChannel);
+        segmentChannel = null;
+        lockChannel = null;
     }
 
     private static void closeQuietly(FileChannel file) {
@@ -313,7 +353,7 @@
     private void requireOpen() throws StorageException {
         if (failed || segmentChannel == null) {
             throw new StorageException(
-                    folder + " has failed earlier or is not open; restart the node to reopen it");
+                    folder + " has failed earlier or is not open; open the storage again");
         }
     }
 
@@ -325,7 +365,8 @@
                         + folder
                         + " failed: "
                         + cause.getMessage()
-                        + "; free disk space or replace the disk, then restart the node",
+                        + "; free disk space or replace the disk, and restart the node if it does"
+                        + " not recover",
                 cause);
     }
 }
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
@@ -224,6 +224,76 @@
         assertTrue(reopen().entries().size() >= 2);
     }
 
+    /** Guards against synced data that is lost when a storage is opened again after a full disk. */
+    @Test(dataProvider = "failures")
+    public void retainsSyncedDataWhenReopenedAfterAFailure(
+            FaultyFileAccess.Operation operation, String reason) throws Exception {
+        int operations = 0;
+        boolean hasFailed = true;
+        while (hasFailed) {
+            deleteFolder();
+            createFolder();
+            writeLog(LongStream.rangeClosed(1, 20).toArray());
+            FaultyFileAccess access = new FaultyFileAccess(operation, operations++);
+            try (FileLogStorage storage = newStorage(access)) {
+                long lastSyncedIndex = 20;
+                while (lastSyncedIndex < 40) {
+                    lastSyncedIndex = openAndAppendUntilFailure(storage, lastSyncedIndex, 40);
+                }
+            }
+            hasFailed = access.hasFailed();
+            RecoveredState recovered = reopen();
+            assertEquals(recovered.snapshotHeader().getIndex(), 30);
+            assertEquals(recovered.entries(), entries(31, 40, 3));
+            assertEquals(recovered.termState(), termState(3));
+        }
+        assertTrue(operations > 20, "operations " + operations);
+    }
+
+    private static long openAndAppendUntilFailure(
+            FileLogStorage storage, long lastSyncedIndex, long toIndex) {
+        long syncedIndex = lastSyncedIndex;
+        try {
+            RecoveredState recovered = storage.open(GROUP, NODE);
+            long snapshotIndex = recovered.snapshotHeader().getIndex();
+            long lastIndex = snapshotIndex + recovered.entries().size();
+            assertTrue(lastIndex >= lastSyncedIndex, lastIndex + " < " + lastSyncedIndex);
+            assertEquals(recovered.termState(), termState(3));
+            assertEquals(recovered.entries(), entries(snapshotIndex + 1, lastIndex, 3));
+            syncedIndex = lastIndex;
+            if (syncedIndex >= 30 && snapshotIndex < 30) {
+                storage.saveSnapshot(snapshotHeader(30, "state"), bytes("state"));
+            }
+            for (long index = lastIndex + 1; index <= toIndex; index++) {
+                storage.append(entries(index, index, 3));
+                storage.sync();
+                syncedIndex = index;
+                if (index == 30) {
+                    storage.saveSnapshot(snapshotHeader(30, "state"), bytes("state"));
+                }
+            }
+        } catch (StorageException failure) {
+            return syncedIndex;
+        }
+        return syncedIndex;
+    }
+
+    /** Guards against a vote that is forgotten with the segments before an unfinished one. */
+    @Test
+    public void retainsTermStateOfASegmentThatWasCreatedWithoutContent() throws Exception {
+        writeLog(LongStream.rangeClosed(1, 50).toArray());
+        long lastNumber = Segment.parseNumber(lastSegmentFile()).orElseThrow();
+        Files.createFile(new Segment(lastNumber + 1, 0).filePath(folder));
+        try (FileLogStorage storage = newStorage(new DefaultFileAccess())) {
+            storage.open(GROUP, NODE);
+            storage.append(entries(51, 51, 3));
+            storage.sync();
+            storage.saveSnapshot(snapshotHeader(51, "state"), bytes("state"));
+        }
+        assertEquals(segmentFiles().size(), 1);
+        assertEquals(reopen().termState(), termState(3));
+    }
+
     @Test
     public void retainsSyncedDataAfterACrashAtEachOperation() throws Exception {
         int operations = 0;
