Let control nodes take the places of voters that are gone

Cause: who votes was fixed at the first start; other nodes ran no replica and were never admitted, and proposals went to the first voters only.

Change: each control node of a fleet runs a replica of the traffic group. While fewer than three members have responded within 2 s, the leader admits a node that asks as a learner; once it has the log, the voter that is gone is removed and the learner promoted, one change at a time. A member without a leader asks too, since nothing tells it that it was replaced. Proposals, discovery and gateways follow the current voters. A node that could not write the voters it learnt tries again.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/ControlGroups.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/ControlGroups.java
@@ -21,7 +21,8 @@
 import org.cardamomthread.transport.PeerTransport;
 
 /**
- * Runs the replication groups of which this node is a voter and provides a client for all groups.
+ * Runs the replication groups of which this node is or may become a voter and provides a client for
+ * all groups.
  *
  * <p>Lifecycle: {@link #start()} once after the transport has been created, then {@link #close()}.
  * Thread-safe.
@@ -36,16 +37,45 @@
     private final NodeId self;
     private final List<GroupDefinition> definitions;
     private final PeerTransport transport;
+    private final VoterDirectory voterDirectory;
     private final Map<GroupId, RunningGroup> runningGroups = new LinkedHashMap<>();
     private final GroupServer server;
     private final ProposalClient client;
 
+    /**
+     * Creates groups whose voters are those of the definitions, without starting them.
+     *
+     * @param self this node
+     * @param dataFolder the node's data folder, or empty on a diskless node
+     * @param definitions the groups of the system, including those of which this node is no voter
+     * @param transport the transport to other nodes
+     * @param timeSource the clock for timeouts
+     * @param random randomizes the election timeouts
+     */
+    public ControlGroups(
+            NodeId self,
+            Optional<Path> dataFolder,
+            List<GroupDefinition> definitions,
+            PeerTransport transport,
+            TimeSource timeSource,
+            SplittableGenerator random) {
+        this(
+                self,
+                dataFolder,
+                definitions,
+                new FixedVoterDirectory(definitions),
+                transport,
+                timeSource,
+                random);
+    }
+
     /**
      * Creates the groups without starting them.
      *
      * @param self this node
      * @param dataFolder the node's data folder, or empty on a diskless node
      * @param definitions the groups of the system, including those of which this node is no voter
+     * @param voterDirectory tracks the voters of the groups
      * @param transport the transport to other nodes
      * @param timeSource the clock for timeouts
      * @param random randomizes the election timeouts
@@ -54,16 +84,16 @@
             NodeId self,
             Optional<Path> dataFolder,
             List<GroupDefinition> definitions,
+            VoterDirectory voterDirectory,
             PeerTransport transport,
             TimeSource timeSource,
             SplittableGenerator random) {
         this.self = self;
         this.definitions = List.copyOf(definitions);
+        this.voterDirectory = voterDirectory;
         this.transport = transport;
-        Map<GroupId, List<NodeId>> voters = new LinkedHashMap<>();
         for (GroupDefinition definition : definitions) {
-            voters.put(definition.id(), definition.voters());
-            if (definition.voters().contains(self)) {
+            if (definition.hasReplicaOn(self)) {
                 Path folder = resolveFolder(dataFolder, definition);
                 ReplicationGroup group =
                         createReplicationGroup(definition, folder, timeSource, random.split());
@@ -72,7 +102,7 @@
             }
         }
         server = new GroupServer(runningGroups);
-        client = new DefaultProposalClient(self, voters, server, transport, timeSource);
+        client = new DefaultProposalClient(self, voterDirectory, server, transport, timeSource);
     }
 
     private Path resolveFolder(Optional<Path> dataFolder, GroupDefinition definition) {
@@ -99,7 +129,8 @@
                 self,
                 ReplicationSettings.withDefaults(definition.voters())
                         .withElectionTimeoutAndHeartbeat(
-                                definition.electionTimeoutMs(), definition.heartbeatMs()),
+                                definition.electionTimeoutMs(), definition.heartbeatMs())
+                        .withVoterReplacement(definition.voterReplacement()),
                 new FileLogStorage(folder),
                 definition.stateMachine(),
                 (to, message) -> transport.send(to, definition.topic(), message),
@@ -108,27 +139,34 @@
     }
 
     /**
-     * Registers the message handlers and starts this node's replicas.
+     * Starts this node's replicas and registers the message handlers. After a failure, the groups
+     * are closed and no handler is registered.
      *
      * @throws StorageException if a group's folder is damaged, unreadable or belongs to another
      *     node; the message states the remedy
      */
     public void start() throws StorageException {
+        try {
+            for (RunningGroup group : runningGroups.values()) {
+                group.group().start();
+            }
+        } catch (StorageException e) {
+            close();
+            throw e;
+        }
         for (GroupDefinition definition : definitions) {
             RunningGroup group = runningGroups.get(definition.id());
             if (group != null) {
                 transport.register(
                         definition.topic(),
                         (from, message) -> {
+                            voterDirectory.recordContact(from);
                             group.group().receive(from, message);
                             return CompletableFuture.completedFuture(new byte[0]);
                         });
             }
         }
         transport.register(DefaultProposalClient.TOPIC, server::handle);
-        for (RunningGroup group : runningGroups.values()) {
-            group.group().start();
-        }
     }
 
     /**
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/DefaultProposalClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/DefaultProposalClient.java
@@ -23,7 +23,7 @@
     static final PeerTopic TOPIC = new PeerTopic(12, "group-requests");
 
     private final NodeId self;
-    private final Map<GroupId, List<NodeId>> votersByGroup;
+    private final VoterDirectory voterDirectory;
     private final GroupServer localServer;
     private final PeerTransport transport;
     private final TimeSource timeSource;
@@ -31,12 +31,12 @@
 
     DefaultProposalClient(
             NodeId self,
-            Map<GroupId, List<NodeId>> votersByGroup,
+            VoterDirectory voterDirectory,
             GroupServer localServer,
             PeerTransport transport,
             TimeSource timeSource) {
         this.self = self;
-        this.votersByGroup = Map.copyOf(votersByGroup);
+        this.voterDirectory = voterDirectory;
         this.localServer = localServer;
         this.transport = transport;
         this.timeSource = timeSource;
@@ -66,7 +66,7 @@
 
     private CompletableFuture<byte[]> forward(
             GroupId group, GroupRequest request, Duration timeout) {
-        List<NodeId> voters = votersByGroup.getOrDefault(group, List.of());
+        List<NodeId> voters = voterDirectory.voters(group);
         if (voters.isEmpty()) {
             return CompletableFuture.failedFuture(
                     new ReplicaUnavailableException(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupDefinition.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupDefinition.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.replication.GroupId;
 import org.cardamomthread.replication.StateMachine;
+import org.cardamomthread.replication.VoterReplacement;
 import org.cardamomthread.transport.PeerTopic;
 
 /**
@@ -18,6 +20,7 @@
  * @param heartbeatMs milliseconds between two heartbeats of the leader
  * @param stateMachine the state machine on this node, used only if this node is a voter
  * @param queryHandler answers queries from that state machine
+ * @param voterReplacement when other nodes become voters, or empty if only {@code voters} may vote
  */
 public record GroupDefinition(
         GroupId id,
@@ -26,7 +29,8 @@
         long electionTimeoutMs,
         long heartbeatMs,
         StateMachine stateMachine,
-        GroupQueryHandler queryHandler) {
+        GroupQueryHandler queryHandler,
+        Optional<VoterReplacement> voterReplacement) {
 
     /** The group that replicates the configuration. */
     public static final GroupId CONFIGURATION = new GroupId("configuration");
@@ -50,6 +54,12 @@
 
     private static final long TRAFFIC_HEARTBEAT_MS = 120;
 
+    /** Three voters outlive the loss of one. */
+    private static final int TRAFFIC_VOTER_COUNT = 3;
+
+    /** Longer than an election, and short enough that a successor votes soon after its start. */
+    private static final long TRAFFIC_VOTER_ABSENCE_MS = 2_000;
+
     private static final PeerTopic TRAFFIC_TOPIC = new PeerTopic(13, "replication-traffic");
     private static final PeerTopic CONFIGURATION_TOPIC =
             new PeerTopic(10, "replication-configuration");
@@ -81,7 +91,8 @@
                 ELECTION_TIMEOUT_MS,
                 HEARTBEAT_MS,
                 stateMachine,
-                queryHandler);
+                queryHandler,
+                Optional.empty());
     }
 
     /**
@@ -101,13 +112,14 @@
                 ELECTION_TIMEOUT_MS,
                 HEARTBEAT_MS,
                 stateMachine,
-                queryHandler);
+                queryHandler,
+                Optional.empty());
     }
 
     /**
-     * Returns the definition of the traffic group.
+     * Returns the definition of the traffic group. Other nodes may take the place of its voters.
      *
-     * @param voters its voters
+     * @param voters its first voters
      * @param stateMachine its state machine on this node
      * @param queryHandler answers queries from that state machine
      * @return the definition
@@ -121,6 +133,17 @@
                 TRAFFIC_ELECTION_TIMEOUT_MS,
                 TRAFFIC_HEARTBEAT_MS,
                 stateMachine,
-                queryHandler);
+                queryHandler,
+                Optional.of(new VoterReplacement(TRAFFIC_VOTER_COUNT, TRAFFIC_VOTER_ABSENCE_MS)));
+    }
+
+    /**
+     * Returns whether a node runs a replica of the group.
+     *
+     * @param node the node
+     * @return true if the node is one of the first voters or may become a voter
+     */
+    boolean hasReplicaOn(NodeId node) {
+        return voters.contains(node) || voterReplacement.isPresent();
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -40,7 +40,8 @@
  * Assembles and runs a control node.
  *
  * <p>Invariant: the node votes only with a data folder that it has written itself. A node with an
- * empty folder learns the voters from other control nodes and joins as a new member. Thread-safe.
+ * empty folder learns the voters from other control nodes and joins as a new member, or waits until a
+ * voter is gone. Thread-safe.
  */
 final class ControlNode implements FleetNode {
 
@@ -52,6 +53,9 @@
      */
     private static final long PRESENCE_MARGIN_MS = 1_000;
 
+    /** Well below the time in which a node that starts polls all others. */
+    private static final long VOTER_UPDATE_INTERVAL_MS = 250;
+
     /** Time for open requests to finish before the node closes. */
     private static final long DRAIN_DELAY_MS = 300;
 
@@ -146,7 +150,10 @@
             directory.setVoters(voters.get());
             startReplicationGroup(voters.get());
         }
-        directory.start(controlThread, this::joinReplicationGroup);
+        directory.start(controlThread, this::useLearntVoters);
+        controlThread.scheduleWithFixedDelay(
+                VOTER_UPDATE_INTERVAL_MS,
+                () -> replicationGroup().map(ReplicationGroup::status).ifPresent(directory::update));
         components.transport().start();
         startControllers();
         metricsServer.listen(settings.metrics().toSocketAddress());
@@ -203,12 +210,19 @@
         }
     }
 
-    /** Joins the replication group with voters learnt from other nodes. */
-    private void joinReplicationGroup(List<NodeId> voters) {
+    /** Joins the replication group with voters learnt from other nodes, or asks these to join. */
+    private void useLearntVoters(List<NodeId> voters) {
         LOGGER.atInfo()
                 .addKeyValue("event", "voters-learnt")
                 .addKeyValue("voters", voters)
-                .log("joining the replication group with an empty data folder");
+                .addKeyValue("isJoining", groups.isEmpty())
+                .log("learnt the voters of the replication group from another node");
+        replicationGroup()
+                .ifPresentOrElse(
+                        group -> group.setContacts(voters), () -> joinReplicationGroup(voters));
+    }
+
+    private void joinReplicationGroup(List<NodeId> voters) {
         try {
             new VoterStore(components.settings().dataFolder().orElseThrow()).save(voters);
             startReplicationGroup(voters);
@@ -228,6 +242,7 @@
                         components.settings().nodeId(),
                         components.settings().dataFolder(),
                         List.of(definition),
+                        directory,
                         components.transport(),
                         components.timeSource(),
                         components.random().split());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNodeDirectory.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNodeDirectory.java
@@ -6,17 +6,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentSkipListMap;
-import java.util.function.Consumer;
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.control.VoterDirectory;
 import org.cardamomthread.daemon.view.generated.VotersRequest;
 import org.cardamomthread.daemon.view.generated.VotersResponse;
+import org.cardamomthread.replication.GroupId;
+import org.cardamomthread.replication.ReplicaMember;
+import org.cardamomthread.replication.ReplicationStatus;
 import org.cardamomthread.transport.PeerTopic;
 import org.cardamomthread.transport.PeerTransport;
 import org.slf4j.Logger;
@@ -25,10 +27,14 @@
 /**
  * Tracks the known control nodes: the seeds, and the nodes that have announced themselves since.
  *
- * <p>Control nodes poll each other in turn. This distributes their addresses and informs a node
- * with an empty data folder which nodes are voters. Thread-safe.
+ * <p>Control nodes poll each other in turn. This distributes their addresses and the current
+ * voters.
+ *
+ * <p>Invariant: a node passes voters on only if it hears the leader, or belongs to the first voters
+ * and the group has not been formed yet; so voters that have been replaced are forgotten.
+ * Thread-safe.
  */
-final class ControlNodeDirectory {
+final class ControlNodeDirectory implements VoterDirectory {
 
     static final PeerTopic TOPIC = new PeerTopic(21, "control-nodes");
 
@@ -47,10 +53,22 @@
     private final PeerTransport transport;
     private final TimeSource timeSource;
     private final Map<NodeId, Long> lastSeenMs = new ConcurrentSkipListMap<>();
-    private volatile Optional<List<NodeId>> voters = Optional.empty();
-    private volatile Consumer<List<NodeId>> voterListener = learntVoters -> {};
+    private volatile List<NodeId> voters = List.of();
+    private volatile boolean mayPassVotersOn;
+    private volatile VoterListener voterListener = learntVoters -> {};
     private int nextIndex;
 
+    /** Is notified of voters on the control thread. */
+    @FunctionalInterface
+    interface VoterListener {
+
+        /**
+         * Uses the voters that another node named. If this fails, it is called again with the next
+         * response.
+         */
+        void onVotersLearnt(List<NodeId> learntVoters);
+    }
+
     ControlNodeDirectory(FleetSettings settings, PeerTransport transport, TimeSource timeSource) {
         this.settings = settings;
         this.transport = transport;
@@ -58,19 +76,57 @@
         settings.seedNodes().forEach(this::add);
     }
 
-    /** Starts to poll; the listener is called once with the voters if they were not set before. */
-    void start(ControlThread controlThread, Consumer<List<NodeId>> listener) {
+    /** Starts to poll; the listener is called whenever other nodes name other voters. */
+    void start(ControlThread controlThread, VoterListener listener) {
         voterListener = listener;
         transport.register(TOPIC, this::handleRequest);
         controlThread.execute(() -> pollNextNode(controlThread));
         controlThread.scheduleWithFixedDelay(POLL_INTERVAL_MS, () -> pollNextNode(controlThread));
     }
 
+    /** Sets the voters that the data folder names, before the state of the replica is known. */
     void setVoters(List<NodeId> currentVoters) {
-        voters = Optional.of(List.copyOf(currentVoters));
+        voters = List.copyOf(currentVoters);
         currentVoters.forEach(this::add);
     }
 
+    /** Takes over the voters that this node's replica knows. */
+    void update(ReplicationStatus status) {
+        boolean isFormed = status.lastIndex() > 0;
+        if (status.leader().isPresent() && isFormed) {
+            List<NodeId> current =
+                    status.members().stream()
+                            .filter(ReplicaMember::isVoter)
+                            .map(ReplicaMember::nodeId)
+                            .distinct()
+                            .sorted()
+                            .toList();
+            if (!current.equals(voters)) {
+                LOGGER.atInfo()
+                        .addKeyValue("event", "voters-changed")
+                        .addKeyValue("voters", current)
+                        .addKeyValue("before", voters)
+                        .log("the voters of the replication group have changed");
+                setVoters(current);
+            }
+            mayPassVotersOn = true;
+        } else {
+            mayPassVotersOn = !isFormed && voters.contains(settings.nodeId());
+        }
+    }
+
+    @Override
+    public List<NodeId> voters(GroupId group) {
+        return voters;
+    }
+
+    @Override
+    public void recordContact(NodeId node) {
+        if (!lastSeenMs.containsKey(node)) {
+            add(node);
+        }
+    }
+
     /** Returns the other known control nodes. */
     List<NodeId> otherNodes() {
         return lastSeenMs.keySet().stream()
@@ -119,7 +175,7 @@
 
     private void removeStaleNodes() {
         long oldestMs = timeSource.monotonicMs() - RETENTION_MS;
-        List<NodeId> retained = voters.orElseGet(settings::seedNodes);
+        List<NodeId> retained = voters.isEmpty() ? settings.seedNodes() : voters;
         lastSeenMs
                 .entrySet()
                 .removeIf(
@@ -144,10 +200,13 @@
                 add(node);
             }
         }
-        if (voters.isEmpty() && response.getVotersCount() > 0) {
+        if (!mayPassVotersOn && response.getVotersCount() > 0) {
             List<NodeId> learntVoters = response.getVotersList().stream().map(NodeId::new).toList();
-            setVoters(learntVoters);
-            voterListener.accept(learntVoters);
+            if (!learntVoters.equals(voters)) {
+                learntVoters.forEach(this::add);
+                voterListener.onVotersLearnt(learntVoters);
+                setVoters(learntVoters);
+            }
         }
     }
 
@@ -163,8 +222,9 @@
                     from,
                     e);
         }
-        voters.ifPresent(
-                currentVoters -> currentVoters.forEach(node -> response.addVoters(node.value())));
+        if (mayPassVotersOn) {
+            voters.forEach(node -> response.addVoters(node.value()));
+        }
         allNodes().forEach(node -> response.addControlNodes(node.value()));
         return CompletableFuture.completedFuture(response.build().toByteArray());
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
@@ -160,7 +160,7 @@
             return RETRY_DELAY;
         }
         leader = Optional.of(target);
-        response.getControlNodesList().forEach(node -> addControlNode(new NodeId(node)));
+        replaceControlNodes(response.getControlNodesList().stream().map(NodeId::new).toList());
         if (!updater.apply(response)) {
             handleFailure(target, "its traffic state is older than the view of this gateway");
             return RETRY_DELAY;
@@ -196,6 +196,14 @@
         return nodes.get(Math.floorMod(nextNodeIndex++, nodes.size()));
     }
 
+    /** Forgets nodes that the leader no longer knows, since each attempt at one takes a timeout. */
+    private void replaceControlNodes(List<NodeId> nodes) {
+        if (!nodes.isEmpty()) {
+            controlNodes.retainAll(nodes);
+        }
+        nodes.forEach(this::addControlNode);
+    }
+
     private NodeId addControlNode(NodeId node) {
         if (controlNodes.add(node)) {
             addressRegistrar.register(node);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/FakeReplicationGroup.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/FakeReplicationGroup.java
@@ -45,6 +45,9 @@
         return CompletableFuture.completedFuture(1L);
     }
 
+    @Override
+    public void setContacts(List<NodeId> nodes) {}
+
     @Override
     public ReplicationStatus status() {
         return new ReplicationStatus(
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationGroup.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationGroup.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.replication;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.cardamomthread.core.id.NodeId;
 
@@ -51,6 +52,13 @@
      */
     CompletableFuture<Long> readBarrier();
 
+    /**
+     * Sets the nodes that this replica asks for admission while it is not a member.
+     *
+     * @param nodes nodes that are presumed to be members, or to know the leader
+     */
+    void setContacts(List<NodeId> nodes);
+
     /**
      * Returns the current status of this replica.
      *
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationSettings.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/ReplicationSettings.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.replication;
 
 import java.util.List;
+import java.util.Optional;
 import org.cardamomthread.core.id.NodeId;
 
 /**
@@ -18,6 +19,8 @@
  * @param maxBatchBytes the maximum total size of the entries in one message
  * @param snapshotChunkBytes the maximum size of a chunk in which a snapshot is transferred
  * @param maxPendingProposals the maximum number of commands that wait for their commit
+ * @param voterReplacement when other nodes become voters, or empty if only {@code voterNodes} may
+ *     vote
  */
 public record ReplicationSettings(
         List<NodeId> voterNodes,
@@ -28,7 +31,8 @@
         int snapshotIntervalBytes,
         int maxBatchBytes,
         int snapshotChunkBytes,
-        int maxPendingProposals) {
+        int maxPendingProposals,
+        Optional<VoterReplacement> voterReplacement) {
 
     private static final long DEFAULT_ELECTION_TIMEOUT_MS = 1000;
     private static final long CLOCK_ROUNDING_MARGIN_MS = 2;
@@ -83,7 +87,8 @@
                 DEFAULT_SNAPSHOT_INTERVAL_BYTES,
                 DEFAULT_MAX_BATCH_BYTES,
                 DEFAULT_SNAPSHOT_CHUNK_BYTES,
-                DEFAULT_MAX_PENDING_PROPOSALS);
+                DEFAULT_MAX_PENDING_PROPOSALS,
+                Optional.empty());
     }
 
     /**
@@ -104,7 +109,28 @@
                 snapshotIntervalBytes,
                 maxBatchBytes,
                 snapshotChunkBytes,
-                maxPendingProposals);
+                maxPendingProposals,
+                voterReplacement);
+    }
+
+    /**
+     * Returns a copy in which other nodes become voters.
+     *
+     * @param replacement when they become voters, or empty if only {@code voterNodes} may vote
+     * @return a copy that is otherwise equal
+     */
+    public ReplicationSettings withVoterReplacement(Optional<VoterReplacement> replacement) {
+        return new ReplicationSettings(
+                voterNodes,
+                electionTimeoutMs,
+                heartbeatMs,
+                maxClockDriftRatio,
+                snapshotIntervalEntries,
+                snapshotIntervalBytes,
+                maxBatchBytes,
+                snapshotChunkBytes,
+                maxPendingProposals,
+                replacement);
     }
 
     /**
@@ -123,7 +149,8 @@
                 snapshotIntervalBytes,
                 maxBatchBytes,
                 snapshotChunkBytes,
-                maxPendingProposals);
+                maxPendingProposals,
+                voterReplacement);
     }
 
     /**
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/GroupBootstrapper.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/GroupBootstrapper.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.replication.ReplicaMember;
 import org.cardamomthread.replication.VoterId;
@@ -20,7 +22,8 @@
  *
  * <p>The first voter node of the settings bootstraps the group once all other voter nodes have
  * reported an empty data folder. Every later commit is stored in at least one other folder, so a
- * first node that lost its own folder never bootstraps a second group. Not thread-safe.
+ * first node that lost its own folder never bootstraps a second group. A voter that was replaced
+ * while it was cut off asks to join again as well, since nothing else tells it. Not thread-safe.
  */
 final class GroupBootstrapper {
 
@@ -28,17 +31,19 @@
 
     private final ReplicaContext context;
     private final Map<NodeId, VoterId> emptyFolderIds = new HashMap<>();
+    private List<NodeId> contacts = List.of();
     private long lastRequestMs = MemberProgress.NEVER_MS;
 
     GroupBootstrapper(ReplicaContext context) {
         this.context = context;
     }
 
+    void setContacts(List<NodeId> nodes) {
+        contacts = nodes;
+    }
+
     void tick() {
-        boolean isConfiguredVoterNode =
-                context.settings().voterNodes().contains(context.self().nodeId());
-        if (!isConfiguredVoterNode
-                || context.log().membership().contains(context.self().voterId())) {
+        if (!mayBecomeMember() || isMember()) {
             return;
         }
         bootstrapIfAllFoldersEmpty();
@@ -48,6 +53,23 @@
         }
     }
 
+    private boolean mayBecomeMember() {
+        return context.settings().voterReplacement().isPresent() || isConfiguredVoterNode();
+    }
+
+    private boolean isConfiguredVoterNode() {
+        return context.settings().voterNodes().contains(context.self().nodeId());
+    }
+
+    /** A member that hears no leader may have been replaced without learning it. */
+    private boolean isMember() {
+        boolean maybeReplaced =
+                context.settings().voterReplacement().isPresent()
+                        && context.leader().isEmpty()
+                        && !context.isUninitialized();
+        return context.log().membership().contains(context.self().voterId()) && !maybeReplaced;
+    }
+
     private boolean isBootstrapNode() {
         return context.settings().voterNodes().get(0).equals(context.self().nodeId());
     }
@@ -59,8 +81,8 @@
     }
 
     private void sendRequests() {
-        for (NodeId node : otherVoterNodes()) {
-            Outbox outbox = context.outbox();
+        Outbox outbox = context.outbox();
+        for (NodeId node : nodesToAsk()) {
             outbox.queueAfterSync(
                     node,
                     outbox.newEnvelope(null, context.term())
@@ -68,7 +90,9 @@
                                     JoinRequest.newBuilder()
                                             .setVoterId(context.self().voterId().value())
                                             .setNodeId(context.self().nodeId().value())));
-            if (isBootstrapNode() && context.isUninitialized()) {
+        }
+        if (isBootstrapNode() && context.isUninitialized()) {
+            for (NodeId node : otherVoterNodes()) {
                 outbox.queueAfterSync(
                         node,
                         outbox.newEnvelope(null, context.term())
@@ -77,6 +101,16 @@
         }
     }
 
+    private Set<NodeId> nodesToAsk() {
+        Set<NodeId> nodes = new LinkedHashSet<>(contacts);
+        context.log().membership().members().forEach(member -> nodes.add(member.nodeId()));
+        if (contacts.isEmpty()) {
+            nodes.addAll(context.settings().voterNodes());
+        }
+        nodes.remove(context.self().nodeId());
+        return nodes;
+    }
+
     void onIdentityRequest(VoterId from, NodeId fromNode) {
         IdentityResponse response =
                 IdentityResponse.newBuilder()
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/LeaderState.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/LeaderState.java
@@ -65,7 +65,8 @@
                         member.voterId(),
                         existing != null
                                 ? existing
-                                : new MemberProgress(member, context.log().lastIndex() + 1));
+                                : new MemberProgress(
+                                        member, context.log().lastIndex() + 1, context.nowMs()));
             }
         }
     }
@@ -127,6 +128,12 @@
                         < context.settings().electionTimeoutMs();
     }
 
+    /** Returns whether a member has not responded for a time. */
+    boolean isSilentFor(VoterId voterId, long durationMs) {
+        MemberProgress progress = progressOf(voterId);
+        return progress != null && context.nowMs() - progress.silentSinceMs() >= durationMs;
+    }
+
     /** Returns the index after which the log must be retained for members that respond. */
     long retainAfterIndex() {
         return progressByVoter.values().stream()
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MemberProgress.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MemberProgress.java
@@ -14,6 +14,7 @@
     static final long NEVER_MS = Long.MIN_VALUE / 4;
 
     private final ReplicaMember member;
+    private final long trackedSinceMs;
     private Mode mode = Mode.PROBE;
     private long nextIndex;
     private long matchIndex;
@@ -33,9 +34,10 @@
         SNAPSHOT
     }
 
-    MemberProgress(ReplicaMember member, long nextIndex) {
+    MemberProgress(ReplicaMember member, long nextIndex, long nowMs) {
         this.member = member;
         this.nextIndex = nextIndex;
+        this.trackedSinceMs = nowMs;
     }
 
     ReplicaMember member() {
@@ -63,6 +65,11 @@
         return acknowledgedSentAtMs;
     }
 
+    /** Returns since when the member has given no response that this leader could count. */
+    long silentSinceMs() {
+        return Math.max(trackedSinceMs, acknowledgedSentAtMs);
+    }
+
     long lastSentMs() {
         return lastSentMs;
     }
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MembershipChanges.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MembershipChanges.java
@@ -1,22 +1,29 @@
 package org.cardamomthread.replication.consensus;
 
 import java.util.List;
+import java.util.Optional;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.replication.MembershipChangeException;
 import org.cardamomthread.replication.ReplicaMember;
 import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.VoterReplacement;
 import org.cardamomthread.replication.generated.EntryKind;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Changes the membership of a group, one member at a time, during one term of a leader.
  *
  * <p>Invariants: a change starts only after the previous change and an entry of the current term
- * are committed; only a learner that holds nearly the whole log becomes a voter. Not thread-safe.
+ * are committed; only a learner that holds nearly the whole log becomes a voter; a voter that is
+ * gone is removed only once such a learner can take its place. Not thread-safe.
  */
 final class MembershipChanges {
 
     private static final long MAX_PROMOTION_LAG_ENTRIES = 64;
 
+    private static final Logger LOG = LoggerFactory.getLogger(MembershipChanges.class);
+
     private final ReplicaContext context;
     private final LeaderState leaderState;
 
@@ -100,21 +107,37 @@
                 && progress.matchIndex() > 0;
     }
 
-    /**
-     * Adds the new folder of a configured voter node as a learner, unless the node has an active
-     * member.
-     */
+    /** Adds a folder as a learner if its node may vote and has no active member. */
     void onJoinRequest(VoterId voterId, NodeId nodeId) {
-        boolean isNewVoterFolder =
-                context.settings().voterNodes().contains(nodeId) && !membership().contains(voterId);
-        if (isNewVoterFolder && leaderState.isMembershipCommitted() && hasNoActiveMember(nodeId)) {
+        if (!membership().contains(voterId)
+                && leaderState.isMembershipCommitted()
+                && hasNoActiveMember(nodeId)
+                && mayJoin(nodeId)) {
             append(membership().withMember(new ReplicaMember(voterId, nodeId, false)));
+            logChange("member-added", voterId, nodeId);
         }
     }
 
+    private boolean mayJoin(NodeId nodeId) {
+        Optional<VoterReplacement> replacement = context.settings().voterReplacement();
+        if (replacement.isEmpty()) {
+            return context.settings().voterNodes().contains(nodeId);
+        }
+        long presentMembers =
+                membership().members().stream().filter(member -> !isGone(member)).count();
+        return !membership().membersOnNode(nodeId).isEmpty()
+                || presentMembers < replacement.get().voterCount();
+    }
+
+    private boolean isGone(ReplicaMember member) {
+        return context.settings()
+                .voterReplacement()
+                .filter(r -> leaderState.isSilentFor(member.voterId(), r.absenceMs()))
+                .isPresent();
+    }
+
     /**
-     * Removes members whose folder was replaced on their node, and promotes the caught-up
-     * replacements.
+     * Removes members that have a replacement, and promotes the caught-up replacements.
      *
      * <p>An inactive voter is removed before its replacement is promoted: it adds no fault
      * tolerance, whereas promoting first would increase the size of a majority.
@@ -123,29 +146,68 @@
         if (!leaderState.isMembershipCommitted()) {
             return;
         }
-        for (ReplicaMember member : membership().members()) {
-            if (isSuperseded(member)) {
-                append(membership().withoutMember(member.voterId()));
-                return;
-            }
-            if (isPromotable(member)) {
-                append(
-                        membership()
-                                .withMember(
-                                        new ReplicaMember(
-                                                member.voterId(), member.nodeId(), true)));
-                return;
-            }
+        List<ReplicaMember> members = membership().members();
+        Optional<ReplicaMember> promotable =
+                members.stream().filter(this::isPromotable).findFirst();
+        if (promotable.isPresent()) {
+            ReplicaMember learner = promotable.get();
+            append(
+                    membership()
+                            .withMember(
+                                    new ReplicaMember(learner.voterId(), learner.nodeId(), true)));
+            logChange("member-promoted", learner.voterId(), learner.nodeId());
+            return;
         }
+        members.stream()
+                .filter(member -> isSuperseded(member) || isReplaceable(member))
+                .findFirst()
+                .ifPresent(
+                        member -> {
+                            append(membership().withoutMember(member.voterId()));
+                            logChange("member-removed", member.voterId(), member.nodeId());
+                        });
+    }
+
+    private void logChange(String event, VoterId voterId, NodeId nodeId) {
+        LOG.atInfo()
+                .addKeyValue("event", event)
+                .addKeyValue("group", context.self().groupId())
+                .addKeyValue("term", context.term())
+                .addKeyValue("member", voterId)
+                .addKeyValue("node", nodeId)
+                .addKeyValue("members", membership().members())
+                .log("changing the members of the group");
     }
 
     private boolean isPromotable(ReplicaMember member) {
         return !member.isVoter()
-                && context.settings().voterNodes().contains(member.nodeId())
+                && mayVote(member.nodeId())
                 && membership().membersOnNode(member.nodeId()).size() == 1
                 && isCaughtUp(member.voterId());
     }
 
+    private boolean mayVote(NodeId nodeId) {
+        return context.settings()
+                .voterReplacement()
+                .map(replacement -> membership().voters().size() < replacement.voterCount())
+                .orElseGet(() -> context.settings().voterNodes().contains(nodeId));
+    }
+
+    /** Returns whether a member is gone and, if it is a voter, a learner can take its place. */
+    private boolean isReplaceable(ReplicaMember member) {
+        if (!isGone(member)) {
+            return false;
+        }
+        return !member.isVoter()
+                || membership().members().stream()
+                        .anyMatch(
+                                other ->
+                                        !other.isVoter()
+                                                && membership().membersOnNode(other.nodeId()).size()
+                                                        == 1
+                                                && isCaughtUp(other.voterId()));
+    }
+
     private boolean isSuperseded(ReplicaMember member) {
         List<ReplicaMember> membersOfNode = membership().membersOnNode(member.nodeId());
         ReplicaMember latestMember = membersOfNode.get(membersOfNode.size() - 1);
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Replica.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/Replica.java
@@ -78,6 +78,15 @@
         this.deliveredIndex = recovered.snapshotHeader().getIndex();
     }
 
+    /**
+     * Sets the nodes that are asked for admission while this replica is not a member.
+     *
+     * @param nodes nodes that are presumed to be members, or to know the leader
+     */
+    public void setContacts(List<NodeId> nodes) {
+        bootstrapper.setContacts(nodes);
+    }
+
     /**
      * Advances all timers: steps down without a quorum, sends heartbeats, starts elections.
      *
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/DefaultReplicationGroup.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/DefaultReplicationGroup.java
@@ -58,7 +58,6 @@
     /** Opening reads the whole log again, so it is not tried more often. */
     private static final long MAX_REOPEN_DELAY_MS = 1000;
 
-
     private final GroupId groupId;
     private final ReplicationSettings settings;
     private final TimeSource timeSource;
@@ -249,8 +248,8 @@
     }
 
     /**
-     * Runs inputs that arrived after the end of the thread; each finds the replica stopped and fails
-     * its future.
+     * Runs inputs that arrived after the end of the thread; each finds the replica stopped and
+     * fails its future.
      */
     private void rejectQueuedInputs() {
         Runnable input = inputs.poll();
@@ -377,6 +376,12 @@
                 status.failure());
     }
 
+    @Override
+    public void setContacts(List<NodeId> nodes) {
+        List<NodeId> contacts = List.copyOf(nodes);
+        inputs.add(() -> driver.setContacts(contacts));
+    }
+
     @Override
     public CompletableFuture<Void> addLearner(VoterId voterId, NodeId nodeId) {
         return submitMembershipChange(future -> driver.addLearner(voterId, nodeId, future));
--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/ReplicaDriver.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/runtime/ReplicaDriver.java
@@ -65,6 +65,7 @@
     private final RandomGenerator random;
     private final PendingProposals pendingProposals;
     private final List<CompletableFuture<Long>> pendingReads = new ArrayList<>();
+    private List<NodeId> contacts = List.of();
     private Replica replica;
     private long appliedIndex;
     private long snapshotIndex;
@@ -120,6 +121,17 @@
         appliedBytesSinceSnapshot = 0;
         ReplicaIdentity self = new ReplicaIdentity(groupId, nodeId, recovered.voterId());
         replica = new Replica(self, settings, recovered, random, nowMs());
+        replica.setContacts(contacts);
+    }
+
+    /**
+     * Sets the nodes that are asked for admission while this replica is not a member.
+     *
+     * @param nodes nodes that are presumed to be members, or to know the leader
+     */
+    public void setContacts(List<NodeId> nodes) {
+        contacts = nodes;
+        replica.setContacts(nodes);
     }
 
     private long nowMs() {
@@ -207,9 +219,7 @@
     private void append(AppendAction action, CompletableFuture<byte[]> future) {
         try {
             pendingProposals.add(action.run(), future);
-        } catch (NotLeaderException
-                | ReplicaUnavailableException
-                | MembershipChangeException e) {
+        } catch (NotLeaderException | ReplicaUnavailableException | MembershipChangeException e) {
             future.completeExceptionally(e);
         }
     }
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationScenarioTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationScenarioTests.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.replication.ReplicaMember;
 import org.cardamomthread.replication.ReplicaRole;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -193,6 +194,63 @@
         assertTrue(cluster.invariants().acknowledgedCount() >= 500);
     }
 
+    /** Guards against a group that is lost once most of its first nodes have been replaced. */
+    @Test(dataProvider = "seeds")
+    public void outlivesTheLossOfAllFirstVotersOneAfterAnother(int seed) {
+        SimulatedCluster cluster = SimulatedCluster.withReplacement(seed);
+        for (int i = 0; i < SimulatedCluster.VOTER_COUNT; i++) {
+            cluster.node(SimulatedCluster.VOTER_COUNT + i).crash();
+        }
+        cluster.run(ELECTION_STEPS);
+        for (int i = 0; i < SimulatedCluster.VOTER_COUNT; i++) {
+            propose(cluster, 20);
+            cluster.node(i).loseFolder();
+            SimulatedNode successor = cluster.node(SimulatedCluster.VOTER_COUNT + i);
+            successor.start();
+            awaitVoter(cluster, successor);
+        }
+        int acknowledged = cluster.invariants().acknowledgedCount();
+        propose(cluster, 20);
+        cluster.runUntilRecovered(RECOVERY_STEPS);
+        assertTrue(cluster.invariants().acknowledgedCount() >= acknowledged + 15);
+        assertEquals(voterCount(cluster), SimulatedCluster.VOTER_COUNT);
+    }
+
+    /** A voter that was cut off and replaced must not count twice, and serves as a spare later. */
+    @Test(dataProvider = "seeds")
+    public void replacedVoterThatReturnsTakesTheNextVacantPlace(int seed) {
+        SimulatedCluster cluster = SimulatedCluster.withReplacement(seed);
+        cluster.node(SimulatedCluster.VOTER_COUNT + 1).crash();
+        cluster.node(SimulatedCluster.VOTER_COUNT + 2).crash();
+        cluster.run(ELECTION_STEPS);
+        SimulatedNode replaced = follower(cluster, 0);
+        cluster.network().isolate(Set.of(replaced.id()));
+        awaitVoter(cluster, cluster.node(SimulatedCluster.VOTER_COUNT));
+        propose(cluster, 20);
+        cluster.network().isolate(Set.of());
+        cluster.run(4 * ELECTION_STEPS);
+        assertEquals(voterCount(cluster), SimulatedCluster.VOTER_COUNT);
+        assertFalse(cluster.isVoter(replaced));
+        leader(cluster).crash();
+        awaitVoter(cluster, replaced);
+        propose(cluster, 20);
+        cluster.runUntilRecovered(RECOVERY_STEPS);
+    }
+
+    private static void awaitVoter(SimulatedCluster cluster, SimulatedNode node) {
+        for (int i = 0; i < RECOVERY_STEPS; i++) {
+            cluster.step();
+            if (cluster.isVoter(node) && cluster.hasAllVoterFolders()) {
+                return;
+            }
+        }
+        throw new AssertionError(node.id() + " has not become a voter");
+    }
+
+    private static long voterCount(SimulatedCluster cluster) {
+        return leader(cluster).status().members().stream().filter(ReplicaMember::isVoter).count();
+    }
+
     @Test(dataProvider = "seeds")
     public void changesMembersOneAtATime(int seed) {
         SimulatedCluster cluster = clusterWithLeader(seed);
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationSimulationTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationSimulationTests.java
@@ -39,11 +39,18 @@
     @Test(dataProvider = "seeds")
     public void keepsInvariantsUnderRandomFaults(long firstSeed, long endSeed) {
         for (long seed = firstSeed; seed < endSeed; seed++) {
-            totalCounts = totalCounts.plus(run(seed));
+            totalCounts = totalCounts.plus(run(seed, new SimulatedCluster(seed)));
             seedsRun++;
         }
     }
 
+    @Test(dataProvider = "seeds")
+    public void keepsInvariantsWhileVotersAreReplaced(long firstSeed, long endSeed) {
+        for (long seed = firstSeed; seed < endSeed; seed++) {
+            run(seed, SimulatedCluster.withReplacement(seed));
+        }
+    }
+
     @Test(dependsOnMethods = "keepsInvariantsUnderRandomFaults")
     public void coversEachKindOfFault() {
         assertTrue(totalCounts.acknowledged() > 20 * seedsRun, totalCounts.toString());
@@ -52,9 +59,8 @@
         assertTrue(totalCounts.lostFolders() > seedsRun / 5, totalCounts.toString());
     }
 
-    private static SimulationCounts run(long seed) {
+    private static SimulationCounts run(long seed, SimulatedCluster cluster) {
         try {
-            SimulatedCluster cluster = new SimulatedCluster(seed);
             cluster.run(300);
             for (int i = 0; i < FAULT_STEPS; i++) {
                 cluster.stepWithFaults();
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedCluster.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedCluster.java
@@ -12,8 +12,9 @@
 import org.cardamomthread.replication.ReplicationSettings;
 import org.cardamomthread.replication.ReplicationStatus;
 import org.cardamomthread.replication.VoterId;
+import org.cardamomthread.replication.VoterReplacement;
 
-/** Simulates three voter nodes and a spare node under random faults derived from one seed. */
+/** Simulates three voter nodes and spare nodes under random faults derived from one seed. */
 final class SimulatedCluster {
 
     static final int VOTER_COUNT = 3;
@@ -22,6 +23,9 @@
     private static final long ELECTION_TIMEOUT_MS = 150;
     private static final long HEARTBEAT_MS = 50;
     private static final double MAX_CLOCK_DRIFT_RATIO = 0.1;
+    private static final int REPLACEMENT_SPARE_COUNT = 3;
+    private static final VoterReplacement REPLACEMENT =
+            new VoterReplacement(VOTER_COUNT, 3 * ELECTION_TIMEOUT_MS);
 
     private final SplittableRandom random;
     private final SimulatedNetwork network;
@@ -29,17 +33,25 @@
     private final List<SimulatedNode> nodes = new ArrayList<>();
     private long nowMs;
     private int proposalCount;
+    private final boolean hasReplacement;
 
     SimulatedCluster(long seed) {
-        this(seed, false);
+        this(seed, false, Optional.empty());
+    }
+
+    /** Creates a cluster in which three spare nodes may take the place of voters. */
+    static SimulatedCluster withReplacement(long seed) {
+        return new SimulatedCluster(seed, false, Optional.of(REPLACEMENT));
     }
 
     /** Creates a cluster whose nodes make the same random choices, as if they shared a seed. */
     static SimulatedCluster withEqualSeeds(long seed) {
-        return new SimulatedCluster(seed, true);
+        return new SimulatedCluster(seed, true, Optional.empty());
     }
 
-    private SimulatedCluster(long seed, boolean hasEqualSeeds) {
+    private SimulatedCluster(
+            long seed, boolean hasEqualSeeds, Optional<VoterReplacement> voterReplacement) {
+        hasReplacement = voterReplacement.isPresent();
         random = new SplittableRandom(seed);
         network = new SimulatedNetwork(random.split());
         List<NodeId> voterNodes = new ArrayList<>();
@@ -56,9 +68,13 @@
                         512,
                         64,
                         64,
-                        1000);
+                        1000,
+                        voterReplacement);
         List<NodeId> allNodes = new ArrayList<>(voterNodes);
         allNodes.add(new NodeId("spare"));
+        for (int i = 2; hasReplacement && i <= REPLACEMENT_SPARE_COUNT; i++) {
+            allNodes.add(new NodeId("spare-" + i));
+        }
         for (NodeId id : allNodes) {
             SimulatedNode node =
                     new SimulatedNode(
@@ -68,6 +84,9 @@
                             invariants,
                             (to, message) -> network.send(nowMs, id, to, message),
                             () -> nowMs);
+            if (hasReplacement) {
+                node.setContacts(allNodes);
+            }
             node.start();
             nodes.add(node);
         }
@@ -210,7 +229,7 @@
                 leader().ifPresent(this::proposeAt);
             }
             if (i > 200 && hasAllVoterFolders() && haveAllVotersCaughtUp()) {
-                nodes.subList(0, VOTER_COUNT)
+                expectedVoterNodes()
                         .forEach(n -> invariants.requireAllAcknowledged(n.appliedCommands()));
                 return;
             }
@@ -219,13 +238,25 @@
                 "the group has not recovered within the allowed steps: " + statuses());
     }
 
+    /** Returns the nodes that must vote once all faults are over. */
+    private List<SimulatedNode> expectedVoterNodes() {
+        return hasReplacement
+                ? nodes.stream().filter(this::isVoter).toList()
+                : nodes.subList(0, VOTER_COUNT);
+    }
+
+    boolean isVoter(SimulatedNode node) {
+        return leader().stream()
+                .flatMap(leader -> leader.status().members().stream())
+                .anyMatch(member -> member.isVoter() && member.voterId().equals(node.voterId()));
+    }
+
     private boolean haveAllVotersCaughtUp() {
         List<ReplicationStatus> statuses = statuses();
         long leaders = statuses.stream().filter(s -> s.role() == ReplicaRole.LEADER).count();
         long lowestApplied =
-                statuses.stream()
-                        .limit(VOTER_COUNT)
-                        .mapToLong(ReplicationStatus::appliedIndex)
+                expectedVoterNodes().stream()
+                        .mapToLong(node -> node.status().appliedIndex())
                         .min()
                         .orElse(0);
         return leaders == 1 && lowestApplied >= invariants.highestAcknowledgedIndex();
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedNode.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedNode.java
@@ -39,6 +39,7 @@
     private RecordingStateMachine stateMachine;
     private InMemoryLogStorage storage;
     private ReplicaDriver driver;
+    private List<NodeId> contacts = List.of();
     private boolean isSuspended;
     private int folderCount;
     private int crashCount;
@@ -111,12 +112,18 @@
                         GROUP, id, settings, storage, stateMachine, transport, clock, random);
         try {
             driver.open();
+            driver.setContacts(contacts);
         } catch (StorageException e) {
             throw new AssertionError(e);
         }
         storageStepsUntilCrash = -1;
     }
 
+    /** Sets the nodes that this node asks for admission after its next start. */
+    void setContacts(List<NodeId> nodes) {
+        contacts = nodes;
+    }
+
     void crash() {
         if (driver != null) {
             driver.close("crashed");
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
@@ -236,10 +236,11 @@
             writeLog(LongStream.rangeClosed(1, 20).toArray());
             FaultyFileAccess access = new FaultyFileAccess(operation, operations++);
             try (FileLogStorage storage = newStorage(access)) {
-                long lastSyncedIndex = 20;
-                while (lastSyncedIndex < 40) {
+                long lastSyncedIndex = openAndAppendUntilFailure(storage, 20, 40);
+                if (access.hasFailed()) {
                     lastSyncedIndex = openAndAppendUntilFailure(storage, lastSyncedIndex, 40);
                 }
+                assertEquals(lastSyncedIndex, 40, "operation " + operations);
             }
             hasFailed = access.hasFailed();
             RecoveredState recovered = reopen();
