Let an order that was overtaken have no effect

Cause: an order was proposed however old it was, although its caller had gone, and applied whenever it was committed; nothing told it from a new one.

Change: an order is proposed only while its caller can still wait for the response, by a clock that counts suspensions, and not while a node reads what arrived during a pause. It names the last order on the same data centre or service, read from the leader after it was received, and has no effect if another one was applied since; likewise the leader's decisions on a version move.

--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/traffic/TrafficStateMachine.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/traffic/TrafficStateMachine.java
@@ -21,8 +21,9 @@
  *
  * <p>Invariants: the version of the document never decreases, and a document with a version that is
  * not higher is ignored; a closed usage window keeps the counts with which it was closed first; an
- * ended move stays ended until a move of the service to another target begins. All commands are
- * idempotent. Not thread-safe; the returned state is immutable.
+ * ended move stays ended until a move of the service to another target begins; an order has no
+ * effect if another one for the same data centre or service was applied since it was accepted. All
+ * commands are idempotent. Not thread-safe; the returned state is immutable.
  */
 public final class TrafficStateMachine {
 
@@ -41,10 +42,11 @@
     public byte[] apply(long index, byte[] command) {
         TrafficState before = state;
         TrafficCommand parsed = parse(command);
+        boolean isOvertaken = false;
         switch (parsed.getActionCase()) {
             case REPLACE_DOCUMENT -> replaceDocument(parsed.getReplaceDocument());
-            case SET_DRAINED -> setDrained(parsed.getSetDrained());
-            case BEGIN_MOVE -> beginMove(parsed.getBeginMove());
+            case SET_DRAINED -> isOvertaken = !setDrained(index, parsed.getSetDrained());
+            case BEGIN_MOVE -> isOvertaken = !beginMove(index, parsed.getBeginMove());
             case END_MOVE -> endMove(parsed.getEndMove());
             case CLOSE_WINDOW -> closeWindow(parsed.getCloseWindow());
             case DELIVERED_WINDOW -> markDelivered(parsed.getDeliveredWindow());
@@ -54,10 +56,13 @@
                                     + index
                                     + " has an unknown type: run the same release on all voters");
         }
-        if (!withoutUsageWindows(state).equals(withoutUsageWindows(before))) {
+        if (!usedByGateways(state).equals(usedByGateways(before))) {
             state = state.toBuilder().setRevision(index).build();
         }
-        TrafficResult.Builder result = TrafficResult.newBuilder().setRevision(state.getRevision());
+        TrafficResult.Builder result =
+                TrafficResult.newBuilder()
+                        .setRevision(state.getRevision())
+                        .setOvertaken(isOvertaken);
         if (parsed.hasCloseWindow()) {
             findWindow(parsed.getCloseWindow().getWindow()).ifPresent(result::setWindow);
         }
@@ -96,25 +101,39 @@
         }
     }
 
-    private void setDrained(SetDrained command) {
+    /** Returns false if the order was overtaken by one with the opposite effect. */
+    private boolean setDrained(long index, SetDrained command) {
+        String dataCentre = command.getDataCentre();
         List<String> drained = new ArrayList<>(state.getDrainedDataCentresList());
-        drained.remove(command.getDataCentre());
+        if (command.hasExpectedOrderIndex()
+                && command.getExpectedOrderIndex()
+                        != state.getDrainOrderIndexesOrDefault(dataCentre, 0)) {
+            return drained.contains(dataCentre) == command.getDrained();
+        }
+        TrafficState.Builder newState = state.toBuilder().putDrainOrderIndexes(dataCentre, index);
+        drained.remove(dataCentre);
         if (command.getDrained()) {
-            drained.add(command.getDataCentre());
+            drained.add(dataCentre);
         }
         if (!drained.equals(state.getDrainedDataCentresList())) {
-            state =
-                    state.toBuilder()
-                            .clearDrainedDataCentres()
-                            .addAllDrainedDataCentres(drained)
-                            .build();
+            newState.clearDrainedDataCentres().addAllDrainedDataCentres(drained);
         }
+        state = newState.build();
+        return true;
     }
 
-    private void beginMove(BeginMove command) {
+    /** Returns false if the order was overtaken by one with another target. */
+    private boolean beginMove(long index, BeginMove command) {
         int position = indexOfMove(command.getService());
-        if (position >= 0 && state.getMoves(position).getTarget().equals(command.getTarget())) {
-            return;
+        boolean hasSameTarget =
+                position >= 0 && state.getMoves(position).getTarget().equals(command.getTarget());
+        if (command.hasExpectedOrderIndex()
+                && command.getExpectedOrderIndex() != moveOrderIndex(command.getService())) {
+            return hasSameTarget;
+        }
+        state = state.toBuilder().putMoveOrderIndexes(command.getService(), index).build();
+        if (hasSameTarget) {
+            return true;
         }
         VersionMoveState move =
                 VersionMoveState.newBuilder()
@@ -129,6 +148,11 @@
             newState.removeMoves(position);
         }
         state = newState.addMoves(move).build();
+        return true;
+    }
+
+    private long moveOrderIndex(String service) {
+        return state.getMoveOrderIndexesOrDefault(service, 0);
     }
 
     private void endMove(EndMove command) {
@@ -137,8 +161,12 @@
             return;
         }
         VersionMoveState move = state.getMoves(position);
+        boolean isCurrent =
+                !command.hasExpectedOrderIndex()
+                        || command.getExpectedOrderIndex() == moveOrderIndex(command.getService());
         boolean isAllowed =
-                move.getTarget().equals(command.getTarget())
+                isCurrent
+                        && move.getTarget().equals(command.getTarget())
                         && isSuccessor(command.getStage(), move.getStage());
         if (isAllowed) {
             VersionMoveState ended =
@@ -186,8 +214,12 @@
      * Returns the part of the state that gateways use. Only changes of this part set a new
      * revision.
      */
-    private static TrafficState withoutUsageWindows(TrafficState fullState) {
-        return fullState.toBuilder().clearWindows().build();
+    private static TrafficState usedByGateways(TrafficState fullState) {
+        return fullState.toBuilder()
+                .clearWindows()
+                .clearDrainOrderIndexes()
+                .clearMoveOrderIndexes()
+                .build();
     }
 
     private Optional<UsageWindow> findWindow(long window) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/TrafficReplica.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/TrafficReplica.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon.control;
 
+import java.util.Arrays;
 import org.cardamomthread.configuration.traffic.TrafficStateMachine;
 import org.cardamomthread.configuration.traffic.generated.TrafficState;
 import org.cardamomthread.replication.StateMachine;
@@ -12,6 +13,9 @@
  */
 public final class TrafficReplica implements StateMachine {
 
+    /** Query for the state without the document and the usage windows, which can be large. */
+    public static final byte[] ORDERS_QUERY = {1};
+
     private final TrafficStateMachine stateMachine = new TrafficStateMachine();
     private volatile TrafficState state = TrafficState.getDefaultInstance();
 
@@ -43,12 +47,15 @@
     }
 
     /**
-     * Returns the complete state applied so far, encoded.
+     * Returns the state applied so far, encoded.
      *
-     * @param query ignored
+     * @param query {@link #ORDERS_QUERY}, or empty for the complete state
      * @return the encoded state
      */
     public byte[] query(byte[] query) {
-        return state.toByteArray();
+        TrafficState current = state;
+        return Arrays.equals(query, ORDERS_QUERY)
+                ? current.toBuilder().clearDocument().clearWindows().build().toByteArray()
+                : current.toByteArray();
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/VersionMoveController.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/VersionMoveController.java
@@ -10,6 +10,7 @@
 import org.cardamomthread.configuration.traffic.generated.EndMove;
 import org.cardamomthread.configuration.traffic.generated.MoveStage;
 import org.cardamomthread.configuration.traffic.generated.TrafficCommand;
+import org.cardamomthread.configuration.traffic.generated.TrafficState;
 import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.concurrent.ControlThread;
@@ -101,10 +102,9 @@
     }
 
     private void run() {
+        TrafficState state = replica.getState();
         List<VersionMoveState> moves =
-                replica.getState().getMovesList().stream()
-                        .filter(VersionMoveController::isInProgress)
-                        .toList();
+                state.getMovesList().stream().filter(VersionMoveController::isInProgress).toList();
         Set<MoveKey> keys = moves.stream().map(MoveKey::of).collect(Collectors.toSet());
         evidence.keySet().retainAll(keys);
         undecidedReasons.keySet().retainAll(keys);
@@ -112,14 +112,14 @@
             evidence.clear();
             return;
         }
-        moves.forEach(this::evaluate);
+        moves.forEach(move -> evaluate(state, move));
     }
 
     private static boolean isInProgress(VersionMoveState move) {
         return move.getStage() == MoveStage.RUNNING || move.getStage() == MoveStage.PROMOTED;
     }
 
-    private void evaluate(VersionMoveState move) {
+    private void evaluate(TrafficState state, VersionMoveState move) {
         CanaryEvidence collected =
                 evidence.computeIfAbsent(MoveKey.of(move), key -> new CanaryEvidence());
         collected.update(
@@ -127,7 +127,7 @@
                 gatewayReports.sumOtherVersionResults(move.getService(), move.getTarget()));
         decide(move, collected, timeSource.millis())
                 .ifPresentOrElse(
-                        decision -> endStage(move, decision, collected),
+                        decision -> endStage(state, move, decision, collected),
                         () -> logUndecided(move, collected));
     }
 
@@ -171,7 +171,11 @@
         }
     }
 
-    private void endStage(VersionMoveState move, Decision decision, CanaryEvidence collected) {
+    private void endStage(
+            TrafficState state,
+            VersionMoveState move,
+            Decision decision,
+            CanaryEvidence collected) {
         logMove(
                 decision.stage() == MoveStage.PROMOTED ? "move-promoted" : "move-ended",
                 move,
@@ -184,6 +188,8 @@
                         .setTarget(move.getTarget())
                         .setStage(decision.stage())
                         .setEndedAtMs(timeSource.millis())
+                        .setExpectedOrderIndex(
+                                state.getMoveOrderIndexesOrDefault(move.getService(), 0))
                         .build();
         proposals
                 .propose(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlHandler.java
@@ -9,9 +9,7 @@
 import org.cardamomthread.configuration.traffic.InvalidTrafficDocumentException;
 import org.cardamomthread.configuration.traffic.TrafficDocument;
 import org.cardamomthread.configuration.traffic.TrafficDocumentValidator;
-import org.cardamomthread.configuration.traffic.generated.BeginMove;
 import org.cardamomthread.configuration.traffic.generated.ReplaceDocument;
-import org.cardamomthread.configuration.traffic.generated.SetDrained;
 import org.cardamomthread.configuration.traffic.generated.TrafficCommand;
 import org.cardamomthread.configuration.traffic.generated.TrafficState;
 import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
@@ -34,7 +32,8 @@
  * Handles HTTP requests of operators and endpoints on a control node.
  *
  * <p>Invariants: a change is acknowledged only after it has been committed to the replicated log. A
- * read that cannot be confirmed as current is answered with 503. Thread-safe.
+ * read that cannot be confirmed as current is answered with 503. Documents are ordered by their
+ * version, reports by their sequence; all other orders pass the {@link OrderProposer}. Thread-safe.
  */
 final class ControlHandler implements HttpHandler {
 
@@ -48,6 +47,7 @@
 
     private final PlatformDialect dialect;
     private final Supplier<Optional<ProposalClient>> proposals;
+    private final OrderProposer orderProposer;
     private final EndpointUpdateReplicator endpointUpdates;
     private final TimeSource timeSource;
     private final DecisionLog log;
@@ -55,11 +55,13 @@
     ControlHandler(
             PlatformDialect dialect,
             Supplier<Optional<ProposalClient>> proposals,
+            OrderProposer orderProposer,
             EndpointUpdateReplicator endpointUpdates,
             TimeSource timeSource,
             DecisionLog log) {
         this.dialect = dialect;
         this.proposals = proposals;
+        this.orderProposer = orderProposer;
         this.endpointUpdates = endpointUpdates;
         this.timeSource = timeSource;
         this.log = log;
@@ -91,23 +93,30 @@
         if (controlRequest instanceof ControlRequest.ReportEndpoint report) {
             respondWhenConfirmed(exchange, endpointUpdates.accept(report.report()));
         } else if (controlRequest instanceof ControlRequest.RemoveEndpoint removal) {
-            respondWhenConfirmed(
-                    exchange, endpointUpdates.remove(removal.endpoint(), removal.startTimeMs()));
+            orderProposer.runWhileCallerWaits(
+                    exchange,
+                    () ->
+                            respondWhenConfirmed(
+                                    exchange,
+                                    endpointUpdates.remove(
+                                            removal.endpoint(), removal.startTimeMs())));
         } else if (controlRequest instanceof ControlRequest.ReplaceDocument replacement) {
             replaceDocument(exchange, replacement.body());
         } else if (controlRequest instanceof ControlRequest.ReadDocument) {
             read(exchange, ControlHandler::renderDocument);
         } else if (controlRequest instanceof ControlRequest.BeginVersionMove begin) {
-            beginVersionMove(exchange, begin);
+            orderProposer.propose(
+                    exchange,
+                    new VersionMoveOrder(
+                            begin.service(),
+                            begin.target(),
+                            timeSource.millis(),
+                            begin.durationMs()));
         } else if (controlRequest instanceof ControlRequest.ReadVersionMove move) {
             read(exchange, state -> renderVersionMove(state, move.service()));
         } else if (controlRequest instanceof ControlRequest.SetDrained change) {
-            SetDrained command =
-                    SetDrained.newBuilder()
-                            .setDataCentre(change.dataCentre().value())
-                            .setDrained(change.isDrained())
-                            .build();
-            propose(exchange, TrafficCommand.newBuilder().setSetDrained(command).build());
+            orderProposer.propose(
+                    exchange, new DrainOrder(change.dataCentre(), change.isDrained()));
         }
     }
 
@@ -123,17 +132,6 @@
         propose(exchange, TrafficCommand.newBuilder().setReplaceDocument(command).build());
     }
 
-    private void beginVersionMove(HttpExchange exchange, ControlRequest.BeginVersionMove begin) {
-        BeginMove command =
-                BeginMove.newBuilder()
-                        .setService(begin.service().value())
-                        .setTarget(begin.target().value())
-                        .setStartedAtMs(timeSource.millis())
-                        .setDurationMs(begin.durationMs())
-                        .build();
-        propose(exchange, TrafficCommand.newBuilder().setBeginMove(command).build());
-    }
-
     private void respondWhenConfirmed(
             HttpExchange exchange, CompletableFuture<Boolean> confirmation) {
         confirmation.whenComplete(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon.fleet;
 
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
@@ -7,7 +8,9 @@
 import java.util.OptionalLong;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.concurrent.AfterPendingReads;
 import org.cardamomthread.daemon.concurrent.ControlThread;
+import org.cardamomthread.daemon.concurrent.LoopPauseDetector;
 import org.cardamomthread.daemon.control.ControlGroups;
 import org.cardamomthread.daemon.control.GroupDefinition;
 import org.cardamomthread.daemon.control.ProposalClient;
@@ -40,8 +43,8 @@
  * Assembles and runs a control node.
  *
  * <p>Invariant: the node votes only with a data folder that it has written itself. A node with an
- * empty folder learns the voters from other control nodes and joins as a new member, or waits until a
- * voter is gone. Thread-safe.
+ * empty folder learns the voters from other control nodes and joins as a new member, or waits until
+ * a voter is gone. Thread-safe.
  */
 final class ControlNode implements FleetNode {
 
@@ -115,6 +118,7 @@
                         new ControlHandler(
                                 dialect,
                                 this::proposalClient,
+                                createOrderProposer(),
                                 endpointUpdates,
                                 timeSource,
                                 components.log()));
@@ -130,6 +134,18 @@
         addGauges();
     }
 
+    private OrderProposer createOrderProposer() {
+        EventLoop loop = (EventLoop) components.eventLoops().next();
+        LoopPauseDetector pauseDetector = new LoopPauseDetector(components.timeSource());
+        pauseDetector.start(loop);
+        return new OrderProposer(
+                this::proposalClient,
+                new AfterPendingReads(loop),
+                pauseDetector::isReadingBacklog,
+                components.timeSource(),
+                components.log());
+    }
+
     @Override
     public void start() throws ListenerBindException, TransportStartException, StorageException {
         FleetSettings settings = components.settings();
@@ -153,7 +169,10 @@
         directory.start(controlThread, this::useLearntVoters);
         controlThread.scheduleWithFixedDelay(
                 VOTER_UPDATE_INTERVAL_MS,
-                () -> replicationGroup().map(ReplicationGroup::status).ifPresent(directory::update));
+                () ->
+                        replicationGroup()
+                                .map(ReplicationGroup::status)
+                                .ifPresent(directory::update));
         components.transport().start();
         startControllers();
         metricsServer.listen(settings.metrics().toSocketAddress());
