Keep periodic tasks running after any error

Found by looking for the cause of the full disks on related paths: a periodic task of a control node ended for good with one Error, as the executor drops a task that throws; a gateway stopped to ask for the view after an exception while it wrote its report.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/concurrent/ControlThread.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/concurrent/ControlThread.java
@@ -12,7 +12,8 @@
 /**
  * Runs the control tasks of a node sequentially on one thread.
  *
- * <p>A task that throws is logged, and the next one runs. Thread-safe.
+ * <p>A task that throws is logged, and the next one runs; a periodic one runs again after any
+ * error, since the executor would otherwise end it silently. Thread-safe.
  */
 public final class ControlThread implements AutoCloseable {
 
@@ -78,7 +79,7 @@
     private static void runLogged(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             LOGGER.error("a control task failed", failure);
         }
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
@@ -22,8 +22,8 @@
 /**
  * Polls the leader of the control nodes for the view.
  *
- * <p>Follows leader hints, and tries the known control nodes in turn while none responds. All state
- * is confined to one executor, on which the listeners run too.
+ * <p>Follows leader hints, and tries the known control nodes in turn while none responds. Polling
+ * continues after any error. All state is confined to one executor, on which the listeners run too.
  */
 public final class ViewClient {
 
@@ -117,6 +117,15 @@
     }
 
     private void poll() {
+        try {
+            sendRequest();
+        } catch (RuntimeException | Error e) {
+            LOGGER.error("asking for the view failed", e);
+            scheduleNextPoll(POLL_INTERVAL);
+        }
+    }
+
+    private void sendRequest() {
         NodeId target = leader.orElseGet(this::nextControlNode);
         ViewRequest.Builder request = ViewRequest.newBuilder();
         updater.addKnownRevisions(request);
@@ -129,6 +138,10 @@
                         executor);
     }
 
+    private void scheduleNextPoll(Duration delay) {
+        executor.schedule(this::poll, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private void handleResult(NodeId target, long sentMs, byte[] payload, Throwable failure) {
         Duration delay = RETRY_DELAY;
         try {
@@ -143,11 +156,11 @@
                     .log("received an unreadable view: run the same release on all nodes", e);
             handleFailure(target, "unreadable response");
             delay = POLL_INTERVAL;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOGGER.error("applying a view failed", e);
             delay = POLL_INTERVAL;
         }
-        executor.schedule(this::poll, delay.toMillis(), TimeUnit.MILLISECONDS);
+        scheduleNextPoll(delay);
     }
 
     private Duration handleResponse(NodeId target, long sentMs, ViewResponse response)
