Bound what all responses of a gateway hold back together

Heads, trailers, interim responses and bytes after a response were bounded. A response of the platform's interface was kept without a bound.

Change: what a response holds back beyond 32 KB comes out of a budget of 8 MiB a gateway; a response of the platform ends at 64 KB.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
@@ -7,6 +7,7 @@
 import org.asynchttpclient.AsyncCompletionHandlerBase;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
+import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PlatformCall;
@@ -20,7 +21,8 @@
  * since after an orderly close the host would still deliver data that was delayed by a network
  * failure, and the platform would receive a call of a former leader after those of its successor. A
  * call is written soon after it was decided on, or never: a process that stands still while it
- * connects may no longer be the leader when it goes on. Thread-safe.
+ * connects may no longer be the leader when it goes on. At most {@value #MAX_RESPONSE_BYTES} bytes
+ * of a response are kept. Thread-safe.
  */
 public final class FencedPlatformClient implements AutoCloseable {
 
@@ -33,6 +35,9 @@
     /** Longest time between the decision on a call and the moment at which it is written. */
     static final long MAX_WRITE_DELAY_MS = 500;
 
+    /** Many times the length of the platform's responses, of which only the status is used. */
+    static final int MAX_RESPONSE_BYTES = 64 * 1024;
+
     /**
      * A linger time of 0 seconds, with which closing resets the connection and discards unsent
      * data.
@@ -91,12 +96,13 @@
         }
     }
 
-    /** Refuses to write a call whose decision is too old. */
+    /** Refuses to write a call whose decision is too old, and to read a response without end. */
     private static final class TimelyWriteHandler extends AsyncCompletionHandlerBase {
 
         private final String path;
         private final TimeSource timeSource;
         private final long decidedMs;
+        private long receivedBytes;
 
         TimelyWriteHandler(String path, TimeSource timeSource) {
             this.path = path;
@@ -104,6 +110,20 @@
             decidedMs = timeSource.monotonicMs();
         }
 
+        @Override
+        public State onBodyPartReceived(HttpResponseBodyPart part) throws Exception {
+            receivedBytes += part.length();
+            if (receivedBytes > MAX_RESPONSE_BYTES) {
+                throw new IOException(
+                        "the response of the platform to "
+                                + path
+                                + " is longer than the maximum of "
+                                + MAX_RESPONSE_BYTES
+                                + " bytes");
+            }
+            return super.onBodyPartReceived(part);
+        }
+
         @Override
         public void onRequestSend(NettyRequest request) {
             long delayMs = timeSource.monotonicMs() - decidedMs;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -121,9 +121,9 @@
         } else if (relay.isFull()) {
             rejectResponse(
                     Kind.OVERSIZED_ANSWER,
-                    "more than "
+                    "more bytes arrived that complete no response and no event than the maximum "
                             + ResponseRelay.MAX_BUFFERED_BYTES
-                            + " bytes arrived that complete no response and no event");
+                            + ", or than this gateway has memory for");
             return;
         }
         call.pauseIfClientIsSlow();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -63,7 +63,9 @@
         this.context = context;
         this.exchange = exchange;
         this.request = request;
-        this.relay = new ResponseRelay(exchange, request.route().requestKind());
+        this.relay =
+                new ResponseRelay(
+                        exchange, request.route().requestKind(), context.heldBytesBudget());
         this.readPacer = new ReadPacer(relay, context.loop());
         this.promptParts = PromptPartGuard.keysOf(request);
         this.trialId = context.promptPartGuard().createTrialId(request.head().requestId());
@@ -238,6 +240,7 @@
         context.openCalls().remove(this);
         context.serviceLoads().recordEnd(request.service().id());
         deadline.cancel(false);
+        relay.close();
         if (currentAttempt != null) {
             currentAttempt.cancel();
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -112,6 +112,7 @@
                         versionResults,
                         serviceLoads,
                         openCalls,
+                        new HeldBytesBudget(),
                         routeDurations,
                         forwardingLog,
                         dependencies.metrics());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingContext.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingContext.java
@@ -28,6 +28,7 @@
  * @param versionResults counts responses by version
  * @param serviceLoads measures the load sent to each service
  * @param openCalls the calls that have not ended
+ * @param heldBytesBudget limits the bytes that responses hold back
  * @param routeDurations tracks how long the requests of each route take
  * @param forwardingLog writes an entry for each decision
  * @param metrics receives request and attempt counts
@@ -48,6 +49,7 @@
         VersionResultCounter versionResults,
         ServiceLoadTracker serviceLoads,
         OpenCalls openCalls,
+        HeldBytesBudget heldBytesBudget,
         RouteDurations routeDurations,
         ForwardingLog forwardingLog,
         ForwardingMetrics metrics) {}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ResponseRelay.java
@@ -15,20 +15,25 @@
  * are complete.
  *
  * <p>Invariants: at most {@value #MAX_BUFFERED_BYTES} bytes are held back, plus the last part that
- * was received. A resumable stream is relayed in complete events only, so that another endpoint can
- * continue after the last one, and an event only if it may follow the one before. Must be used on
- * one event loop.
+ * was received; what exceeds {@value #UNRESERVED_BYTES} of them is reserved in the budget of the
+ * gateway until it is sent or discarded. A resumable stream is relayed in complete events only, so
+ * that another endpoint can continue after the last one, and an event only if it may follow the one
+ * before. Must be used on one event loop.
  */
 final class ResponseRelay {
 
     /** Maximum length of a response, or of an event, that is held back until it is complete. */
     static final int MAX_BUFFERED_BYTES = 1024 * 1024;
 
+    /** Bytes that a response may hold back whatever others hold; more than most responses have. */
+    static final int UNRESERVED_BYTES = 32 * 1024;
+
     private static final String EVENT_STREAM = "text/event-stream";
     private static final int STATUS_OK = 200;
 
     private final HttpExchange exchange;
     private final RequestKind requestKind;
+    private final HeldBytesBudget budget;
     private final EventIdSequence eventIds = new EventIdSequence();
     private final EventBoundaryScanner scanner = new EventBoundaryScanner();
     private final ServerSentEventSplitter splitter = new ServerSentEventSplitter(scanner);
@@ -36,10 +41,13 @@
     private long eventsOfEarlierAttempts;
     private boolean isEventStream;
     private ResponseStream stream;
+    private long reservedBytes;
+    private boolean isBudgetExhausted;
 
-    ResponseRelay(HttpExchange exchange, RequestKind requestKind) {
+    ResponseRelay(HttpExchange exchange, RequestKind requestKind, HeldBytesBudget budget) {
         this.exchange = exchange;
         this.requestKind = requestKind;
+        this.budget = budget;
     }
 
     /** Returns whether the response head has been sent to the client. */
@@ -83,6 +91,7 @@
         byte[] deliverable = chunk;
         if (isResumable()) {
             deliverable = splitter.append(chunk);
+            updateReservation();
         } else if (isEventStream) {
             scanner.scan(chunk);
         }
@@ -115,6 +124,20 @@
     /** Holds a part back until the response is complete. */
     void buffer(byte[] chunk) {
         buffered.writeBytes(chunk);
+        updateReservation();
+    }
+
+    private void updateReservation() {
+        long heldBytes = buffered.size() + splitter.partialBytes();
+        long missingBytes = Math.max(0, heldBytes - UNRESERVED_BYTES) - reservedBytes;
+        if (missingBytes <= 0) {
+            budget.release(-missingBytes);
+            reservedBytes += missingBytes;
+        } else if (budget.tryReserve(missingBytes)) {
+            reservedBytes += missingBytes;
+        } else {
+            isBudgetExhausted = true;
+        }
     }
 
     /** Sends what was held back to the client, and all further parts as they arrive. */
@@ -122,11 +145,27 @@
         stream = exchange.startStream(status, headers);
         stream.write(buffered.toByteArray());
         buffered.reset();
+        isBudgetExhausted = false;
+        updateReservation();
     }
 
-    /** Returns whether more is held back than the maximum. */
+    /** Returns whether more is held back than the maximum, or than the gateway has memory for. */
     boolean isFull() {
-        return buffered.size() > MAX_BUFFERED_BYTES || splitter.partialBytes() > MAX_BUFFERED_BYTES;
+        return isBudgetExhausted
+                || buffered.size() > MAX_BUFFERED_BYTES
+                || splitter.partialBytes() > MAX_BUFFERED_BYTES;
+    }
+
+    private void discardHeld() {
+        buffered.reset();
+        splitter.discardPartial();
+        isBudgetExhausted = false;
+        updateReservation();
+    }
+
+    /** Releases what the response holds; must be called once the call has ended. */
+    void close() {
+        discardHeld();
     }
 
     /** Returns the number of bytes that were sent to the client and not yet written. */
@@ -136,8 +175,7 @@
 
     /** Discards data that has not been sent to the client, before another attempt. */
     void discardUndelivered() {
-        buffered.reset();
-        splitter.discardPartial();
+        discardHeld();
         eventsOfEarlierAttempts = scanner.eventCount();
         eventIds.beginRun();
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/FencedPlatformClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/FencedPlatformClientTests.java
@@ -21,6 +21,7 @@
 import org.cardamomthread.daemon.dialect.PlatformCall;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests {@link FencedPlatformClient}. */
@@ -31,6 +32,9 @@
 
     private static final int READ_TIMEOUT_MS = 1_000;
 
+    /** Bytes that the buffers of both sockets hold beside those that were read. */
+    private static final long MAX_SENT_BYTES = 16L << 20;
+
     private EventLoopGroup eventLoops;
     private ServerSocket platform;
     private ManualTimeSource time;
@@ -72,6 +76,38 @@
         }
     }
 
+    @DataProvider
+    public Object[][] endlessBytes() {
+        return new Object[][] {
+            {"a body", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+            {"chunks", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+            {"header lines", "HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+            {"no line end", "", "x"},
+        };
+    }
+
+    /** Guards against a platform whose endless response fills the memory of the leader. */
+    @Test(dataProvider = "endlessBytes", timeOut = 30_000)
+    public void disconnectsAPlatformThatSendsBytesWithoutEnd(
+            String name, String start, String repeated) throws Exception {
+        CompletableFuture<Integer> status = client.send(CALL);
+        try (Socket socket = platform.accept()) {
+            socket.getOutputStream().write(start.getBytes(StandardCharsets.US_ASCII));
+            byte[] part = repeated.repeat(512).getBytes(StandardCharsets.US_ASCII);
+            long sentBytes = 0;
+            try {
+                while (sentBytes <= MAX_SENT_BYTES) {
+                    socket.getOutputStream().write(part);
+                    sentBytes += part.length;
+                }
+            } catch (IOException disconnected) {
+                assertTrue(sentBytes <= MAX_SENT_BYTES);
+            }
+            assertTrue(sentBytes <= MAX_SENT_BYTES, sentBytes + " bytes read: " + name);
+            expectThrows(ExecutionException.class, () -> status.get(10, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     public void neverWritesCallOfProcessThatStoodStillWhileConnecting() throws Exception {
         FencedPlatformClient frozen = createClient(new FreezingTimeSource(time));
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ResponseRelayTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ResponseRelayTests.java
@@ -25,7 +25,7 @@
     @BeforeMethod
     public void createRelay() {
         exchange = new RecordedExchange("/a/x", "");
-        relay = new ResponseRelay(exchange, RequestKind.RESUMABLE_STREAM);
+        relay = new ResponseRelay(exchange, RequestKind.RESUMABLE_STREAM, new HeldBytesBudget());
         relay.beginSuccess(200, HEADERS);
     }
 
