Wait for the close of a caller before its order is proposed

Found in review: after a network failure the close of a connection arrives a round trip behind the order that it overtook, so one poll of the connections is not enough to see it. Orders wait 50 ms now.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
-import org.cardamomthread.daemon.concurrent.AfterPendingReads;
 import org.cardamomthread.daemon.concurrent.ControlThread;
 import org.cardamomthread.daemon.concurrent.LoopPauseDetector;
 import org.cardamomthread.daemon.control.ControlGroups;
@@ -59,6 +59,12 @@
     /** Well below the time in which a node that starts polls all others. */
     private static final long VOTER_UPDATE_INTERVAL_MS = 250;
 
+    /**
+     * More than a round trip: after a network failure the close of a connection arrives that much
+     * behind the request before it.
+     */
+    private static final long CLOSE_DELAY_MS = 50;
+
     /** Time for open requests to finish before the node closes. */
     private static final long DRAIN_DELAY_MS = 300;
 
@@ -140,7 +146,7 @@
         pauseDetector.start(loop);
         return new OrderProposer(
                 this::proposalClient,
-                new AfterPendingReads(loop),
+                task -> loop.schedule(task, CLOSE_DELAY_MS, TimeUnit.MILLISECONDS),
                 pauseDetector::isReadingBacklog,
                 components.timeSource(),
                 components.log());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/OrderProposer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/OrderProposer.java
@@ -34,7 +34,7 @@
     private static final Duration MAX_ORDER_AGE = Duration.ofMillis(900);
 
     private final Supplier<Optional<ProposalClient>> proposals;
-    private final Executor afterPendingReads;
+    private final Executor afterClose;
     private final BooleanSupplier isReadingBacklog;
     private final TimeSource timeSource;
     private final DecisionLog log;
@@ -44,19 +44,19 @@
      *
      * @param proposals supplies the client of the replication group, empty until the voters are
      *     known
-     * @param afterPendingReads runs tasks once a close that has arrived behind a request is known
+     * @param afterClose runs tasks once a close that was sent behind a request is known
      * @param isReadingBacklog returns whether a request may have arrived long before it is read
      * @param timeSource supplies monotonic time, including time for which the host was suspended
      * @param log receives an entry for each order that is not confirmed
      */
     OrderProposer(
             Supplier<Optional<ProposalClient>> proposals,
-            Executor afterPendingReads,
+            Executor afterClose,
             BooleanSupplier isReadingBacklog,
             TimeSource timeSource,
             DecisionLog log) {
         this.proposals = proposals;
-        this.afterPendingReads = afterPendingReads;
+        this.afterClose = afterClose;
         this.isReadingBacklog = isReadingBacklog;
         this.timeSource = timeSource;
         this.log = log;
@@ -74,7 +74,7 @@
             order.refuse("this node did not run for a while, so the order may be an old one");
             return;
         }
-        afterPendingReads.execute(
+        afterClose.execute(
                 () -> {
                     if (order.isCallerWaiting()) {
                         action.run();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/HeldBytesBudget.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/HeldBytesBudget.java
@@ -34,8 +34,4 @@
     void release(long bytes) {
         reservedBytes -= bytes;
     }
-
-    long reservedBytes() {
-        return reservedBytes;
-    }
 }
