Log and count failures of endpoints that are retried

A failure that another endpoint was asked to make good left no line, so that a request that failed once and one that was answered at once looked alike but for 'sends'. Both are wanted to tell the hypotheses of the incident apart. No test: no logic changes but a line and a count.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -222,6 +222,9 @@
             recordAnswerBegun();
             call.complete("answered", status, headers);
         } else if (isRetryableFailure()) {
+            context.metrics().countAttempt(request.service().id(), "failed");
+            context.forwardingLog()
+                    .logFailedAttempt(request, endpoint.id(), "failed", "status " + status);
             relay.discardUndelivered();
             call.tryNextEndpoint();
         } else {
