Send each attempt to an endpoint on a connection of its own

Callers saw: a success (MIXED) where the endpoint had answered their request with a failure.

Cause: safe requests reused connections, and the response to a request was told from a late second response to the one before by its identifier only. An identifier tells whole responses apart. If the second response breaks off inside its head, the next response completes it: status line, or a header, of the one; identifier, signature, length and body of the other. A second response is a success, so that the failure of the next request is passed on with status 200. Class: bytes are assigned to an exchange by their order on a shared connection.

Why this works: what an endpoint writes late finds no later exchange on its connection, in whatever form it comes. Both forms of the product use this client.

Tests: the parameter that chose a kept connection is gone, and with it the second run of each row without one. RepeatedRefusalTests now asks for the right response where a failed attempt was allowed. BufferedCallTests.retriesWithoutAConnection... is replaced by AsyncEndpointClientTests.usesAConnectionOfItsOwnForEachAttempt, which holds for all attempts and is checked at the endpoint.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
@@ -21,9 +21,12 @@
 /**
  * Sends attempts through AsyncHttpClient, whose own retries and redirects are disabled.
  *
- * <p>Requests that may reuse a connection use pooled ones; every other request uses a new one.
- * Connections on which bytes arrive that are no response are closed, and only an orderly close by
- * the endpoint ends a response. Thread-safe.
+ * <p>Invariant: a connection carries one attempt. Nothing that an endpoint writes late can precede
+ * the response to another request, where a part of it would be joined with that response: an
+ * identifier tells whole responses apart, not parts of them.
+ *
+ * <p>Connections on which bytes arrive that are no response are closed, and only an orderly close
+ * by the endpoint ends a response. Thread-safe.
  */
 public final class AsyncEndpointClient implements EndpointClient {
 
@@ -32,15 +35,13 @@
     /** Default connect timeout, which allows for several round trips between regions. */
     private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofMillis(800);
 
-    private static final Duration POOLED_IDLE_TIMEOUT = Duration.ofSeconds(20);
     private static final long TIMER_TICK_MS = 20;
     private static final int NO_TIMEOUT_MS = -1;
 
     private final TimeSource timeSource;
     private final Duration connectTimeout;
     private final Timer timer = new HashedWheelTimer(TIMER_TICK_MS, TimeUnit.MILLISECONDS);
-    private final AsyncHttpClient pooledClient;
-    private final AsyncHttpClient singleUseClient;
+    private final AsyncHttpClient client;
 
     /**
      * Creates a client.
@@ -63,22 +64,23 @@
             EventLoopGroup eventLoops, TimeSource timeSource, Duration connectTimeout) {
         this.timeSource = timeSource;
         this.connectTimeout = connectTimeout;
-        this.pooledClient = createClient(eventLoops, true);
-        this.singleUseClient = createClient(eventLoops, false);
+        this.client = createClient(eventLoops);
     }
 
     @Override
     public EndpointAttempt start(EndpointRequest request, EndpointResponseListener listener) {
         AttemptHandler handler = new AttemptHandler(request, listener, timer, timeSource);
-        AsyncHttpClient client = request.mayReuseConnection() ? pooledClient : singleUseClient;
         handler.attach(client.executeRequest(createRequest(request), handler));
         return handler;
     }
 
     @Override
     public void close() {
-        closeQuietly(pooledClient);
-        closeQuietly(singleUseClient);
+        try {
+            client.close();
+        } catch (IOException failure) {
+            LOGGER.warn("failed to close the endpoint client", failure);
+        }
         timer.stop();
     }
 
@@ -93,13 +95,13 @@
         return builder.build();
     }
 
-    private AsyncHttpClient createClient(EventLoopGroup eventLoops, boolean keepAlive) {
+    private AsyncHttpClient createClient(EventLoopGroup eventLoops) {
         return new DefaultAsyncHttpClient(
                 new DefaultAsyncHttpClientConfig.Builder()
                         .setEventLoopGroup(eventLoops)
                         .setNettyTimer(timer)
                         .setHttpAdditionalChannelInitializer(AsyncEndpointClient::addHandlers)
-                        .setKeepAlive(keepAlive)
+                        .setKeepAlive(false)
                         .setMaxRequestRetry(0)
                         .setFollowRedirect(false)
                         .setSslEngineFactory(AsyncEndpointClient::refuseTls)
@@ -110,7 +112,6 @@
                         .setConnectTimeout(connectTimeout)
                         .setRequestTimeout(Duration.ofMillis(NO_TIMEOUT_MS))
                         .setReadTimeout(Duration.ofMillis(NO_TIMEOUT_MS))
-                        .setPooledConnectionIdleTimeout(POOLED_IDLE_TIMEOUT)
                         .build());
     }
 
@@ -124,12 +125,4 @@
         ResponseByteLimiter.addTo(channel);
         OrderlyCloseGuard.addTo(channel);
     }
-
-    private static void closeQuietly(AsyncHttpClient client) {
-        try {
-            client.close();
-        } catch (IOException failure) {
-            LOGGER.warn("failed to close the endpoint client", failure);
-        }
-    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AttemptHandler.java
@@ -22,8 +22,7 @@
  * Converts AsyncHttpClient events to listener events and enforces the progress timeouts.
  *
  * <p>Invariants: the listener is notified of exactly one end; an attempt that ended while it was
- * connecting is never sent, so that {@code NOT_SENT} is certain; a connection on which an attempt
- * failed or timed out is closed and never reused. Thread-safe.
+ * connecting is never sent, so that {@code NOT_SENT} is certain. Thread-safe.
  */
 final class AttemptHandler implements AsyncHandler<Void>, EndpointAttempt {
 
@@ -44,7 +43,6 @@
     private final TimeSource timeSource;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.CONNECTING);
     private volatile boolean isHeadReceived;
-    private volatile boolean isConnectionReused;
     private volatile long lastProgressMs;
     private volatile Channel channel;
     private volatile Timeout progressTimeout;
@@ -88,12 +86,6 @@
         useChannel(connected);
     }
 
-    @Override
-    public void onConnectionPooled(Channel pooled) {
-        isConnectionReused = true;
-        useChannel(pooled);
-    }
-
     @Override
     public void onRequestSend(NettyRequest nettyRequest) {
         if (!request.maySend().getAsBoolean()) {
@@ -196,7 +188,6 @@
     private boolean isExpectedResponseId(String receivedId) {
         if (receivedId == null) {
             return request.acceptancePolicy().mayOmitIdInErrorResponse()
-                    && !isConnectionReused
                     && status >= MIN_ERROR_STATUS;
         }
         return receivedId.equals(request.requestId().value());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointRequest.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/EndpointRequest.java
@@ -14,9 +14,6 @@
  * @param headers the headers to send, without those that define the length of the body
  * @param body the body; empty if there is none
  * @param requestId the identifier that the response must repeat
- * @param mayReuseConnection whether a connection that has carried other requests may be used; if
- *     the call must not be run more than once, it could get lost on an idle connection that the
- *     endpoint is closing
  * @param firstByteTimeoutMs maximum wait for the head of the response, in milliseconds
  * @param gapTimeoutMs maximum wait between two parts of the response, in milliseconds
  * @param maySend queried immediately before the first byte is sent; if false, nothing is sent
@@ -29,7 +26,6 @@
         HttpHeaders headers,
         byte[] body,
         RequestId requestId,
-        boolean mayReuseConnection,
         long firstByteTimeoutMs,
         long gapTimeoutMs,
         BooleanSupplier maySend,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/ResponseAcceptancePolicy.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/ResponseAcceptancePolicy.java
@@ -7,7 +7,7 @@
  * @param mayEndByConnectionClose whether a body that is neither chunked nor has a length may be
  *     ended by an orderly close of the connection
  * @param mayOmitIdInErrorResponse whether a response with a status of 400 or above may omit the
- *     identifier on a connection that has carried no other request
+ *     identifier
  */
 public record ResponseAcceptancePolicy(
         String correlationHeader,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -149,8 +149,6 @@
                         headers,
                         clientRequest.body(),
                         request.head().requestId(),
-                        !request.route().requestKind().isStream()
-                                && request.route().requestKind().isRetryable(),
                         remainingMs,
                         remainingMs,
                         () -> maySend(endpoint),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AbstractRetryableCall.java
@@ -231,13 +231,7 @@
         EndpointAttempt startedAttempt =
                 dependencies
                         .dispatcher()
-                        .start(
-                                context,
-                                newReservation,
-                                getRequestTarget(),
-                                createBody(),
-                                attemptCount > 1,
-                                listener);
+                        .start(context, newReservation, getRequestTarget(), createBody(), listener);
         if (reservation == newReservation) {
             attempt = startedAttempt;
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AtMostOnceCallRunner.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AtMostOnceCallRunner.java
@@ -61,7 +61,7 @@
         reservation = new SendTrackingReservation(newReservation);
         timing = new AttemptTiming(timeSource);
         byte[] request = context.getExchange().getRequest().body();
-        dependencies.dispatcher().start(context, reservation, endpointTarget, request, false, this);
+        dependencies.dispatcher().start(context, reservation, endpointTarget, request, this);
     }
 
     @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptDispatcher.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/AttemptDispatcher.java
@@ -31,17 +31,12 @@
         this.tracing = tracing;
     }
 
-    /**
-     * Starts an attempt and a span, which ends with the listener's last event. A retry has the id
-     * of the attempts before it, so it uses a new connection, on which none of their responses can
-     * arrive.
-     */
+    /** Starts an attempt and a span, which ends with the listener's last event. */
     EndpointAttempt start(
             CallContext context,
             EndpointReservation reservation,
             String target,
             byte[] body,
-            boolean isRetry,
             EndpointResponseListener listener) {
         Span span = tracing.startSpan("endpoint attempt", SpanKind.CLIENT, context.getSpan());
         span.setAttribute("cardamomthread.endpoint", reservation.getEndpoint().value());
@@ -61,7 +56,6 @@
                         headers,
                         body,
                         context.getRequestId(),
-                        context.getTarget().isRepeatable() && !isRetry,
                         context.getTarget().traffic().getFirstByteTimeoutMs(),
                         context.getTarget().traffic().getGapTimeoutMs(),
                         () -> availability.maySend(reservation),
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
@@ -90,7 +90,7 @@
     public void acceptsOnlyACompleteResponseToItsOwnRequest(
             String response, String nextAction, Kind expected) throws Exception {
         try (ScriptedEndpoint endpoint = new ScriptedEndpoint(response, nextAction)) {
-            Outcome outcome = run(endpoint.getAddress(), false);
+            Outcome outcome = run(endpoint.getAddress());
             assertEquals(outcome.kind(), expected);
             assertEquals(endpoint.getRequestCount(), 1);
             if (expected == null) {
@@ -105,26 +105,26 @@
         try (ScriptedEndpoint endpoint = new ScriptedEndpoint("", CLOSE)) {
             address = endpoint.getAddress();
         }
-        assertEquals(run(address, false).kind(), Kind.NOT_SENT);
+        assertEquals(run(address).kind(), Kind.NOT_SENT);
     }
 
     @Test
-    public void doesNotResendOnAReusedConnectionThatCloses() throws Exception {
+    public void doesNotResendOnAConnectionThatCloses() throws Exception {
         try (ScriptedEndpoint endpoint =
                 new ScriptedEndpoint(OK_HEAD + "content-length: 4\r\n\r\nbody", KEEP_OPEN)) {
             endpoint.closeAfterSecondRequest();
-            assertEquals(run(endpoint.getAddress(), true).kind(), null);
-            assertEquals(run(endpoint.getAddress(), true).kind(), Kind.CONNECTION_LOST);
+            assertEquals(run(endpoint.getAddress()).kind(), null);
+            assertEquals(run(endpoint.getAddress()).kind(), Kind.CONNECTION_LOST);
             assertEquals(endpoint.getRequestCount(), 2);
         }
     }
 
     @Test
-    public void usesANewConnectionForANonRepeatableCall() throws Exception {
+    public void usesAConnectionOfItsOwnForEachAttempt() throws Exception {
         try (ScriptedEndpoint endpoint =
                 new ScriptedEndpoint(OK_HEAD + "content-length: 4\r\n\r\nbody", KEEP_OPEN)) {
-            run(endpoint.getAddress(), false);
-            run(endpoint.getAddress(), false);
+            run(endpoint.getAddress());
+            run(endpoint.getAddress());
             assertEquals(endpoint.getConnectionCount(), 2);
         }
     }
@@ -133,12 +133,11 @@
     public void neverSendsACancelledAttemptReportedAsNotSent() throws Exception {
         try (ScriptedEndpoint endpoint = new ScriptedEndpoint("", KEEP_OPEN)) {
             RecordingListener recorder = new RecordingListener();
-            EndpointAttempt attempt =
-                    client.start(createRequest(endpoint.getAddress(), false), recorder);
+            EndpointAttempt attempt = client.start(createRequest(endpoint.getAddress()), recorder);
             attempt.cancel();
             Outcome outcome = recorder.outcome.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
             if (outcome.kind() == Kind.NOT_SENT) {
-                run(endpoint.getAddress(), false);
+                run(endpoint.getAddress());
                 assertEquals(endpoint.getRequestCount(), 1);
             } else {
                 assertEquals(outcome.kind(), Kind.CANCELLED);
@@ -150,20 +149,20 @@
     public void sendsNothingOnceTheLeaseHasExpired() throws Exception {
         try (ScriptedEndpoint endpoint = new ScriptedEndpoint("", KEEP_OPEN)) {
             maySend = false;
-            assertEquals(run(endpoint.getAddress(), true).kind(), Kind.NOT_SENT);
+            assertEquals(run(endpoint.getAddress()).kind(), Kind.NOT_SENT);
             maySend = true;
-            run(endpoint.getAddress(), true);
+            run(endpoint.getAddress());
             assertEquals(endpoint.getRequestCount(), 1);
         }
     }
 
-    private Outcome run(String address, boolean isRepeatable) throws Exception {
+    private Outcome run(String address) throws Exception {
         RecordingListener recorder = new RecordingListener();
-        client.start(createRequest(address, isRepeatable), recorder);
+        client.start(createRequest(address), recorder);
         return recorder.outcome.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
     }
 
-    private EndpointRequest createRequest(String address, boolean isRepeatable) {
+    private EndpointRequest createRequest(String address) {
         HttpHeaders headers = new DefaultHttpHeaders().set("x-request-id", "r1");
         byte[] body = "{}".getBytes(StandardCharsets.UTF_8);
         return new EndpointRequest(
@@ -173,7 +172,6 @@
                 headers,
                 body,
                 new RequestId("r1"),
-                isRepeatable,
                 PROGRESS_TIMEOUT_MS,
                 PROGRESS_TIMEOUT_MS,
                 () -> maySend,
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/EndlessResponseTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/EndlessResponseTests.java
@@ -70,11 +70,9 @@
     @Test(dataProvider = "endlessBytes", timeOut = 30_000)
     public void disconnectsAnEndpointThatSendsNoResponseWithoutEnd(
             String name, String start, String repeated) throws Exception {
-        for (boolean isRepeatable : new boolean[] {true, false}) {
-            try (EndlessEndpoint endpoint = new EndlessEndpoint(start, repeated)) {
-                assertEquals(run(endpoint.getAddress(), isRepeatable), Kind.CONNECTION_LOST, name);
-                assertTrue(endpoint.awaitDisconnect() <= MAX_SENT_BYTES, name);
-            }
+        try (EndlessEndpoint endpoint = new EndlessEndpoint(start, repeated)) {
+            assertEquals(run(endpoint.getAddress()), Kind.CONNECTION_LOST, name);
+            assertTrue(endpoint.awaitDisconnect() <= MAX_SENT_BYTES, name);
         }
     }
 
@@ -87,11 +85,9 @@
     public void disconnectsAnEndpointThatSendsBytesAfterItsResponse(String repeated)
             throws Exception {
         String response = OK_HEAD + "content-length: 4\r\n\r\nbody";
-        for (boolean isRepeatable : new boolean[] {true, false}) {
-            try (EndlessEndpoint endpoint = new EndlessEndpoint(response, repeated)) {
-                assertEquals(run(endpoint.getAddress(), isRepeatable), null);
-                assertTrue(endpoint.awaitDisconnect() <= MAX_SENT_BYTES);
-            }
+        try (EndlessEndpoint endpoint = new EndlessEndpoint(response, repeated)) {
+            assertEquals(run(endpoint.getAddress()), null);
+            assertTrue(endpoint.awaitDisconnect() <= MAX_SENT_BYTES);
         }
     }
 
@@ -99,8 +95,7 @@
     public void disconnectsAnEndpointWithAnEndlessBodyOnceTheAttemptIsCancelled() throws Exception {
         try (EndlessEndpoint endpoint = new EndlessEndpoint(CHUNKED, "4\r\nbody\r\n")) {
             RecordingListener recorder = new RecordingListener();
-            EndpointAttempt attempt =
-                    client.start(createRequest(endpoint.getAddress(), true), recorder);
+            EndpointAttempt attempt = client.start(createRequest(endpoint.getAddress()), recorder);
             assertTrue(recorder.bodyStarted.get(TEST_TIMEOUT_S, TimeUnit.SECONDS));
             attempt.cancel();
             assertEquals(
@@ -109,14 +104,14 @@
         }
     }
 
-    private Kind run(String address, boolean isRepeatable) throws Exception {
+    private Kind run(String address) throws Exception {
         RecordingListener recorder = new RecordingListener();
-        client.start(createRequest(address, isRepeatable), recorder);
+        client.start(createRequest(address), recorder);
         String outcome = recorder.outcome.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
         return outcome.isEmpty() ? null : Kind.valueOf(outcome);
     }
 
-    private static EndpointRequest createRequest(String address, boolean isRepeatable) {
+    private static EndpointRequest createRequest(String address) {
         HttpHeaders headers = new DefaultHttpHeaders().set("x-request-id", "r1");
         return new EndpointRequest(
                 address,
@@ -125,7 +120,6 @@
                 headers,
                 "{}".getBytes(StandardCharsets.UTF_8),
                 new RequestId("r1"),
-                isRepeatable,
                 ATTEMPT_TIMEOUT_MS,
                 ATTEMPT_TIMEOUT_MS,
                 () -> true,
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/RepeatedRefusalTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/RepeatedRefusalTests.java
@@ -63,31 +63,24 @@
 
     @DataProvider
     public Object[][] copies() {
-        Object[][] copies = new Object[Moment.values().length * 4][];
+        Object[][] copies = new Object[Moment.values().length * 2][];
         int row = 0;
         for (Moment moment : Moment.values()) {
-            for (boolean isPooled : new boolean[] {true, false}) {
-                copies[row++] = new Object[] {moment, isPooled, refusal(FIRST_ID)};
-                copies[row++] = new Object[] {moment, isPooled, refusal(null)};
-            }
+            copies[row++] = new Object[] {moment, refusal(FIRST_ID)};
+            copies[row++] = new Object[] {moment, refusal(null)};
         }
         return copies;
     }
 
     @Test(dataProvider = "copies", timeOut = 30_000)
-    public void neverTakesAnEarlierRefusalForTheResponseOfTheNextRequest(
-            Moment moment, boolean isPooled, String copy) throws Exception {
+    public void neverTakesAnEarlierRefusalForTheResponseOfTheNextRequest(Moment moment, String copy)
+            throws Exception {
         try (RepeatingEndpoint endpoint = new RepeatingEndpoint(moment, copy)) {
-            assertEquals(run(endpoint, FIRST_ID, isPooled).status(), STATUS_REFUSED);
+            assertEquals(run(endpoint, FIRST_ID).status(), STATUS_REFUSED);
             if (moment != Moment.AFTER_THE_NEXT_REQUEST) {
                 endpoint.awaitDisconnect();
             }
-            Outcome second = run(endpoint, SECOND_ID, isPooled);
-            if (isPooled && moment == Moment.AFTER_THE_NEXT_REQUEST) {
-                assertEquals(second.kind(), Kind.MISMATCHED_ANSWER);
-            } else {
-                assertEquals(second, new Outcome(200, null));
-            }
+            assertEquals(run(endpoint, SECOND_ID), new Outcome(200, null));
         }
     }
 
@@ -97,7 +90,7 @@
         try (RacingEndpoint endpoint = new RacingEndpoint(random.nextLong())) {
             for (int i = 0; i < 400; i++) {
                 boolean isRefused = i % 2 == 0;
-                Outcome outcome = run(endpoint, (isRefused ? "refused-" : "run-") + i, true);
+                Outcome outcome = run(endpoint, (isRefused ? "refused-" : "run-") + i);
                 if (!isRefused) {
                     assertNotEquals(outcome.status(), STATUS_REFUSED, "request " + i);
                 }
@@ -118,16 +111,14 @@
 
     @Test(dataProvider = "interimResponses", timeOut = 30_000)
     public void neverTakesAnInterimResponseForTheResponse(String interim) throws Exception {
-        for (boolean isPooled : new boolean[] {true, false}) {
-            try (InterimEndpoint endpoint = new InterimEndpoint(interim)) {
-                for (int i = 0; i < 3; i++) {
-                    assertEquals(run(endpoint, SECOND_ID, isPooled), new Outcome(200, null));
-                }
+        try (InterimEndpoint endpoint = new InterimEndpoint(interim)) {
+            for (int i = 0; i < 3; i++) {
+                assertEquals(run(endpoint, SECOND_ID), new Outcome(200, null));
             }
         }
     }
 
-    private Outcome run(ScriptedEndpoint endpoint, String id, boolean isPooled) throws Exception {
+    private Outcome run(ScriptedEndpoint endpoint, String id) throws Exception {
         RecordingListener recorder = new RecordingListener();
         HttpHeaders headers = new DefaultHttpHeaders().set("x-request-id", id);
         client.start(
@@ -138,7 +129,6 @@
                         headers,
                         "{}".getBytes(StandardCharsets.UTF_8),
                         new RequestId(id),
-                        isPooled,
                         ATTEMPT_TIMEOUT_MS,
                         ATTEMPT_TIMEOUT_MS,
                         () -> true,
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
@@ -200,16 +200,14 @@
     @Test
     public void resetTogetherWithTheLastBytesIsNoEnd() throws Exception {
         for (int i = 0; i < REPETITIONS; i++) {
-            assertEquals(
-                    run(UNFRAMED + "body", Ending.RESET, i % 2 == 0, REQUEST_BYTES),
-                    Kind.CONNECTION_LOST);
+            assertEquals(run(UNFRAMED + "body", Ending.RESET, REQUEST_BYTES), Kind.CONNECTION_LOST);
         }
     }
 
     @Test
     public void resetWhileTheRequestIsSentIsNoEnd() throws Exception {
         for (int i = 0; i < REPETITIONS; i++) {
-            Kind kind = run(UNFRAMED + "body", Ending.RESET, i % 2 == 0, LARGE_REQUEST_BYTES);
+            Kind kind = run(UNFRAMED + "body", Ending.RESET, LARGE_REQUEST_BYTES);
             assertEquals(kind, Kind.CONNECTION_LOST);
         }
     }
@@ -219,7 +217,7 @@
         EndpointClient closedClient = new AsyncEndpointClient(eventLoops, new SystemTimeSource());
         try (OnceEndpoint endpoint = new OnceEndpoint(UNFRAMED + "body", Ending.KEEP_OPEN)) {
             RecordingListener recorder = new RecordingListener();
-            closedClient.start(createRequest(endpoint.getAddress(), true, REQUEST_BYTES), recorder);
+            closedClient.start(createRequest(endpoint.getAddress(), REQUEST_BYTES), recorder);
             recorder.bodyStarted.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
             closedClient.close();
             assertEquals(
@@ -245,7 +243,7 @@
             throws Exception {
         try (OnceEndpoint endpoint = new OnceEndpoint(UNFRAMED + "body", Ending.KEEP_OPEN)) {
             RecordingListener recorder = new RecordingListener();
-            client.start(createRequest(endpoint.getAddress(), true, REQUEST_BYTES), recorder);
+            client.start(createRequest(endpoint.getAddress(), REQUEST_BYTES), recorder);
             recorder.bodyStarted.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
             Channel channel = lastChannel;
             channel.eventLoop()
@@ -267,9 +265,7 @@
             try (OnceEndpoint endpoint = new OnceEndpoint(UNFRAMED + "body", Ending.RESET)) {
                 RecordingListener recorder = new RecordingListener();
                 EndpointAttempt attempt =
-                        client.start(
-                                createRequest(endpoint.getAddress(), true, REQUEST_BYTES),
-                                recorder);
+                        client.start(createRequest(endpoint.getAddress(), REQUEST_BYTES), recorder);
                 attempt.setReading(false);
                 Thread.sleep(i);
                 attempt.setReading(true);
@@ -282,24 +278,19 @@
 
     private void assertEnd(String name, String response, Ending ending, Kind expected)
             throws Exception {
-        for (boolean isRepeatable : new boolean[] {true, false}) {
-            assertEquals(run(response, ending, isRepeatable, REQUEST_BYTES), expected, name);
-        }
+        assertEquals(run(response, ending, REQUEST_BYTES), expected, name);
     }
 
-    private Kind run(String response, Ending ending, boolean isRepeatable, int requestBytes)
-            throws Exception {
+    private Kind run(String response, Ending ending, int requestBytes) throws Exception {
         try (OnceEndpoint endpoint = new OnceEndpoint(response, ending)) {
             RecordingListener recorder = new RecordingListener();
-            client.start(
-                    createRequest(endpoint.getAddress(), isRepeatable, requestBytes), recorder);
+            client.start(createRequest(endpoint.getAddress(), requestBytes), recorder);
             String outcome = recorder.outcome.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
             return outcome.isEmpty() ? null : Kind.valueOf(outcome);
         }
     }
 
-    private static EndpointRequest createRequest(
-            String address, boolean isRepeatable, int requestBytes) {
+    private static EndpointRequest createRequest(String address, int requestBytes) {
         HttpHeaders headers = new DefaultHttpHeaders().set("x-request-id", "r1");
         return new EndpointRequest(
                 address,
@@ -308,7 +299,6 @@
                 headers,
                 new byte[requestBytes],
                 new RequestId("r1"),
-                isRepeatable,
                 PROGRESS_TIMEOUT_MS,
                 PROGRESS_TIMEOUT_MS,
                 () -> true,
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LateSecondResponseTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LateSecondResponseTests.java
@@ -56,7 +56,7 @@
         AROUND_THE_NEXT_RESPONSE
     }
 
-    @BeforeMethod(alwaysRun = true)
+    @BeforeMethod
     public void start() throws Exception {
         eventLoops = new NioEventLoopGroup(1);
         client = new AsyncEndpointClient(eventLoops, new SystemTimeSource());
@@ -96,7 +96,7 @@
     }
 
     // Guards against a success that reached the client of a request that its endpoint had failed.
-    @Test(dataProvider = "secondResponses", groups = "known-red")
+    @Test(dataProvider = "secondResponses")
     public void neverJoinsPartOfALateSecondResponseWithTheNextResponse(
             Moment writtenAt, int nextStatus) throws Exception {
         moment = writtenAt;
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
@@ -61,24 +61,6 @@
         assertEquals(caller.getStatus(), 200);
     }
 
-    @Test
-    public void retriesWithoutAConnectionThatMayCarryAnEarlierResponseWithTheSameId() {
-        endpoints.addScript(
-                listener -> {
-                    listener.onHead(503, new DefaultHttpHeaders());
-                    listener.onComplete();
-                });
-        endpoints.addScript(
-                listener -> {
-                    listener.onHead(200, new DefaultHttpHeaders());
-                    listener.onComplete();
-                });
-        start();
-        assertEquals(endpoints.getRequest(1).requestId(), endpoints.getRequest(0).requestId());
-        assertTrue(endpoints.getRequest(0).mayReuseConnection());
-        assertFalse(endpoints.getRequest(1).mayReuseConnection());
-    }
-
     @DataProvider
     public Object[][] firstFailures() {
         return new Object[][] {
