Send each call to the platform on a connection of its own

A response that the platform wrote a second time was taken for that to the next call: a report or an order that was rejected with 429 counted as accepted, and a page of notices was read as a list of prices, which was empty then.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/capacity/HttpPlatformClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/capacity/HttpPlatformClient.java
@@ -16,7 +16,12 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Reads reclaim notices and prices from the platform's API over HTTP. Thread-safe. */
+/**
+ * Reads reclaim notices and prices from the platform's API over HTTP.
+ *
+ * <p>Invariant: a connection carries one call, since nothing in a response tells to which call it
+ * belongs. Thread-safe.
+ */
 public final class HttpPlatformClient implements PlatformClient {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(HttpPlatformClient.class);
@@ -38,6 +43,7 @@
                 Dsl.asyncHttpClient(
                         Dsl.config()
                                 .setIoThreadsCount(1)
+                                .setKeepAlive(false)
                                 .setConnectTimeout(REQUEST_TIMEOUT)
                                 .setRequestTimeout(REQUEST_TIMEOUT)
                                 .setMaxRequestRetry(0));
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
@@ -21,7 +21,8 @@
  * since after an orderly close the host would still deliver data that was delayed by a network
  * failure, and the platform would receive a call of a former leader after those of its successor. A
  * call is written soon after it was decided on, or never: a process that stands still while it
- * connects may no longer be the leader when it goes on. At most {@value #MAX_RESPONSE_BYTES} bytes
+ * connects may no longer be the leader when it goes on. A connection carries one call, since
+ * nothing in a response tells to which call it belongs. At most {@value #MAX_RESPONSE_BYTES} bytes
  * of a response are kept. Thread-safe.
  */
 public final class FencedPlatformClient implements AutoCloseable {
@@ -65,6 +66,7 @@
                 Dsl.asyncHttpClient(
                         Dsl.config()
                                 .setEventLoopGroup(eventLoops)
+                                .setKeepAlive(false)
                                 .setConnectTimeout(REQUEST_TIMEOUT)
                                 .setRequestTimeout(REQUEST_TIMEOUT)
                                 .setSoLinger(RESET_ON_CLOSE_LINGER_S)
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/FencedPlatformClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/FencedPlatformClientTests.java
@@ -16,9 +16,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cardamomthread.core.time.ManualTimeSource;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PlatformCall;
+import org.cardamomthread.daemon.testing.RawEndpoint;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -30,6 +32,10 @@
     private static final PlatformCall CALL =
             new PlatformCall("/scale", new DefaultHttpHeaders(), new byte[] {1, 2, 3});
 
+    private static final String ACCEPTED = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    private static final String REJECTED =
+            "HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\n\r\n";
+
     private static final int READ_TIMEOUT_MS = 1_000;
 
     /** Bytes that the buffers of both sockets hold beside those that were read. */
@@ -108,6 +114,32 @@
         }
     }
 
+    @DataProvider
+    public Object[][] lateSecondResponses() {
+        return new Object[][] {
+            {"whole", ACCEPTED}, {"cut inside the reason phrase", ACCEPTED.substring(0, 13)},
+        };
+    }
+
+    /** Guards against a call that counts as accepted because an earlier one was accepted twice. */
+    @Test(dataProvider = "lateSecondResponses")
+    public void neverTakesALateSecondResponseForTheOneToTheNextCall(String name, String late)
+            throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        RawEndpoint.Script script =
+                (connection, id) -> {
+                    boolean isFirstCall = calls.incrementAndGet() == 1;
+                    boolean isKept = connection.requests() > 1;
+                    connection.write(isFirstCall ? ACCEPTED : (isKept ? late : "") + REJECTED);
+                };
+        try (RawEndpoint repeating = new RawEndpoint(script);
+                FencedPlatformClient caller =
+                        new FencedPlatformClient(repeating.address(), eventLoops, time)) {
+            assertEquals((int) caller.send(CALL).get(5, TimeUnit.SECONDS), 200);
+            assertEquals((int) caller.send(CALL).get(5, TimeUnit.SECONDS), 429);
+        }
+    }
+
     @Test
     public void neverWritesCallOfProcessThatStoodStillWhileConnecting() throws Exception {
         FencedPlatformClient frozen = createClient(new FreezingTimeSource(time));
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/RawEndpoint.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/RawEndpoint.java
@@ -33,7 +33,7 @@
          * Answers a request.
          *
          * @param connection the connection on which the request was received
-         * @param requestId the id of the request
+         * @param requestId the id of the request, or empty if it has none
          * @throws Exception if the connection is to be closed
          */
         void answer(Connection connection, String requestId) throws Exception;
@@ -149,7 +149,11 @@
     }
 
     private static String readId(String head) {
-        int start = head.indexOf(ID_HEADER) + ID_HEADER.length();
+        int header = head.indexOf(ID_HEADER);
+        if (header < 0) {
+            return "";
+        }
+        int start = header + ID_HEADER.length();
         return head.substring(start, head.indexOf('\r', start));
     }
 }
