Send each request of the operators' command on a connection of its own

AsyncHttpTransportTests.neverTakesALateSecondResponse... failed before (200 for a request that was answered with 409) and passes now.

--- a/cardamomthread-command/src/main/java/org/cardamomthread/command/client/AsyncHttpTransport.java
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/client/AsyncHttpTransport.java
@@ -15,7 +15,10 @@
 import org.cardamomthread.configuration.document.NetworkAddress;
 
 /**
- * Sends requests with AsyncHttpClient, with its automatic retries disabled. Confined to one thread.
+ * Sends requests with AsyncHttpClient, with its automatic retries disabled.
+ *
+ * <p>Invariant: a connection carries one request, since nothing in a response tells to which
+ * request it belongs. Confined to one thread.
  */
 public final class AsyncHttpTransport implements OperatorTransport {
 
@@ -37,6 +40,7 @@
                 Dsl.asyncHttpClient(
                         Dsl.config()
                                 .setMaxRequestRetry(0)
+                                .setKeepAlive(false)
                                 .setConnectTimeout(CONNECT_TIMEOUT)
                                 .setRequestTimeout(REQUEST_TIMEOUT)
                                 .setIoThreadsCount(1));
--- a/cardamomthread-command/src/test/java/org/cardamomthread/command/client/AsyncHttpTransportTests.java
+++ b/cardamomthread-command/src/test/java/org/cardamomthread/command/client/AsyncHttpTransportTests.java
@@ -60,6 +60,17 @@
         }
     }
 
+    @Test
+    public void neverTakesALateSecondResponseForTheOneToTheNextRequest() throws Exception {
+        try (ServerSocket server = listen()) {
+            CompletableFuture<Void> served = serveTwiceOnKeptConnection(server);
+            String body = "{\"a\": 1}";
+            assertEquals(transport.send(address(server), "POST", "/v1/x", body).status(), 200);
+            assertEquals(transport.send(address(server), "POST", "/v1/x", body).status(), 409);
+            served.join();
+        }
+    }
+
     @Test
     public void reportsRefusedConnectionAsNotSent() throws IOException {
         NetworkAddress unusedAddress;
@@ -81,18 +92,44 @@
         return new NetworkAddress("127.0.0.1", server.getLocalPort());
     }
 
+    /**
+     * Accepts the first request and rejects the second one; if that comes on the same connection,
+     * the first response is written again before.
+     */
+    private static CompletableFuture<Void> serveTwiceOnKeptConnection(ServerSocket server) {
+        return CompletableFuture.runAsync(
+                () -> {
+                    try (Socket first = server.accept()) {
+                        readUntilBody(first.getInputStream());
+                        write(first, "200 OK");
+                        if (!readUntilBody(first.getInputStream()).isEmpty()) {
+                            write(first, "200 OK");
+                            write(first, "409 Conflict");
+                            return;
+                        }
+                        try (Socket second = server.accept()) {
+                            readUntilBody(second.getInputStream());
+                            write(second, "409 Conflict");
+                        }
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                });
+    }
+
+    private static void write(Socket socket, String status) throws IOException {
+        String head = "HTTP/1.1 " + status + "\r\nContent-Length: " + RESPONSE_BODY.length();
+        byte[] bytes = (head + "\r\n\r\n" + RESPONSE_BODY).getBytes(StandardCharsets.UTF_8);
+        socket.getOutputStream().write(bytes);
+    }
+
     private static CompletableFuture<String> serveOnce(ServerSocket server, boolean responds) {
         return CompletableFuture.supplyAsync(
                 () -> {
                     try (Socket socket = server.accept()) {
                         String request = readUntilBody(socket.getInputStream());
                         if (responds) {
-                            String head =
-                                    "HTTP/1.1 200 OK\r\nContent-Length: " + RESPONSE_BODY.length();
-                            byte[] bytes =
-                                    (head + "\r\n\r\n" + RESPONSE_BODY)
-                                            .getBytes(StandardCharsets.UTF_8);
-                            socket.getOutputStream().write(bytes);
+                            write(socket, "200 OK");
                         }
                         return request;
                     } catch (IOException e) {
