Test a part of a second response that comes with the first one

LateSecondResponseTests wrote the part only after the next request had arrived. A part that comes in the same packet as the first response was joined as well, without any coincidence in time: the decoder keeps it without a message, so that the connection looked idle.

The 2 new rows pass.

--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LateSecondResponseTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LateSecondResponseTests.java
@@ -51,6 +51,7 @@
 
     /** When the part of the second response is written. */
     private enum Moment {
+        WITH_THE_FIRST_RESPONSE,
         WITH_THE_NEXT_RESPONSE,
         BEFORE_THE_NEXT_RESPONSE,
         AROUND_THE_NEXT_RESPONSE
@@ -136,8 +137,10 @@
     /** Owes a part of a second response to the first request until the next request arrives. */
     private void answer(RawEndpoint.Connection connection, String id) throws Exception {
         if (id.equals("r0")) {
-            connection.write(response(200, id));
-            connection.owe(lateCopy(id));
+            boolean isWrittenNow = moment == Moment.WITH_THE_FIRST_RESPONSE;
+            connection.write(
+                    response(200, id) + (isWrittenNow ? lateCopy(id).substring(0, cut) : ""));
+            connection.owe(isWrittenNow ? "" : lateCopy(id));
             return;
         }
         if (id.equals("r2")) {
