--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LateSecondResponseTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LateSecondResponseTests.java
@@ -1,7 +1,6 @@
 package org.cardamomthread.daemon.forwarding;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertFalse;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -107,10 +106,6 @@
             assertEquals(statusOf(call("r0")), "200");
             String response = call("r1");
             String detail = "cut at " + cut + ": " + response;
-            if (statusOf(response).equals("502")) {
-                assertFalse(response.contains("x-test-signature"), detail);
-                continue;
-            }
             assertEquals(statusOf(response), String.valueOf(nextStatus), detail);
             assertEquals(response.split("x-test-signature").length, 2, detail);
             assertEquals(response.endsWith("\r\n\r\nbody-r1"), nextStatus == 200, detail);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/BufferedCallTests.java
@@ -100,6 +100,15 @@
         assertTrue(endpoints.getRequest(0).maySend().getAsBoolean());
     }
 
+    @Test
+    public void retriesUnderTheSameRequestId() {
+        endpoints.addScript(send(503).andThen(EndpointResponseListener::onComplete));
+        endpoints.addScript(send(200).andThen(EndpointResponseListener::onComplete));
+        start();
+        assertEquals(endpoints.getRequest(1).requestId(), endpoints.getRequest(0).requestId());
+        assertEquals(caller.getStatus(), 200);
+    }
+
     @Test
     public void passesALongResponseOn() {
         endpoints.addScript(send(200).andThen(EndpointResponseListener::onComplete));
