Close a connection after a response that could not be written

Clients with pipelined requests could get the response to one request as that of the one before, and a stream with a hole that looked whole.

Cause: the end of a write completed the exchange whether or not the write had succeeded, and writes of heads and parts were not looked at. A write can fail on an open connection, such as for want of memory for its bytes. The next response then took the place of the one that was never sent, and the last chunk ended a body of which a part was missing.

A connection on which a part of a response could not be written is closed at once, so that nothing can follow it; what was sent looks broken off.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -26,8 +27,8 @@
  * Implements the exchange of one request on a connection.
  *
  * <p>Invariants: the request counts as in progress until the last byte of its response was written
- * or the connection was closed; a stream looks complete to the client only if it was finished.
- * Thread-safe; writes are performed in order on the event loop.
+ * or the connection was closed; a stream looks complete to the client only if it was finished and
+ * every part of it was written. Thread-safe; writes are performed in order on the event loop.
  */
 final class DefaultHttpExchange implements HttpExchange {
 
@@ -84,7 +85,8 @@
         }
         FullHttpResponse nettyResponse = encode(response);
         boolean close = addCloseHeaderIfNeeded(nettyResponse.headers(), keepAlive);
-        context.writeAndFlush(nettyResponse).addListener(written -> onResponseWritten(close));
+        context.writeAndFlush(nettyResponse)
+                .addListener(written -> onResponseWritten(written, close));
     }
 
     @Override
@@ -101,7 +103,7 @@
         } else {
             resetWhenClosed(true);
         }
-        context.writeAndFlush(nettyResponse);
+        context.writeAndFlush(nettyResponse).addListener(this::closeIfNotWritten);
         return new DefaultResponseStream(close);
     }
 
@@ -164,8 +166,9 @@
         }
     }
 
-    private void onResponseWritten(boolean close) {
-        if (!ended.compareAndSet(false, true)) {
+    private void onResponseWritten(Future<?> written, boolean close) {
+        closeIfNotWritten(written);
+        if (!written.isSuccess() || !ended.compareAndSet(false, true)) {
             return;
         }
         serverState.endRequest();
@@ -176,6 +179,24 @@
         connection.onRequestCompleted(context);
     }
 
+    /**
+     * A client would take what follows a part that was not written for the rest of the response.
+     */
+    private void closeIfNotWritten(Future<?> written) {
+        if (written.isSuccess()) {
+            return;
+        }
+        if (!context.channel().isActive()) {
+            LOGGER.debug("the client has closed the connection", written.cause());
+            return;
+        }
+        LOGGER.warn(
+                "a part of the response to {} could not be written; its connection is closed",
+                request.path(),
+                written.cause());
+        context.close();
+    }
+
     /** Writes a response body in chunks, or up to the end of the connection for HTTP/1.0. */
     private final class DefaultResponseStream implements ResponseStream {
 
@@ -189,20 +210,24 @@
         public void write(byte[] part) {
             pendingBytes.addAndGet(part.length);
             context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)))
-                    .addListener(written -> pendingBytes.addAndGet(-part.length));
+                    .addListener(
+                            written -> {
+                                pendingBytes.addAndGet(-part.length);
+                                closeIfNotWritten(written);
+                            });
         }
 
         @Override
         public void finish() {
             context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(written -> onStreamWritten(written.isSuccess()));
+                    .addListener(this::onStreamWritten);
         }
 
-        private void onStreamWritten(boolean isWhole) {
-            if (!acceptsChunks && isWhole) {
+        private void onStreamWritten(Future<?> written) {
+            if (!acceptsChunks && written.isSuccess()) {
                 resetWhenClosed(false);
             }
-            onResponseWritten(close);
+            onResponseWritten(written, close);
         }
 
         @Override
