Ignore calls to a stream after its end

A client that keeps its connection could get a part of the response to one request inside the next response, or the next response cut short with the last chunk of a whole one.

Cause: a stream wrote to its connection whenever it was called. Once it is finished, the next request of the connection is handled, and a late part or a second end went into the response to that one; a late abort closed the connection under it. Calls of one call's stream can be late when the timer of an attempt ends it while the thread of its connection relays a part. A stream that was aborted on the event loop and then finished looked whole.

A stream now knows that it has ended, on the event loop, where the next request begins too: whatever is called later is logged and dropped.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.util.OptionalLong;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cardamomthread.execution.ExecutionStatus;
@@ -197,10 +198,28 @@
         context.close();
     }
 
-    /** Writes a response body in chunks, or up to the end of the connection for HTTP/1.0. */
+    private void runOnLoop(Runnable task) {
+        if (context.executor().inEventLoop()) {
+            task.run();
+            return;
+        }
+        try {
+            context.executor().execute(task);
+        } catch (RejectedExecutionException stopped) {
+            LOGGER.debug("the event loop of the connection has been stopped", stopped);
+        }
+    }
+
+    /**
+     * Writes a response body in chunks, or up to the end of the connection for HTTP/1.0.
+     *
+     * <p>Invariant: nothing is written once the stream was finished or aborted, since the next
+     * response on the connection may have begun.
+     */
     private final class DefaultResponseStream implements ResponseStream {
 
         private final boolean close;
+        private boolean isEnded;
 
         DefaultResponseStream(boolean close) {
             this.close = close;
@@ -209,6 +228,15 @@
         @Override
         public void write(byte[] part) {
             pendingBytes.addAndGet(part.length);
+            runOnLoop(() -> writeUnlessEnded(part));
+        }
+
+        private void writeUnlessEnded(byte[] part) {
+            if (isEnded) {
+                pendingBytes.addAndGet(-part.length);
+                logLateCall("a part of " + part.length + " bytes");
+                return;
+            }
             context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)))
                     .addListener(
                             written -> {
@@ -219,6 +247,15 @@
 
         @Override
         public void finish() {
+            runOnLoop(this::finishUnlessEnded);
+        }
+
+        private void finishUnlessEnded() {
+            if (isEnded) {
+                logLateCall("an end");
+                return;
+            }
+            isEnded = true;
             context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
                     .addListener(this::onStreamWritten);
         }
@@ -232,7 +269,23 @@
 
         @Override
         public void abort() {
-            context.channel().eventLoop().execute(() -> context.close());
+            runOnLoop(this::closeUnlessWritten);
+        }
+
+        private void closeUnlessWritten() {
+            if (ended.get()) {
+                logLateCall("an abort");
+                return;
+            }
+            isEnded = true;
+            context.close();
+        }
+
+        private void logLateCall(String call) {
+            LOGGER.warn(
+                    "{} came after the end of the response to {} and is ignored",
+                    call,
+                    request.path());
         }
 
         @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ResponseStream.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ResponseStream.java
@@ -1,6 +1,9 @@
 package org.cardamomthread.daemon.http;
 
-/** Writes the body of a streamed response. Must be used by one thread at a time. */
+/**
+ * Writes the body of a streamed response. Must be used by one thread at a time. Calls after the end
+ * of the stream have no effect.
+ */
 public interface ResponseStream {
 
     /**
@@ -13,7 +16,10 @@
     /** Completes the body. The caller sees a complete response. */
     void finish();
 
-    /** Closes the connection without completing the body. The caller sees a truncated response. */
+    /**
+     * Closes the connection without completing the body, unless the whole response was written. The
+     * caller sees a truncated response.
+     */
     void abort();
 
     /**
