Name trials of a prompt differently in each run of a node

After a gateway had started anew, a request could be sent as a trial of a quarantined prompt while the trial of the earlier run was still open.

Cause: a trial is known by its node, the id of the request and a count that starts at 1 with the process. The leader, and in the other form the owner of the block, lets the holder of a trial send again; a client that repeats a request after the restart, as the n-th one as before, passed for the holder. That a loss or release of the earlier run counts for the later one follows from the same comparison and was not tried.

It is opaque to its receivers; the messages are unchanged.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/PromptPartGuard.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/PromptPartGuard.java
@@ -63,11 +63,13 @@
     private final Map<ServiceId, Long> answeredSentMs = new HashMap<>();
 
     private Map<PromptPartKey, KnownQuarantine> recorded = Map.of();
+    private final long startTimeMs;
     private long trialCount;
 
     PromptPartGuard(TrialClient trialClient, TimeSource timeSource, ForwardingLog log) {
         this.trialClient = trialClient;
         this.timeSource = timeSource;
+        startTimeMs = timeSource.millis();
         evidence = new PromptPartEvidenceBuffer(timeSource, log);
     }
 
@@ -97,10 +99,12 @@
                         PromptPartKey.of(request.service().id(), parts.get(parts.size() - 1).id()));
     }
 
-    /** Returns an identifier for the trials of one request, unique at this gateway. */
+    /**
+     * Returns an identifier for the trials of one request, unique among all runs of this gateway.
+     */
     String createTrialId(RequestId request) {
         trialCount++;
-        return request + "#" + trialCount;
+        return request + "#" + startTimeMs + "." + trialCount;
     }
 
     /**
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/SharedPromptGuard.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/quarantine/SharedPromptGuard.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.id.RequestId;
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.TimeSource;
@@ -41,7 +40,7 @@
 
     private static final long TICK_INTERVAL_MS = 250;
 
-    private final NodeId self;
+    private final Peer self;
     private final Supplier<List<Peer>> livePeers;
     private final Executor executor;
     private final PromptBlockQuarantine quarantine;
@@ -70,7 +69,7 @@
             Executor executor,
             TimeSource timeSource,
             DecisionLog log) {
-        this.self = self.node();
+        this.self = self;
         this.livePeers = livePeers;
         this.executor = executor;
         this.quarantine = new PromptBlockQuarantine(timeSource, log);
@@ -106,7 +105,8 @@
 
     @Override
     public GuardedPrompt createPrompt(RequestId request, ServiceId service, PromptPrefix prefix) {
-        String trial = self + "/" + request + "#" + requestCount.incrementAndGet();
+        String run = self.node() + "/" + request + "#" + self.incarnation();
+        String trial = run + "." + requestCount.incrementAndGet();
         return new GuardedPrompt(trial, service, prefix);
     }
 
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/quarantine/SuspectedBlocksTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/quarantine/SuspectedBlocksTests.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -73,6 +74,15 @@
         assertEquals(decide(second, blocks), Kind.TRIAL);
     }
 
+    /** The owner of a block lets the holder of its trial send again, whichever run asks. */
+    @Test
+    public void namesNoTrialLikeOneOfAnEarlierRunOfTheNode() {
+        SharedPromptGuard restarted = createGuard(new Peer(FIRST.node(), 2), SECOND);
+        assertNotEquals(
+                createPrompt(restarted, List.of(1L)).trial(),
+                createPrompt(first, List.of(1L)).trial());
+    }
+
     private SharedPromptGuard createGuard(Peer self, Peer other) {
         SharedPromptGuard guard =
                 new SharedPromptGuard(
