Give a job's result only to the request that it answers

A client that sent another request with the Idempotency-Key of an earlier job was told 202 and later got the result of the earlier request; its own was never run.

Cause: the id of a job was derived from the account and the key alone, and an accepted job is kept as it is when the same id is accepted again. Claims of calls that may run once compare a digest of the request; jobs compared nothing.

Evidence: JobIdentityTests sends the same request, another deadline, another request and another key after an accepted job, and the same request after a finished one.

The id is now derived from the request too, so that a retry finds its job and another request makes another one. Neither messages nor the log change. A retry of a job that was accepted by the release before makes a second job.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ReplicatedJobApi.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/ReplicatedJobApi.java
@@ -89,7 +89,7 @@
                 CallTargetResolver.resolveModelCall(
                         declarations, document.path("service").asText(), JOBS_ROUTE);
         byte[] request = createModelRequestBody(document, target);
-        JobId id = createJobId(exchange, account);
+        JobId id = createJobId(exchange, account, request);
         JobCommand command =
                 new JobCommand.Accept(
                         id,
@@ -109,14 +109,15 @@
     }
 
     /**
-     * Derives the identifier from the idempotency key, if any, so that a retry refers to the same
-     * job.
+     * Derives the identifier from the idempotency key, if any, and the request, so that a retry
+     * refers to the same job and no other request gets its result.
      */
-    private static JobId createJobId(HttpExchange exchange, ClientAccount account) {
+    private static JobId createJobId(HttpExchange exchange, ClientAccount account, byte[] request) {
+        String content = new String(request, StandardCharsets.UTF_8);
         String id =
                 exchange.getRequest()
                         .getHeader("idempotency-key")
-                        .map(key -> account.id() + "\n" + key)
+                        .map(key -> account.id() + "\n" + key + "\n" + content)
                         .map(name -> UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)))
                         .orElseGet(UUID::randomUUID)
                         .toString();
