Forward the request target as it was received

Callers saw: the route was chosen by the path as sent, but an endpoint could get another path. An empty query's mark and fragments were dropped, bytes beyond ASCII were encoded once more, and CONNECT on a route was begun to be sent.

Cause: the address and the target were joined to a URL and parsed, and the parser resolves dot segments and drops fragments; ServerRequest dropped the mark of an empty query.

The target passes no parser any more: it is kept as received, the path is read from it, and it is handed to the encoder of request lines as a whole. What cannot go out byte for byte (no leading slash, other than visible ASCII characters, CONNECT) gets 400 with the remedy before anything is sent, in both forms of the product. In the form with homes a path with a fragment matches no route, as dot segments do not.

Tests that created a ServerRequest pass the target without an empty query; nothing else in them changed. FakePlacement and RawEndpoint got an address and the request line.

--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/PathPattern.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/declaration/PathPattern.java
@@ -42,11 +42,12 @@
      *
      * @param path the path as received, starting with a slash, without the query
      * @return the percent-decoded path without a trailing slash, or empty if the path is malformed
-     *     or contains dot segments, empty inner segments, backslashes, path parameters, encoded
-     *     slashes or encoded percent signs
+     *     or contains dot segments, empty inner segments, backslashes, path parameters, a fragment,
+     *     encoded slashes or encoded percent signs
      */
     public static Optional<String> decode(String path) {
-        if (!isUnambiguous(path) || ENCODED_SLASH_PATTERN.matcher(path).find()) {
+        boolean hasFragment = path.indexOf('#') >= 0;
+        if (hasFragment || !isUnambiguous(path) || ENCODED_SLASH_PATTERN.matcher(path).find()) {
             return Optional.empty();
         }
         try {
--- a/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/declaration/PathPatternTests.java
+++ b/cardamomthread-configuration/src/test/java/org/cardamomthread/configuration/declaration/PathPatternTests.java
@@ -57,6 +57,18 @@
         expectThrows(IllegalArgumentException.class, () -> new PathPattern(path));
     }
 
+    @DataProvider
+    public Object[][] pathsWithFragments() {
+        return new Object[][] {{"/drops#"}, {"/drops#x"}, {"/drops#/x"}, {"/#/drops"}};
+    }
+
+    // Guards against a fragment that is ignored here and taken for a part of the path elsewhere.
+    @Test(dataProvider = "pathsWithFragments")
+    public void rejectsPathsWithFragments(String path) {
+        assertEquals(PathPattern.decode(path), Optional.empty());
+        assertEquals(PathPattern.decode(path.replace("#", "%23")), Optional.of(path));
+    }
+
     @DataProvider
     public Object[][] equivalentPaths() {
         return new Object[][] {{"/drops"}, {"/drops/"}, {"/%64rops"}, {"/drop%73/"}};
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
@@ -14,6 +14,7 @@
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Request;
 import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.uri.Uri;
 import org.cardamomthread.core.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,6 +26,8 @@
  * the response to another request, where a part of it would be joined with that response: an
  * identifier tells whole responses apart, not parts of them.
  *
+ * <p>Invariant: the request target goes out as given, without a parser of URLs on its way.
+ *
  * <p>Connections on which bytes arrive that are no response are closed, and only an orderly close
  * by the endpoint ends a response. Thread-safe.
  */
@@ -87,7 +90,7 @@
     private Request createRequest(EndpointRequest request) {
         RequestBuilder builder =
                 new RequestBuilder(request.method().name(), true, false)
-                        .setUrl("http://" + request.address() + request.target())
+                        .setUri(createUri(request))
                         .setHeaders(request.headers());
         if (request.body().length > 0) {
             builder.setBody(request.body());
@@ -95,6 +98,19 @@
         return builder.build();
     }
 
+    /** Keeps the target away from the parser of URLs, which removes dot segments and fragments. */
+    private static Uri createUri(EndpointRequest request) {
+        Uri address = Uri.create("http://" + request.address());
+        return new Uri(
+                address.getScheme(),
+                null,
+                address.getHost(),
+                address.getPort(),
+                request.target(),
+                null,
+                null);
+    }
+
     private AsyncHttpClient createClient(EventLoopGroup eventLoops) {
         return new DefaultAsyncHttpClient(
                 new DefaultAsyncHttpClientConfig.Builder()
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -145,7 +145,7 @@
                 new EndpointRequest(
                         endpoint.knownEndpoint().report().address().toString(),
                         clientRequest.method(),
-                        clientRequest.getRequestTarget(),
+                        clientRequest.target(),
                         headers,
                         clientRequest.body(),
                         request.head().requestId(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
@@ -16,6 +16,7 @@
 import org.cardamomthread.daemon.dialect.RequestHead;
 import org.cardamomthread.daemon.http.HttpExchange;
 import org.cardamomthread.daemon.http.HttpHandler;
+import org.cardamomthread.daemon.http.RequestTargets;
 import org.cardamomthread.daemon.http.ServerRequest;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.policy.admission.ShutdownAdmission;
@@ -131,6 +132,14 @@
     }
 
     private void handle(ReceivedRequest received) {
+        ServerRequest request = received.exchange().getRequest();
+        Optional<GatewayError> targetError =
+                RequestTargets.findProblem(request.method(), request.target())
+                        .map(GatewayError::of);
+        if (targetError.isPresent()) {
+            reject(received, targetError.get());
+            return;
+        }
         if (view.routes().isEmpty()) {
             reject(
                     received,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/GatewayError.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/GatewayError.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.forwarding;
 
 import java.util.OptionalLong;
+import org.cardamomthread.daemon.http.ProblemDetail;
 
 /**
  * Describes an error response that the gateway generates itself. Immutable.
@@ -18,6 +19,10 @@
         return new GatewayError(status, type, title, detail, OptionalLong.empty());
     }
 
+    static GatewayError of(ProblemDetail problem) {
+        return of(problem.status(), problem.type(), problem.title(), problem.detail());
+    }
+
     static GatewayError unavailable(String type, String detail, long retryAfterMs) {
         return new GatewayError(
                 503, type, "Service unavailable", detail, OptionalLong.of(retryAfterMs));
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallerApi.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/CallerApi.java
@@ -13,6 +13,7 @@
 import org.cardamomthread.daemon.http.HttpExchange;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.ProblemDetail;
+import org.cardamomthread.daemon.http.RequestTargets;
 import org.cardamomthread.daemon.http.ServerRequest;
 
 /**
@@ -63,6 +64,12 @@
             refuse(exchange, requestId, createUnauthorizedProblem());
             return;
         }
+        Optional<ProblemDetail> targetProblem =
+                RequestTargets.findProblem(request.method(), request.target());
+        if (targetProblem.isPresent()) {
+            refuse(exchange, requestId, targetProblem.get());
+            return;
+        }
         try {
             route(exchange, requestId, declarations, account.get());
         } catch (UnknownTargetException unknown) {
@@ -122,12 +129,12 @@
         int slash = servicePath.indexOf('/');
         String service = slash < 0 ? servicePath : servicePath.substring(0, slash);
         String path = slash < 0 ? "/" : servicePath.substring(slash);
+        String query = request.target().substring(request.path().length());
         CallTarget target =
                 CallTargetResolver.resolvePlainCall(
                         declarations, service, request.method().name(), path);
-        String endpointTarget = request.query().isEmpty() ? path : path + "?" + request.query();
         CallContext context = createContext(exchange, requestId, account, target);
-        admit(account, context, () -> starter.startPlainCall(context, endpointTarget));
+        admit(account, context, () -> starter.startPlainCall(context, path + query));
     }
 
     private void admit(ClientAccount account, CallContext context, Runnable action) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/DefaultCallStarter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/DefaultCallStarter.java
@@ -22,7 +22,7 @@
             new StreamingModelCall(context, dependencies, request).start();
             return;
         }
-        String target = context.getExchange().getRequest().getRequestTarget();
+        String target = context.getExchange().getRequest().target();
         new BufferedCall(context, dependencies, WorkEstimate.of(request), target).start();
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/JobExchange.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/JobExchange.java
@@ -22,7 +22,7 @@
 
     JobExchange(byte[] body) {
         HttpHeaders headers = new DefaultHttpHeaders().set("content-type", "application/json");
-        request = new ServerRequest(HttpMethod.POST, "/v1/chat/completions", "", headers, body);
+        request = new ServerRequest(HttpMethod.POST, "/v1/chat/completions", headers, body);
     }
 
     CompletableFuture<ServerResponse> getResponse() {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingModelCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/gateway/StreamingModelCall.java
@@ -60,7 +60,7 @@
 
     @Override
     protected String getRequestTarget() {
-        return getContext().getExchange().getRequest().getRequestTarget();
+        return getContext().getExchange().getRequest().target();
     }
 
     @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
@@ -186,12 +186,8 @@
         HttpRequest request = head;
         byte[] bytes = ByteBufUtil.getBytes(body);
         releaseRequest();
-        String target = request.uri();
-        int queryStart = target.indexOf('?');
-        String path = queryStart < 0 ? target : target.substring(0, queryStart);
-        String query = queryStart < 0 ? "" : target.substring(queryStart + 1);
         ServerRequest serverRequest =
-                new ServerRequest(request.method(), path, query, request.headers(), bytes);
+                new ServerRequest(request.method(), request.uri(), request.headers(), bytes);
         exchange =
                 new DefaultHttpExchange(
                         context,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ServerRequest.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ServerRequest.java
@@ -10,13 +10,11 @@
  * <p>Must be treated as immutable: neither the headers nor the body may be modified.
  *
  * @param method the HTTP method
- * @param path the path without the query, still percent-encoded
- * @param query the query without its question mark, still percent-encoded; empty if there is none
+ * @param target the request target as received, still percent-encoded
  * @param headers the request headers
  * @param body the body; empty if there is none
  */
-public record ServerRequest(
-        HttpMethod method, String path, String query, HttpHeaders headers, byte[] body) {
+public record ServerRequest(HttpMethod method, String target, HttpHeaders headers, byte[] body) {
 
     private static final String BEARER_PREFIX = "Bearer ";
 
@@ -42,11 +40,12 @@
     }
 
     /**
-     * Returns the path and query as received on the request line.
+     * Returns the path of the target.
      *
-     * @return the request target
+     * @return the path without the query, still percent-encoded
      */
-    public String getRequestTarget() {
-        return query.isEmpty() ? path : path + "?" + query;
+    public String path() {
+        int queryStart = target.indexOf('?');
+        return queryStart < 0 ? target : target.substring(0, queryStart);
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -164,6 +165,29 @@
         }
     }
 
+    @DataProvider
+    public Object[][] unsupportedTargets() {
+        return new Object[][] {
+            {HttpMethod.POST, ""},
+            {HttpMethod.POST, "?x"},
+            {HttpMethod.POST, "@other.example/x"},
+            {HttpMethod.POST, "http://other.example/x"},
+            {HttpMethod.POST, "/x\r\nx-injected: y"},
+            {HttpMethod.POST, "/x y"},
+            {HttpMethod.POST, "/\u00e9"},
+            {HttpMethod.CONNECT, "/x"},
+        };
+    }
+
+    @Test(dataProvider = "unsupportedTargets")
+    public void neverSendsATargetThatWouldChange(HttpMethod method, String target) {
+        IllegalArgumentException error =
+                expectThrows(
+                        IllegalArgumentException.class,
+                        () -> createRequest("127.0.0.1:1", method, target));
+        assertTrue(error.getMessage().startsWith("request r1: "), error.getMessage());
+    }
+
     private Outcome run(String address) throws Exception {
         RecordingListener recorder = new RecordingListener();
         client.start(createRequest(address), recorder);
@@ -171,12 +195,16 @@
     }
 
     private EndpointRequest createRequest(String address) {
+        return createRequest(address, HttpMethod.POST, "/v1/run");
+    }
+
+    private EndpointRequest createRequest(String address, HttpMethod method, String target) {
         HttpHeaders headers = new DefaultHttpHeaders().set("x-request-id", "r1");
         byte[] body = "{}".getBytes(StandardCharsets.UTF_8);
         return new EndpointRequest(
                 address,
-                HttpMethod.POST,
-                "/v1/run",
+                method,
+                target,
                 headers,
                 body,
                 new RequestId("r1"),
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/FakePlacement.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/gateway/FakePlacement.java
@@ -13,11 +13,16 @@
     private int maxPlaced = Integer.MAX_VALUE;
     private int releaseCount;
     private boolean canary;
+    private String address = "127.0.0.1:1";
 
     void refuseAfter(int maxAttempts) {
         maxPlaced = maxAttempts;
     }
 
+    void placeAt(String endpointAddress) {
+        address = endpointAddress;
+    }
+
     void placeOnCanary() {
         canary = true;
     }
@@ -63,7 +68,7 @@
 
         @Override
         public String getAddress() {
-            return "127.0.0.1:1";
+            return address;
         }
 
         @Override
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/RawEndpoint.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/RawEndpoint.java
@@ -44,6 +44,7 @@
 
         private final Socket socket;
         private int requests;
+        private String requestLine = "";
         private String owed = "";
 
         Connection(Socket socket) {
@@ -59,6 +60,15 @@
             return requests;
         }
 
+        /**
+         * Returns the request line of the last request, each byte as one character.
+         *
+         * @return the line without its end
+         */
+        public String requestLine() {
+            return requestLine;
+        }
+
         /**
          * Keeps bytes for a later request.
          *
@@ -139,6 +149,7 @@
                 received.append((char) next);
                 if (received.indexOf(END_OF_HEAD) >= 0) {
                     connection.requests++;
+                    connection.requestLine = received.substring(0, received.indexOf("\r"));
                     script.answer(connection, readId(received.toString()));
                     received.setLength(0);
                 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/RecordedExchange.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/RecordedExchange.java
@@ -32,7 +32,7 @@
 
     public RecordedExchange(String path, String body, HttpHeaders headers) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        call = new ServerRequest(HttpMethod.POST, path, "", headers, bytes);
+        call = new ServerRequest(HttpMethod.POST, path, headers, bytes);
     }
 
     public int getStatus() {
