Simulate groups that lose two data folders at once

No test lost two folders at the same moment, which some deployments must outlive. The simulated cluster takes the number of voters that the leader establishes, and loses as many folders at once as that number outlives. Random faults: keepsInvariantsWhileTwoFoldersAtOnceAreLost.

The draws of the clusters with three voters are the same as before.

--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationSimulationTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationSimulationTests.java
@@ -21,6 +21,8 @@
 
     private SimulationCounts totalCounts = new SimulationCounts(0, 0, 0, 0);
     private int seedsRun;
+    private SimulationCounts largerGroupCounts = new SimulationCounts(0, 0, 0, 0);
+    private int largerGroupSeedsRun;
 
     @DataProvider
     public Object[][] seeds() {
@@ -51,6 +53,26 @@
         }
     }
 
+    /** Five voters of eight nodes, of which any two lose their folders at the same moment. */
+    @Test(dataProvider = "seeds")
+    public void keepsInvariantsWhileTwoFoldersAtOnceAreLost(long firstSeed, long endSeed) {
+        for (long seed = firstSeed; seed < endSeed; seed++) {
+            SimulatedCluster cluster = SimulatedCluster.withVoterCount(seed, 5, 5);
+            largerGroupCounts = largerGroupCounts.plus(run(seed, cluster));
+            largerGroupSeedsRun++;
+        }
+    }
+
+    @Test(dependsOnMethods = "keepsInvariantsWhileTwoFoldersAtOnceAreLost")
+    public void losesFoldersOfLargerGroups() {
+        assertTrue(
+                largerGroupCounts.acknowledged() > 20 * largerGroupSeedsRun,
+                largerGroupCounts.toString());
+        assertTrue(
+                largerGroupCounts.lostFolders() > largerGroupSeedsRun,
+                largerGroupCounts.toString());
+    }
+
     @Test(dependsOnMethods = "keepsInvariantsUnderRandomFaults")
     public void coversEachKindOfFault() {
         assertTrue(totalCounts.acknowledged() > 20 * seedsRun, totalCounts.toString());
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedCluster.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/SimulatedCluster.java
@@ -24,8 +24,7 @@
     private static final long HEARTBEAT_MS = 50;
     private static final double MAX_CLOCK_DRIFT_RATIO = 0.1;
     private static final int REPLACEMENT_SPARE_COUNT = 3;
-    private static final VoterReplacement REPLACEMENT =
-            new VoterReplacement(VOTER_COUNT, 3 * ELECTION_TIMEOUT_MS);
+    private static final long VOTER_ABSENCE_MS = 3 * ELECTION_TIMEOUT_MS;
 
     private final SplittableRandom random;
     private final SimulatedNetwork network;
@@ -34,24 +33,35 @@
     private long nowMs;
     private int proposalCount;
     private final boolean hasReplacement;
+    private final int intendedVoterCount;
 
     SimulatedCluster(long seed) {
-        this(seed, false, Optional.empty());
+        this(seed, false, Optional.empty(), 1);
     }
 
     /** Creates a cluster in which three spare nodes may take the place of voters. */
     static SimulatedCluster withReplacement(long seed) {
-        return new SimulatedCluster(seed, false, Optional.of(REPLACEMENT));
+        return withVoterCount(seed, VOTER_COUNT, REPLACEMENT_SPARE_COUNT);
+    }
+
+    /** Creates a cluster whose leader adds spare nodes to the first three voters. */
+    static SimulatedCluster withVoterCount(long seed, int voterCount, int spareCount) {
+        VoterReplacement replacement = new VoterReplacement(voterCount, VOTER_ABSENCE_MS);
+        return new SimulatedCluster(seed, false, Optional.of(replacement), spareCount);
     }
 
     /** Creates a cluster whose nodes make the same random choices, as if they shared a seed. */
     static SimulatedCluster withEqualSeeds(long seed) {
-        return new SimulatedCluster(seed, true, Optional.empty());
+        return new SimulatedCluster(seed, true, Optional.empty(), 1);
     }
 
     private SimulatedCluster(
-            long seed, boolean hasEqualSeeds, Optional<VoterReplacement> voterReplacement) {
+            long seed,
+            boolean hasEqualSeeds,
+            Optional<VoterReplacement> voterReplacement,
+            int spareCount) {
         hasReplacement = voterReplacement.isPresent();
+        intendedVoterCount = voterReplacement.map(VoterReplacement::voterCount).orElse(VOTER_COUNT);
         random = new SplittableRandom(seed);
         network = new SimulatedNetwork(random.split());
         List<NodeId> voterNodes = new ArrayList<>();
@@ -72,7 +82,7 @@
                         voterReplacement);
         List<NodeId> allNodes = new ArrayList<>(voterNodes);
         allNodes.add(new NodeId("spare"));
-        for (int i = 2; hasReplacement && i <= REPLACEMENT_SPARE_COUNT; i++) {
+        for (int i = 2; i <= spareCount; i++) {
             allNodes.add(new NodeId("spare-" + i));
         }
         for (NodeId id : allNodes) {
@@ -92,6 +102,14 @@
         }
     }
 
+    List<SimulatedNode> nodes() {
+        return List.copyOf(nodes);
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
     SimulatedNode node(int index) {
         return nodes.get(index);
     }
@@ -150,11 +168,23 @@
             injectFault(node);
         }
         if (random.nextInt(60) == 0 && hasAllVoterFolders()) {
-            nodes.get(random.nextInt(VOTER_COUNT)).loseFolder();
+            loseFolders();
         }
         step();
     }
 
+    /** Loses the folders of as many nodes at once as the intended number of voters outlives. */
+    private void loseFolders() {
+        if (intendedVoterCount <= VOTER_COUNT) {
+            nodes.get(random.nextInt(VOTER_COUNT)).loseFolder();
+            return;
+        }
+        List<SimulatedNode> candidates = new ArrayList<>(nodes);
+        for (int i = 0; i < intendedVoterCount / 2; i++) {
+            candidates.remove(random.nextInt(candidates.size())).loseFolder();
+        }
+    }
+
     private void injectFault(SimulatedNode node) {
         switch (random.nextInt(13)) {
             case 0 -> node.crash();
@@ -166,9 +196,14 @@
             case 8 -> leader().orElse(node).suspend();
             case 12 -> blockLinkToLeader(node);
             case 9 -> nodes.forEach(SimulatedNode::resume);
-            default ->
-                    leader().ifPresent(
-                                    leader -> leader.advanceMembershipOf(nodes.get(VOTER_COUNT)));
+            default -> changeMembersByHand();
+        }
+    }
+
+    /** An operator who removes a voter while two folders are lost could stop a larger group. */
+    private void changeMembersByHand() {
+        if (intendedVoterCount <= VOTER_COUNT) {
+            leader().ifPresent(leader -> leader.advanceMembershipOf(nodes.get(VOTER_COUNT)));
         }
     }
 
@@ -209,7 +244,7 @@
         nodes.forEach(node -> currentVoterIds.add(node.voterId()));
         List<ReplicaMember> voters =
                 status.get().members().stream().filter(ReplicaMember::isVoter).toList();
-        return voters.size() >= VOTER_COUNT
+        return voters.size() >= intendedVoterCount
                 && voters.stream().allMatch(voter -> currentVoterIds.contains(voter.voterId()));
     }
 
