Let an empty folder allow one folder only to form the group

Where five nodes shall vote, the first three form the group. If the third of them was cut off since before its first entry and the two others lost their folders, the first one asked the others again, got two times "empty" and formed a second group beside the voters that had been added: two leaders in one term, and what was acknowledged could be replaced. A commit on two of three first voters leaves a copy outside the first folder, but not outside the two that may be lost.

An empty folder now records, as a vote before the first term, synced before it answers, which folder may form the group, and answers no other. One of the first voters remains; it has entries or has allowed only the lost folder. This holds only where more voters than the first ones are intended; groups of three are as before. The price: a first node that loses its folder between asking and forming cannot form the group.

--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/GroupBootstrapper.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/GroupBootstrapper.java
@@ -22,8 +22,10 @@
  *
  * <p>The first voter node of the settings bootstraps the group once all other voter nodes have
  * reported an empty data folder. Every later commit is stored in at least one other folder, so a
- * first node that lost its own folder never bootstraps a second group. A voter that was replaced
- * while it was cut off asks to join again as well, since nothing else tells it. Not thread-safe.
+ * first node that lost its own folder never bootstraps a second group. If more folders than one may
+ * be lost at once, that other folder may be lost too; an empty folder therefore allows one folder
+ * only to form the group, and keeps this on disk. A voter that was replaced while it was cut off
+ * asks to join again as well, since nothing else tells it. Not thread-safe.
  */
 final class GroupBootstrapper {
 
@@ -112,15 +114,32 @@
     }
 
     void onIdentityRequest(VoterId from, NodeId fromNode) {
+        boolean allowsBootstrap = context.isUninitialized() && mayAllowBootstrapBy(from);
+        if (allowsBootstrap && mayLoseMajorityOfFirstVoters()) {
+            context.recordVoteFor(from);
+        }
         IdentityResponse response =
                 IdentityResponse.newBuilder()
                         .setAskedBy(from.value())
-                        .setEmpty(context.isUninitialized())
+                        .setEmpty(allowsBootstrap)
                         .build();
         Envelope.Builder envelope = context.outbox().newEnvelope(from, context.term());
         context.outbox().queueAfterSync(fromNode, envelope.setIdentityResponse(response));
     }
 
+    /** A vote before the first term is the permission to form the group, given once. */
+    private boolean mayAllowBootstrapBy(VoterId folder) {
+        return !mayLoseMajorityOfFirstVoters() || context.mayVoteFor(folder);
+    }
+
+    /** Returns whether the group is to outlive more losses than its first voters alone do. */
+    private boolean mayLoseMajorityOfFirstVoters() {
+        return context.settings()
+                .voterReplacement()
+                .filter(r -> r.voterCount() > context.settings().voterNodes().size())
+                .isPresent();
+    }
+
     void onIdentityResponse(VoterId from, NodeId fromNode, IdentityResponse response) {
         if (!response.getAskedBy().equals(context.self().voterId().value())) {
             return;
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/DiskLossTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/DiskLossTests.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.cardamomthread.replication.ReplicaMember;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -95,6 +96,45 @@
         }
     }
 
+    @DataProvider
+    public Object[][] cutSteps() {
+        List<Object[]> rows = new ArrayList<>();
+        for (int steps = 0; steps <= 8; steps++) {
+            rows.add(new Object[] {steps, false});
+            rows.add(new Object[] {steps, true});
+        }
+        return rows.toArray(Object[][]::new);
+    }
+
+    /**
+     * Guards against a second group of three empty folders: the third of the first voters is cut
+     * off since shortly after it has allowed the first one to form the group, and the two others
+     * lose their folders.
+     */
+    @Test(dataProvider = "cutSteps")
+    public void formsNoSecondGroupWithAFirstVoterThatHasNoEntryYet(
+            int stepsUntilCut, boolean isRestarted) {
+        for (int seed = 1; seed <= 2 * SEEDS_PER_ROW; seed++) {
+            SimulatedCluster cluster = SimulatedCluster.withVoterCount(seed, INTENDED_VOTERS, 2);
+            SimulatedNode first = cluster.node(0);
+            SimulatedNode last = cluster.node(2);
+            while (first.status().lastIndex() == 0) {
+                cluster.step();
+            }
+            cluster.run(stepsUntilCut);
+            cluster.network().isolate(Set.of(last.id()));
+            awaitVoters(cluster, INTENDED_VOTERS, RECOVERY_STEPS, seed);
+            awaitAcknowledgement(cluster, 3);
+            first.loseFolder();
+            cluster.node(1).loseFolder();
+            if (isRestarted) {
+                last.crash();
+            }
+            cluster.removeAllFaults();
+            cluster.runUntilRecovered(RECOVERY_STEPS);
+        }
+    }
+
     private static void awaitVoters(SimulatedCluster cluster, int count, long maxMs, int seed) {
         while (voters(cluster).size() < count || !isMembershipCommitted(cluster)) {
             assertTrue(
