Add voters from three on by two at a time

Where five nodes shall vote and fewer exist, a host at a new address was added beside the voter that was gone instead of taking its place. Two lost voters then stood beside two present ones, so that a further loss, or already the next replacement, left no majority. From three voters on a learner is now promoted only to an odd number or if a second one is ready; a single learner takes the place of a voter that is gone. Fewer than three voters are completed one at a time, so a group of three behaves as before. The row of DiskLossTests that expected four voters of four nodes expects three now: an even number outlives no more losses.

--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MembershipChanges.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MembershipChanges.java
@@ -22,6 +22,9 @@
 
     private static final long MAX_PROMOTION_LAG_ENTRIES = 64;
 
+    /** The fewest voters that outlive the loss of one. */
+    private static final int SMALLEST_REDUNDANT_GROUP = 3;
+
     private static final Logger LOG = LoggerFactory.getLogger(MembershipChanges.class);
 
     private final ReplicaContext context;
@@ -180,8 +183,11 @@
     }
 
     private boolean isPromotable(ReplicaMember member) {
+        return isReadyLearner(member) && mayVote(member.nodeId());
+    }
+
+    private boolean isReadyLearner(ReplicaMember member) {
         return !member.isVoter()
-                && mayVote(member.nodeId())
                 && membership().membersOnNode(member.nodeId()).size() == 1
                 && isCaughtUp(member.voterId());
     }
@@ -189,23 +195,29 @@
     private boolean mayVote(NodeId nodeId) {
         return context.settings()
                 .voterReplacement()
-                .map(replacement -> membership().voters().size() < replacement.voterCount())
+                .map(replacement -> hasVacantPlace(replacement.voterCount()))
                 .orElseGet(() -> context.settings().voterNodes().contains(nodeId));
     }
 
+    /**
+     * Returns whether one more voter is wanted. From three voters on they grow by two at a time: an
+     * even number outlives no more losses, and a single learner can take the place of a lost voter.
+     */
+    private boolean hasVacantPlace(int voterCount) {
+        int voters = membership().voters().size();
+        boolean isEvenOrSmall = voters % 2 == 0 || voters < SMALLEST_REDUNDANT_GROUP;
+        return voters < voterCount
+                && (isEvenOrSmall
+                        || membership().members().stream().filter(this::isReadyLearner).count()
+                                > 1);
+    }
+
     /** Returns whether a member is gone and, if it is a voter, a learner can take its place. */
     private boolean isReplaceable(ReplicaMember member) {
         if (!isGone(member)) {
             return false;
         }
-        return !member.isVoter()
-                || membership().members().stream()
-                        .anyMatch(
-                                other ->
-                                        !other.isVoter()
-                                                && membership().membersOnNode(other.nodeId()).size()
-                                                        == 1
-                                                && isCaughtUp(other.voterId()));
+        return !member.isVoter() || membership().members().stream().anyMatch(this::isReadyLearner);
     }
 
     private boolean isSuperseded(ReplicaMember member) {
