Let as many control nodes vote as the allowed losses need

Three nodes voted in every deployment, so a commit was on two disks, and the one that remained was no majority.

The leader adds the others to the three seeds after the first start. With 0 or 1, and where the key is absent, three vote as before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupDefinition.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/control/GroupDefinition.java
@@ -54,9 +54,6 @@
 
     private static final long TRAFFIC_HEARTBEAT_MS = 120;
 
-    /** Three voters outlive the loss of one. */
-    private static final int TRAFFIC_VOTER_COUNT = 3;
-
     /** Longer than an election, and short enough that a successor votes soon after its start. */
     private static final long TRAFFIC_VOTER_ABSENCE_MS = 2_000;
 
@@ -117,15 +114,20 @@
     }
 
     /**
-     * Returns the definition of the traffic group. Other nodes may take the place of its voters.
+     * Returns the definition of the traffic group. Other nodes may join its first voters or take
+     * their places.
      *
      * @param voters its first voters
+     * @param voterCount the number of voters that the leader establishes
      * @param stateMachine its state machine on this node
      * @param queryHandler answers queries from that state machine
      * @return the definition
      */
     public static GroupDefinition traffic(
-            List<NodeId> voters, StateMachine stateMachine, GroupQueryHandler queryHandler) {
+            List<NodeId> voters,
+            int voterCount,
+            StateMachine stateMachine,
+            GroupQueryHandler queryHandler) {
         return new GroupDefinition(
                 TRAFFIC,
                 TRAFFIC_TOPIC,
@@ -134,7 +136,7 @@
                 TRAFFIC_HEARTBEAT_MS,
                 stateMachine,
                 queryHandler,
-                Optional.of(new VoterReplacement(TRAFFIC_VOTER_COUNT, TRAFFIC_VOTER_ABSENCE_MS)));
+                Optional.of(new VoterReplacement(voterCount, TRAFFIC_VOTER_ABSENCE_MS)));
     }
 
     /**
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -15,6 +15,7 @@
 import org.cardamomthread.daemon.control.GroupDefinition;
 import org.cardamomthread.daemon.control.ProposalClient;
 import org.cardamomthread.daemon.control.TrafficReplica;
+import org.cardamomthread.daemon.control.VoterCounts;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.duty.AutoscalingController;
 import org.cardamomthread.daemon.duty.ControllerLease;
@@ -261,7 +262,11 @@
 
     private void startReplicationGroup(List<NodeId> voters) throws StorageException {
         GroupDefinition definition =
-                GroupDefinition.traffic(voters, trafficReplica, trafficReplica::query);
+                GroupDefinition.traffic(
+                        voters,
+                        VoterCounts.forLosses(components.settings().limits().controlNodeLosses()),
+                        trafficReplica,
+                        trafficReplica::query);
         ControlGroups started =
                 new ControlGroups(
                         components.settings().nodeId(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
@@ -19,6 +19,7 @@
  * @param usageWindowS the length of an accounting window, in seconds
  * @param usageDeadlineS the time after the end of a window by which it must be reported, in seconds
  * @param canaryAllocation what a canary version may receive
+ * @param controlNodeLosses the control nodes that may be lost at once, with their disks
  */
 record FleetLimits(
         long revocationDeadlineMs,
@@ -30,7 +31,8 @@
         QuotaAllocation quotaAllocation,
         long usageWindowS,
         long usageDeadlineS,
-        CanaryAllocation canaryAllocation) {
+        CanaryAllocation canaryAllocation,
+        int controlNodeLosses) {
 
     /** Fraction of the revocation deadline for which a view may be used without confirmation. */
     private static final double VIEW_LEASE_FRACTION = 0.75;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -44,6 +44,7 @@
                     "platform",
                     "limits");
     private static final double DEFAULT_CANARY_SHARE = 0.05;
+    private static final int DEFAULT_CONTROL_NODE_LOSSES = 1;
     private static final int MAX_PORT = NetworkAddress.MAX_PORT;
 
     private final List<DocumentProblem> problems = new ArrayList<>();
@@ -139,7 +140,15 @@
                 readLong("/limits/usageLateS", 1, Long.MAX_VALUE),
                 new CanaryAllocation(
                         readOptionalDouble("/limits/canaryShare", DEFAULT_CANARY_SHARE),
-                        readOptionalDouble("/limits/canaryExtra", 0)));
+                        readOptionalDouble("/limits/canaryExtra", 0)),
+                readControlNodeLosses());
+    }
+
+    private int readControlNodeLosses() {
+        String pointer = "/limits/controlNodeLosses";
+        return document.root().at(pointer).isMissingNode()
+                ? DEFAULT_CONTROL_NODE_LOSSES
+                : (int) readLong(pointer, 0, Integer.MAX_VALUE);
     }
 
     private void validateRole(FleetSettings settings) {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
@@ -63,6 +63,22 @@
         assertTrue(control.platform().isPresent());
     }
 
+    @DataProvider
+    public Object[][] controlNodeLosses() {
+        return new Object[][] {
+            {"", 1},
+            {"  controlNodeLosses: 0\n", 0},
+            {"  controlNodeLosses: 1\n", 1},
+            {"  controlNodeLosses: 2\n", 2},
+        };
+    }
+
+    @Test(dataProvider = "controlNodeLosses")
+    public void loadsTheLossesThatMustBeOutlived(String line, int expected)
+            throws InvalidDocumentException {
+        assertEquals(load(GATEWAY + line).limits().controlNodeLosses(), expected);
+    }
+
     @Test
     public void ignoresUnknownKeys() throws InvalidDocumentException {
         assertEquals(load(GATEWAY + "colour: blue\n").role(), FleetRole.GATEWAY);
@@ -84,6 +100,9 @@
             {"\"10.3.0.36:8229\"", "\"10.3.0.36\"", "seeds/0"},
             {"  leaseMs: 3000\n", "", "limits/leaseMs"},
             {"repeatRatio: 0.2", "repeatRatio: -1", "limits/repeatRatio"},
+            {"  leaseMs", "  controlNodeLosses: -1\n  leaseMs", "limits/controlNodeLosses"},
+            {"  leaseMs", "  controlNodeLosses: two\n  leaseMs", "limits/controlNodeLosses"},
+            {"  leaseMs", "  controlNodeLosses: 1.5\n  leaseMs", "limits/controlNodeLosses"},
         };
     }
 
