Share the gateway of the tests with raw endpoints

Three test classes started the same gateway. The rows of TruncatedHeadTests that were named after a kept connection are named after the request that goes before; nothing that is asserted has changed.

--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedTargetTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardedTargetTests.java
@@ -3,18 +3,13 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
 import org.cardamomthread.configuration.traffic.RequestKind;
 import org.cardamomthread.configuration.traffic.RouteTable;
 import org.cardamomthread.configuration.traffic.TrafficAccount;
@@ -24,11 +19,7 @@
 import org.cardamomthread.configuration.traffic.WeightedService;
 import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.core.id.RouteId;
-import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.daemon.dialect.EndpointReport;
-import org.cardamomthread.daemon.dispatch.AsyncEndpointClient;
-import org.cardamomthread.daemon.http.HttpLimits;
-import org.cardamomthread.daemon.http.HttpServer;
 import org.cardamomthread.daemon.testing.RawClient;
 import org.cardamomthread.daemon.testing.RawEndpoint;
 import org.cardamomthread.daemon.testing.TestEndpoints;
@@ -43,43 +34,30 @@
  * Tests that an endpoint receives the request target by which the route was chosen, byte for byte,
  * and that targets for which this is impossible are refused before anything is sent.
  */
-@SuppressWarnings("deprecation")
 public class ForwardedTargetTests {
 
-    private static final int MAX_HEADER_BYTES = 4_096;
-    private static final HttpLimits LIMITS =
-            new HttpLimits(MAX_HEADER_BYTES, 4_096, 5_000, 60_000, 2_000);
     private static final String PREFIXED_HOST = "ice.example";
     private static final String ROOT_HOST = "root.example";
     private static final long ROUTE_TIMEOUT_MS = 5_000;
 
     private final List<String> received = new CopyOnWriteArrayList<>();
-    private EventLoopGroup eventLoops;
-    private AsyncEndpointClient client;
-    private HttpServer gateway;
+    private RunningGateway gateway;
     private RawEndpoint endpoint;
 
     @BeforeMethod
     public void start() throws Exception {
         received.clear();
-        eventLoops = new NioEventLoopGroup(1);
-        client = new AsyncEndpointClient(eventLoops, new SystemTimeSource());
-        ForwarderFixture fixture = new ForwarderFixture((EventLoop) eventLoops.next(), client);
-        gateway = new HttpServer("callers", eventLoops, LIMITS, fixture.forwarder().getHandler());
-        gateway.listen(new InetSocketAddress("127.0.0.1", 0));
+        gateway = new RunningGateway();
         endpoint = new RawEndpoint(this::answer);
         EndpointReport report =
                 TestEndpoints.createReport("e1", ForwarderFixture.CHAT, endpoint.address(), false);
-        GatewayView view = createView(new KnownEndpoint(report, 0));
-        eventLoops.next().submit(() -> fixture.forwarder().applyView(view)).get();
+        gateway.applyView(createView(new KnownEndpoint(report, 0)));
     }
 
     @AfterMethod(alwaysRun = true)
     public void stop() throws IOException {
         endpoint.close();
         gateway.close();
-        client.close();
-        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
     @DataProvider
@@ -223,7 +201,7 @@
 
     @Test
     public void refusesATargetThatIsTooLong() throws IOException {
-        String target = "/open/" + "../".repeat(MAX_HEADER_BYTES / 3);
+        String target = "/open/" + "../".repeat(RunningGateway.MAX_HEADER_BYTES / 3);
         String response = call("GET " + target + " HTTP/1.1", PREFIXED_HOST);
         assertEquals(RawClient.statusOf(response), "431", response);
         assertEquals(received, List.of());
@@ -260,8 +238,7 @@
     }
 
     private String call(String requestLine, String host) throws IOException {
-        return RawClient.send(
-                gateway.getAddress().getPort(),
+        return gateway.send(
                 requestLine
                         + "\r\nhost: "
                         + host
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LateSecondResponseTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/LateSecondResponseTests.java
@@ -2,23 +2,13 @@
 
 import static org.testng.Assert.assertEquals;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.cardamomthread.configuration.traffic.RequestKind;
 import org.cardamomthread.core.id.EndpointId;
-import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.daemon.dialect.EndpointReport;
-import org.cardamomthread.daemon.dispatch.AsyncEndpointClient;
-import org.cardamomthread.daemon.http.HttpLimits;
-import org.cardamomthread.daemon.http.HttpServer;
+import org.cardamomthread.daemon.testing.RawClient;
 import org.cardamomthread.daemon.testing.RawEndpoint;
 import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.view.KnownEndpoint;
@@ -31,18 +21,11 @@
  * Tests what clients receive when an endpoint answers a request twice, and the second response, or
  * a part of it, is late.
  */
-@SuppressWarnings("deprecation")
 public class LateSecondResponseTests {
 
-    private static final HttpLimits LIMITS = new HttpLimits(4_096, 4_096, 5_000, 60_000, 2_000);
-    private static final long RETRY_WINDOW_MS = 10_000;
-    private static final int SOCKET_TIMEOUT_MS = 10_000;
     private static final long PACKET_GAP_MS = 2;
 
-    private EventLoopGroup eventLoops;
-    private AsyncEndpointClient client;
-    private HttpServer gateway;
-    private ForwarderFixture fixture;
+    private RunningGateway gateway;
     private RawEndpoint endpoint;
     private volatile Moment moment;
     private volatile int secondStatus;
@@ -58,30 +41,19 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        eventLoops = new NioEventLoopGroup(1);
-        client = new AsyncEndpointClient(eventLoops, new SystemTimeSource());
-        fixture = new ForwarderFixture((EventLoop) eventLoops.next(), client);
-        gateway = new HttpServer("callers", eventLoops, LIMITS, fixture.forwarder().getHandler());
-        gateway.listen(new InetSocketAddress("127.0.0.1", 0));
+        gateway = new RunningGateway();
         endpoint = new RawEndpoint(this::answer);
         EndpointReport report =
                 TestEndpoints.createReport("e1", ForwarderFixture.CHAT, endpoint.address(), false);
         Map<EndpointId, KnownEndpoint> endpoints =
                 Map.of(report.id(), new KnownEndpoint(report, 0));
-        runOnLoop(
-                () ->
-                        fixture.forwarder()
-                                .applyView(
-                                        ForwarderFixture.view(
-                                                RequestKind.REPEATABLE, 1, endpoints, Set.of())));
+        gateway.applyView(ForwarderFixture.view(RequestKind.REPEATABLE, 1, endpoints, Set.of()));
     }
 
     @AfterMethod(alwaysRun = true)
     public void stop() throws IOException {
         endpoint.close();
         gateway.close();
-        client.close();
-        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
     @DataProvider
@@ -102,11 +74,11 @@
         moment = writtenAt;
         secondStatus = nextStatus;
         for (cut = 0; cut <= lateCopy("r0").length(); cut++) {
-            runOnLoop(this::refillRetryBudget);
-            assertEquals(statusOf(call("r0")), "200");
+            gateway.refillRetryBudget();
+            assertEquals(RawClient.statusOf(call("r0")), "200");
             String response = call("r1");
             String detail = "cut at " + cut + ": " + response;
-            assertEquals(statusOf(response), String.valueOf(nextStatus), detail);
+            assertEquals(RawClient.statusOf(response), String.valueOf(nextStatus), detail);
             assertEquals(response.split("x-test-signature").length, 2, detail);
             assertEquals(response.endsWith("\r\n\r\nbody-r1"), nextStatus == 200, detail);
         }
@@ -123,9 +95,9 @@
         secondStatus = firstStatus;
         int headLength = response(firstStatus, "r2").indexOf("\r\n\r\n");
         for (cut = 1; cut <= headLength; cut++) {
-            runOnLoop(this::refillRetryBudget);
+            gateway.refillRetryBudget();
             String response = call("r2");
-            assertEquals(statusOf(response), "502", "cut at " + cut + ": " + response);
+            assertEquals(RawClient.statusOf(response), "502", "cut at " + cut + ": " + response);
         }
     }
 
@@ -181,28 +153,10 @@
                 + "\r\ncontent-length: 2\r\n\r\nok";
     }
 
-    private void refillRetryBudget() {
-        fixture.time().advanceMs(RETRY_WINDOW_MS);
-        fixture.renewLease();
-    }
-
-    private void runOnLoop(Runnable task) throws Exception {
-        eventLoops.next().submit(task).get();
-    }
-
     private String call(String id) throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", gateway.getAddress().getPort())) {
-            socket.setSoTimeout(SOCKET_TIMEOUT_MS);
-            String request =
-                    "GET /a/x HTTP/1.1\r\nhost: ice.example\r\nx-request-id: "
-                            + id
-                            + "\r\nauthorization: Bearer key\r\nconnection: close\r\n\r\n";
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-        }
-    }
-
-    private static String statusOf(String response) {
-        return response.length() < 12 ? "none" : response.substring(9, 12);
+        return gateway.send(
+                "GET /a/x HTTP/1.1\r\nhost: ice.example\r\nx-request-id: "
+                        + id
+                        + "\r\nauthorization: Bearer key\r\nconnection: close\r\n\r\n");
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/TruncatedHeadTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/TruncatedHeadTests.java
@@ -3,13 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -17,15 +13,11 @@
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cardamomthread.configuration.traffic.RequestKind;
 import org.cardamomthread.core.id.EndpointId;
-import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.daemon.dialect.EndpointReport;
-import org.cardamomthread.daemon.dispatch.AsyncEndpointClient;
-import org.cardamomthread.daemon.http.HttpLimits;
-import org.cardamomthread.daemon.http.HttpServer;
+import org.cardamomthread.daemon.testing.RawClient;
 import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.view.KnownEndpoint;
 import org.testng.annotations.AfterMethod;
@@ -37,12 +29,8 @@
  * Tests what clients receive when an endpoint ends its connection inside the head of its response,
  * for each position in the head.
  */
-@SuppressWarnings("deprecation")
 public class TruncatedHeadTests {
 
-    private static final HttpLimits LIMITS = new HttpLimits(4_096, 4_096, 5_000, 60_000, 2_000);
-    private static final long RETRY_WINDOW_MS = 10_000;
-    private static final int SOCKET_TIMEOUT_MS = 10_000;
     private static final String REQUEST =
             "POST /a/x HTTP/1.1\r\nhost: ice.example\r\nx-request-id: r1\r\n"
                     + "authorization: Bearer key\r\nconnection: close\r\n"
@@ -57,10 +45,7 @@
             "HTTP/1.1 503 Busy\r\nx-test-not-run: 1\r\nx-request-id: r1\r\n"
                     + "content-length: 0\r\n\r\n";
 
-    private EventLoopGroup eventLoops;
-    private AsyncEndpointClient client;
-    private HttpServer gateway;
-    private ForwarderFixture fixture;
+    private RunningGateway gateway;
     private ServerSocket endpoint;
     private ExecutorService endpointThreads;
     private final AtomicInteger requestsAtEndpoint = new AtomicInteger();
@@ -70,11 +55,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        eventLoops = new NioEventLoopGroup(1);
-        client = new AsyncEndpointClient(eventLoops, new SystemTimeSource());
-        fixture = new ForwarderFixture((EventLoop) eventLoops.next(), client);
-        gateway = new HttpServer("callers", eventLoops, LIMITS, fixture.forwarder().getHandler());
-        gateway.listen(new InetSocketAddress("127.0.0.1", 0));
+        gateway = new RunningGateway();
         endpoint = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         endpointThreads = Executors.newCachedThreadPool();
         endpointThreads.submit(this::acceptConnections);
@@ -85,13 +66,11 @@
         endpoint.close();
         endpointThreads.shutdownNow();
         gateway.close();
-        client.close();
-        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
     @DataProvider
     public Object[][] responses() {
-        String keptConnection = WITH_LENGTH + "body";
+        String preceding = WITH_LENGTH + "body";
         return new Object[][] {
             {"with length", RequestKind.ONCE_PER_ATTEMPT, WITH_LENGTH, null, false},
             {"with length, reset", RequestKind.ONCE_PER_ATTEMPT, WITH_LENGTH, null, true},
@@ -101,8 +80,8 @@
             {"stream", RequestKind.STREAM, CHUNKED, null, false},
             {"unframed stream", RequestKind.STREAM, UNFRAMED, null, false},
             {"resumable stream", RequestKind.RESUMABLE_STREAM, UNFRAMED, null, false},
-            {"kept connection", RequestKind.REPEATABLE, WITH_LENGTH, keptConnection, false},
-            {"kept, unframed", RequestKind.REPEATABLE, UNFRAMED, keptConnection, false},
+            {"after another request", RequestKind.REPEATABLE, WITH_LENGTH, preceding, false},
+            {"after another, unframed", RequestKind.REPEATABLE, UNFRAMED, preceding, false},
             {"second attempt", RequestKind.ONCE_PER_ATTEMPT, WITH_LENGTH, NOT_RUN, false},
             {"second attempt, stream", RequestKind.STREAM, UNFRAMED, NOT_RUN, false},
         };
@@ -119,12 +98,15 @@
         for (int position = 0; position < head.length(); position++) {
             truncatedResponse = head.substring(0, position);
             requestsAtEndpoint.set(0);
-            eventLoops.next().submit(this::refillRetryBudget).get();
+            gateway.refillRetryBudget();
             if (preceding != null && !isSecondAttempt) {
-                assertEquals(statusOf(call()), "200", name);
+                assertEquals(RawClient.statusOf(gateway.send(REQUEST)), "200", name);
             }
-            String response = call();
-            assertEquals(statusOf(response), "502", name + " at " + position + ": " + response);
+            String response = gateway.send(REQUEST);
+            assertEquals(
+                    RawClient.statusOf(response),
+                    "502",
+                    name + " at " + position + ": " + response);
             assertFalse(response.contains("x-test-signature"), response);
         }
     }
@@ -139,32 +121,7 @@
                 Map.of(
                         first.id(), new KnownEndpoint(first, 0),
                         second.id(), new KnownEndpoint(second, 0));
-        eventLoops
-                .next()
-                .submit(
-                        () ->
-                                fixture.forwarder()
-                                        .applyView(
-                                                ForwarderFixture.view(
-                                                        kind, maxAttempts, endpoints, Set.of())))
-                .get();
-    }
-
-    private void refillRetryBudget() {
-        fixture.time().advanceMs(RETRY_WINDOW_MS);
-        fixture.renewLease();
-    }
-
-    private String call() throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", gateway.getAddress().getPort())) {
-            socket.setSoTimeout(SOCKET_TIMEOUT_MS);
-            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-        }
-    }
-
-    private static String statusOf(String response) {
-        return response.length() < 12 ? "none" : response.substring(9, 12);
+        gateway.applyView(ForwarderFixture.view(kind, maxAttempts, endpoints, Set.of()));
     }
 
     private void acceptConnections() {
