--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationSimulationTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/simulation/ReplicationSimulationTests.java
@@ -65,7 +65,7 @@
 
     @DataProvider
     public Object[][] seedsOfLossesDuringReplacement() {
-        return new Object[][] {{3027L}, {3613L}};
+        return new Object[][] {{1700L}, {1947L}, {3027L}, {3613L}};
     }
 
     /** A voter that is cut off is removed for its successor as two other folders are lost. */
