Let the clock of the tests of replaced voters run no faster than real time

The clock now follows real time; the bound of 4000 ms, which the users' settings name, and all assertions are the same.

--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/control/TrafficGroupFixture.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/control/TrafficGroupFixture.java
@@ -33,6 +33,7 @@
 /** Runs the nodes of one traffic group in this process, with folders on disk and a manual clock. */
 final class TrafficGroupFixture {
 
+    private static final long STEP_MS = 2;
     private static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(30);
 
     private final int voterCount;
@@ -141,6 +142,12 @@
                 .isPresent();
     }
 
+    /** Lets time pass no faster than real time, which the nodes wait for between their ticks. */
+    private void advanceOneStep() throws InterruptedException {
+        Thread.sleep(STEP_MS);
+        timeSource.advanceMs(STEP_MS);
+    }
+
     /** Advances the clock until a condition holds; fails if that takes longer than a bound. */
     void await(BooleanSupplier condition, long maxMs, String expectation)
             throws InterruptedException {
@@ -149,8 +156,7 @@
             assertTrue(
                     timeSource.monotonicMs() - startMs < maxMs,
                     "not within " + maxMs + " ms: " + expectation + "; voters " + voters());
-            timeSource.advanceMs(5);
-            Thread.sleep(2);
+            advanceOneStep();
         }
     }
 
@@ -181,8 +187,7 @@
 
     private byte[] complete(CompletableFuture<byte[]> future) throws Exception {
         while (!future.isDone()) {
-            timeSource.advanceMs(5);
-            Thread.sleep(2);
+            advanceOneStep();
         }
         return future.get(1, TimeUnit.SECONDS);
     }
