--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/control/VoterReplacementTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/control/VoterReplacementTests.java
@@ -35,11 +35,13 @@
         group.close();
     }
 
+    /** Guards against a control plane that is lost once two of its first hosts were replaced. */
     @Test
     public void hostsAtNewAddressesTakeThePlacesOfLostVoters() throws Exception {
         replaceEachVoter(true);
     }
 
+    /** Guards against the same where no spare host is there at the loss. */
     @Test(groups = "known-red")
     public void hostsThatStartAfterTheLossTakeThePlacesOfLostVoters() throws Exception {
         replaceEachVoter(false);
