--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/ManagedProcess.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/ManagedProcess.java
@@ -102,6 +102,11 @@
         signal("-CONT");
     }
 
+    /** Tells the process that its settings file has changed. */
+    public void hangUp() throws IOException, InterruptedException {
+        signal("-HUP");
+    }
+
     /** Waits for the process to exit and returns its exit code. */
     public int awaitExit(long timeoutMs) throws InterruptedException, IOException {
         if (!process.waitFor(timeoutMs, TimeUnit.MILLISECONDS)) {
