Wait at the start of a node for states that pass by themselves

Callers saw a system that did not start, or processes that ended by themselves. Each step of a start was done once and its first failure ended the process: a held address, settings that were still being written, a locked or full data folder. SIGHUP ended the process until the whole start was complete.

The start is now one path for both kinds of nodes: it binds the addresses, then opens the data folder, and is tried again for a bounded time with settings that are read anew. SIGHUP is taken over in the first line of main. Every end writes a last line with code, reason and age, so that the hypotheses can be told apart.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
@@ -4,32 +4,26 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.apache.commons.cli.help.HelpFormatter;
-import org.cardamomthread.configuration.document.InvalidDocumentException;
-import org.cardamomthread.configuration.settings.LogFormat;
-import org.cardamomthread.configuration.settings.NodeSettings;
-import org.cardamomthread.configuration.settings.NodeSettingsLoader;
-import org.cardamomthread.daemon.fleet.FleetNode;
-import org.cardamomthread.daemon.fleet.FleetNodeFactory;
-import org.cardamomthread.daemon.http.ListenerBindException;
+import org.cardamomthread.core.time.SystemTimeSource;
+import org.cardamomthread.daemon.start.DaemonExitCode;
+import org.cardamomthread.daemon.start.NodeFactory;
+import org.cardamomthread.daemon.start.NodeProcess;
+import org.cardamomthread.daemon.start.ProcessExit;
+import org.cardamomthread.daemon.start.SettingsReloader;
 import org.cardamomthread.daemon.telemetry.DaemonLogConfigurator;
-import org.cardamomthread.replication.StorageException;
-import org.cardamomthread.transport.TransportStartException;
-import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sun.misc.Signal;
 
 /**
  * Runs one node of the system as a process.
  *
  * <p>The process exits with one of the codes of {@link DaemonExitCode}. SIGTERM and SIGINT stop the
- * node gracefully.
+ * node gracefully; SIGHUP validates changed settings.
  */
 public final class Cardamomthreadd {
 
@@ -53,159 +47,54 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        NodeFactory nodeFactory = new SettingsFileNodeFactory(readVersion());
+        SettingsReloader reloader = new SettingsReloader(nodeFactory);
+        reloader.install();
         DaemonLogConfigurator.enable();
-        Thread.setDefaultUncaughtExceptionHandler(Cardamomthreadd::exitAfterUncaughtError);
-        DaemonExitCode code = run(arguments, System.out, System.err);
-        if (code != DaemonExitCode.STOPPED) {
-            System.exit(code.getCode());
+        ProcessExit exit = new ProcessExit(System.out);
+        Thread.setDefaultUncaughtExceptionHandler(
+                (thread, failure) -> exitAfterUncaughtError(exit, thread, failure));
+        Options options = new Options().addOption(SETTINGS).addOption(HELP).addOption(VERSION);
+        try {
+            CommandLine commandLine = new DefaultParser().parse(options, arguments);
+            if (commandLine.hasOption(HELP)) {
+                printHelp(options, System.out);
+            } else if (commandLine.hasOption(VERSION)) {
+                System.out.println("cardamomthreadd " + readVersion());
+            } else if (commandLine.hasOption(SETTINGS)) {
+                NodeProcess process =
+                        new NodeProcess(nodeFactory, reloader, exit, new SystemTimeSource());
+                process.installShutdownHook();
+                process.run(Path.of(commandLine.getOptionValue(SETTINGS)));
+            } else {
+                endAfterInvalidCommandLine(exit, "option --settings is missing");
+            }
+        } catch (ParseException e) {
+            endAfterInvalidCommandLine(exit, e.getMessage());
         }
     }
 
+    private static void endAfterInvalidCommandLine(ProcessExit exit, String detail) {
+        System.err.println("cardamomthreadd: " + detail + "; see --help");
+        exit.end(DaemonExitCode.INVALID_SETTINGS, detail);
+    }
+
     /**
      * Ends the process, which its supervisor starts again, instead of continuing without one of its
      * threads.
      */
-    private static void exitAfterUncaughtError(Thread thread, Throwable failure) {
+    private static void exitAfterUncaughtError(ProcessExit exit, Thread thread, Throwable failure) {
         try {
             LoggerFactory.getLogger(Cardamomthreadd.class)
                     .error(
                             "an error ended thread {}; the process exits",
                             thread.getName(),
                             failure);
-            DaemonLogConfigurator.stop();
         } finally {
-            Runtime.getRuntime().halt(DaemonExitCode.INTERNAL_FAILURE.getCode());
-        }
-    }
-
-    private static DaemonExitCode run(String[] arguments, PrintStream out, PrintStream err) {
-        Options options = new Options().addOption(SETTINGS).addOption(HELP).addOption(VERSION);
-        CommandLine commandLine;
-        try {
-            commandLine = new DefaultParser().parse(options, arguments);
-        } catch (ParseException exception) {
-            err.println("cardamomthreadd: " + exception.getMessage() + "; see --help");
-            return DaemonExitCode.INVALID_SETTINGS;
-        }
-        if (commandLine.hasOption(HELP)) {
-            printHelp(options, out);
-            return DaemonExitCode.STOPPED;
-        }
-        if (commandLine.hasOption(VERSION)) {
-            out.println("cardamomthreadd " + readVersion());
-            return DaemonExitCode.STOPPED;
-        }
-        if (!commandLine.hasOption(SETTINGS)) {
-            err.println("cardamomthreadd: option --settings is missing; see --help");
-            return DaemonExitCode.INVALID_SETTINGS;
-        }
-        return runNode(Path.of(commandLine.getOptionValue(SETTINGS)), err);
-    }
-
-    private static DaemonExitCode runNode(Path file, PrintStream err) {
-        try {
-            if (FleetNodeFactory.isFleetSettingsFile(file)) {
-                return runFleetNode(file, err);
-            }
-        } catch (InvalidDocumentException exception) {
-            err.println("cardamomthreadd: " + exception.getMessage());
-            return DaemonExitCode.INVALID_SETTINGS;
-        }
-        return runConfiguredNode(file, err);
-    }
-
-    /** Runs a node that discovers the system through seed addresses. */
-    private static DaemonExitCode runFleetNode(Path file, PrintStream err) {
-        org.cardamomthread.daemon.telemetry.LogFormat.JSON.apply();
-        Logger logger = LoggerFactory.getLogger(Cardamomthreadd.class);
-        FleetNode node;
-        try {
-            node = FleetNodeFactory.create(file);
-        } catch (InvalidDocumentException exception) {
-            err.println("cardamomthreadd: " + exception.getMessage());
-            return DaemonExitCode.INVALID_SETTINGS;
-        }
-        try {
-            node.start();
-        } catch (ListenerBindException | TransportStartException exception) {
-            logger.error(exception.getMessage());
-            node.close();
-            return DaemonExitCode.LISTEN_FAILURE;
-        } catch (StorageException exception) {
-            logger.error(exception.getMessage());
-            node.close();
-            return DaemonExitCode.STORAGE_FAILURE;
-        }
-        Signal.handle(new Signal("HUP"), signal -> reload(file, logger));
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(() -> stop(node::stopGracefully, logger), "shutdown"));
-        return DaemonExitCode.STOPPED;
-    }
-
-    /** Validates changed settings on SIGHUP; valid ones take effect at the next start. */
-    private static void reload(Path file, Logger logger) {
-        try {
-            FleetNodeFactory.validateSettings(file);
-            logger.atInfo()
-                    .addKeyValue("event", "settings-reloaded")
-                    .log("the settings are valid; they take effect at the next start");
-        } catch (InvalidDocumentException exception) {
-            logger.atError()
-                    .addKeyValue("event", "settings-refused")
-                    .log("the changed settings are invalid: {}", exception.getMessage());
-        }
-    }
-
-    private static DaemonExitCode runConfiguredNode(Path file, PrintStream err) {
-        NodeSettings settings;
-        try {
-            settings = new NodeSettingsLoader().load(file);
-        } catch (InvalidDocumentException exception) {
-            err.println("cardamomthreadd: " + exception.getMessage());
-            return DaemonExitCode.INVALID_SETTINGS;
+            exit.end(
+                    DaemonExitCode.INTERNAL_FAILURE,
+                    "an error ended thread " + thread.getName() + ": " + failure);
         }
-        resolveLogFormat(settings).apply();
-        Logger logger = LoggerFactory.getLogger(Cardamomthreadd.class);
-        Node node = new Node(settings, readVersion());
-        try {
-            node.start();
-        } catch (ListenerBindException | TransportStartException exception) {
-            logger.error(exception.getMessage());
-            node.close();
-            return DaemonExitCode.LISTEN_FAILURE;
-        } catch (StorageException exception) {
-            logger.error(exception.getMessage());
-            node.close();
-            return DaemonExitCode.STORAGE_FAILURE;
-        }
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(() -> stop(node::stopGracefully, logger), "shutdown"));
-        return DaemonExitCode.STOPPED;
-    }
-
-    /**
-     * Runs as the shutdown hook; halts the process, since a hook cannot change the exit code
-     * otherwise.
-     */
-    private static void stop(BooleanSupplier gracefulStop, Logger logger) {
-        DaemonExitCode code;
-        try {
-            code =
-                    gracefulStop.getAsBoolean()
-                            ? DaemonExitCode.STOPPED
-                            : DaemonExitCode.STOPPED_WITH_OPEN_REQUESTS;
-        } catch (RuntimeException exception) {
-            logger.error("the node failed while stopping", exception);
-            code = DaemonExitCode.INTERNAL_FAILURE;
-        }
-        Runtime.getRuntime().halt(code.getCode());
-    }
-
-    private static org.cardamomthread.daemon.telemetry.LogFormat resolveLogFormat(
-            NodeSettings settings) {
-        return settings.telemetry().logFormat() == LogFormat.JSON
-                ? org.cardamomthread.daemon.telemetry.LogFormat.JSON
-                : org.cardamomthread.daemon.telemetry.LogFormat.TEXT;
     }
 
     private static void printHelp(Options options, PrintStream out) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -21,6 +21,7 @@
 import org.cardamomthread.daemon.http.ListenerBindException;
 import org.cardamomthread.daemon.membership.AnnouncementApi;
 import org.cardamomthread.daemon.operator.OperatorApi;
+import org.cardamomthread.daemon.start.StartableNode;
 import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.telemetry.NodeTracing;
 import org.cardamomthread.replication.StorageException;
@@ -36,7 +37,7 @@
  * <p>Lifecycle: {@link #start()} once, then {@link #stopGracefully()} or {@link #close()}.
  * Thread-safe.
  */
-final class Node implements AutoCloseable {
+final class Node implements StartableNode {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(Node.class);
     private static final int EVENT_LOOP_THREADS = 2;
@@ -122,15 +123,13 @@
         operatorServer = createServer("operators", createOperatorApi(placementHistory));
     }
 
-    /**
-     * Starts the listeners and joins the system.
-     *
-     * @throws ListenerBindException if an address cannot be bound
-     * @throws TransportStartException if the address for peers cannot be bound
-     * @throws StorageException if the data folder cannot be used
-     */
-    void start() throws ListenerBindException, TransportStartException, StorageException {
+    @Override
+    public void start() throws ListenerBindException, TransportStartException, StorageException {
         Listeners listeners = settings.listeners();
+        transport.bind();
+        operatorServer.bind(listeners.operators().toSocketAddress());
+        endpointServer.bind(listeners.endpoints().toSocketAddress());
+        callerServer.bind(listeners.callers().toSocketAddress());
         controlComponents.start();
         transport.start();
         membership.getService().setCreditListener(serving.getGateway()::processQueues);
@@ -140,9 +139,9 @@
                 .createClaimCleaner(membership::listDeadNodes, timeSource)
                 .start(controlThread);
         capacity.start(membership.getDirectory(), transport, controlThread);
-        operatorServer.listen(listeners.operators().toSocketAddress());
-        endpointServer.listen(listeners.endpoints().toSocketAddress());
-        callerServer.listen(listeners.callers().toSocketAddress());
+        operatorServer.startAccepting();
+        endpointServer.startAccepting();
+        callerServer.startAccepting();
         ready.set(true);
         LOGGER.atInfo()
                 .addKeyValue("node", settings.nodeId())
@@ -157,7 +156,8 @@
      *
      * @return false if requests were still open when the shutdown timeout elapsed
      */
-    boolean stopGracefully() {
+    @Override
+    public boolean stopGracefully() {
         ready.set(false);
         callerServer.startDraining();
         LOGGER.info(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNode.java
@@ -26,6 +26,7 @@
 import org.cardamomthread.daemon.http.ListenerBindException;
 import org.cardamomthread.daemon.registry.EndpointRegistry;
 import org.cardamomthread.daemon.registry.EndpointUpdateReplicator;
+import org.cardamomthread.daemon.start.StartableNode;
 import org.cardamomthread.daemon.view.GatewayReports;
 import org.cardamomthread.daemon.view.LeavingEndpointReports;
 import org.cardamomthread.daemon.view.QuarantineServer;
@@ -47,7 +48,7 @@
  * empty folder learns the voters from other control nodes and joins as a new member, or waits until
  * a voter is gone. Thread-safe.
  */
-final class ControlNode implements FleetNode {
+final class ControlNode implements StartableNode {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlNode.class);
 
@@ -156,6 +157,9 @@
     @Override
     public void start() throws ListenerBindException, TransportStartException, StorageException {
         FleetSettings settings = components.settings();
+        components.transport().bind();
+        controlServer.bind(settings.control().orElseThrow().toSocketAddress());
+        metricsServer.bind(settings.metrics().toSocketAddress());
         components.transport().register(ViewServer.TOPIC, viewServer::handle);
         QuotaPool quotaPool =
                 new QuotaPool(
@@ -182,8 +186,8 @@
                                 .ifPresent(directory::update));
         components.transport().start();
         startControllers();
-        metricsServer.listen(settings.metrics().toSocketAddress());
-        controlServer.listen(settings.control().orElseThrow().toSocketAddress());
+        metricsServer.startAccepting();
+        controlServer.startAccepting();
         LOGGER.atInfo()
                 .addKeyValue("event", "node-started")
                 .addKeyValue("node", settings.nodeId())
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetNodeFactory.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetNodeFactory.java
@@ -1,12 +1,11 @@
 package org.cardamomthread.daemon.fleet;
 
-import java.nio.file.Path;
 import java.util.List;
 import java.util.ServiceLoader;
 import org.cardamomthread.configuration.document.Document;
 import org.cardamomthread.configuration.document.InvalidDocumentException;
-import org.cardamomthread.configuration.document.YamlReader;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
+import org.cardamomthread.daemon.start.StartableNode;
 
 /** Creates nodes that join through seed nodes from their settings. Stateless. */
 public final class FleetNodeFactory {
@@ -14,25 +13,23 @@
     private FleetNodeFactory() {}
 
     /**
-     * Returns whether a file holds the settings of a node that joins through seed nodes.
+     * Returns whether a document holds the settings of a node that joins through seed nodes.
      *
-     * @param file the settings file
-     * @return true if the file contains a role
-     * @throws InvalidDocumentException if the file is missing or not a YAML document
+     * @param document the settings
+     * @return true if the document contains a role
      */
-    public static boolean isFleetSettingsFile(Path file) throws InvalidDocumentException {
-        return FleetSettingsLoader.isFleetDocument(YamlReader.read(file));
+    public static boolean isFleetDocument(Document document) {
+        return FleetSettingsLoader.isFleetDocument(document);
     }
 
     /**
      * Validates the settings and assembles the node, without starting it.
      *
-     * @param file the settings file
+     * @param document the settings
      * @return the node, which is not started yet
      * @throws InvalidDocumentException if the settings are invalid; contains all errors
      */
-    public static FleetNode create(Path file) throws InvalidDocumentException {
-        Document document = YamlReader.read(file);
+    public static StartableNode create(Document document) throws InvalidDocumentException {
         FleetSettings settings = new FleetSettingsLoader().load(document);
         PlatformDialect dialect =
                 ServiceLoader.load(PlatformDialect.class)
@@ -53,12 +50,12 @@
     }
 
     /**
-     * Validates a settings file that has changed.
+     * Validates settings that have changed.
      *
-     * @param file the settings file
+     * @param document the settings
      * @throws InvalidDocumentException if the settings are invalid
      */
-    public static void validateSettings(Path file) throws InvalidDocumentException {
-        new FleetSettingsLoader().load(file);
+    public static void validateSettings(Document document) throws InvalidDocumentException {
+        new FleetSettingsLoader().load(document);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -18,6 +18,7 @@
 import org.cardamomthread.daemon.http.HttpServer;
 import org.cardamomthread.daemon.http.ListenerBindException;
 import org.cardamomthread.daemon.http.ServerResponse;
+import org.cardamomthread.daemon.start.StartableNode;
 import org.cardamomthread.daemon.telemetry.NodeForwardingMetrics;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.QuotaPoolClient;
@@ -31,7 +32,7 @@
 import org.slf4j.LoggerFactory;
 
 /** Assembles and runs a gateway. Thread-safe. */
-final class GatewayNode implements FleetNode {
+final class GatewayNode implements StartableNode {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(GatewayNode.class);
 
@@ -119,11 +120,15 @@
     @Override
     public void start() throws ListenerBindException, TransportStartException {
         FleetSettings settings = components.settings();
+        components.transport().bind();
+        callerServer.bind(requireAddress(settings.callers()).toSocketAddress());
+        readinessServer.bind(requireAddress(settings.readiness()).toSocketAddress());
+        metricsServer.bind(settings.metrics().toSocketAddress());
         components.transport().start();
         viewClient.start();
-        metricsServer.listen(settings.metrics().toSocketAddress());
-        readinessServer.listen(requireAddress(settings.readiness()).toSocketAddress());
-        callerServer.listen(requireAddress(settings.callers()).toSocketAddress());
+        callerServer.startAccepting();
+        readinessServer.startAccepting();
+        metricsServer.startAccepting();
         LOGGER.atInfo()
                 .addKeyValue("event", "node-started")
                 .addKeyValue("node", settings.nodeId())
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
@@ -60,12 +60,24 @@
      * @throws ListenerBindException if the address is in use or does not belong to this host
      */
     public void listen(InetSocketAddress address) throws ListenerBindException {
+        bind(address);
+        startAccepting();
+    }
+
+    /**
+     * Binds the address; connections wait until {@link #startAccepting()}.
+     *
+     * @param address the address to listen on; port 0 selects a free port
+     * @throws ListenerBindException if the address is in use or does not belong to this host
+     */
+    public void bind(InetSocketAddress address) throws ListenerBindException {
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(eventLoops)
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.AUTO_READ, false)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(new ConnectionInitializer());
         var bindFuture = bootstrap.bind(address).awaitUninterruptibly();
@@ -75,6 +87,11 @@
         serverChannel = bindFuture.channel();
     }
 
+    /** Starts to accept connections on the bound address. */
+    public void startAccepting() {
+        serverChannel.config().setAutoRead(true);
+    }
+
     /**
      * Returns the address that the server listens on.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/DaemonExitCode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/start/DaemonExitCode.java
@@ -1,7 +1,7 @@
-package org.cardamomthread.daemon;
+package org.cardamomthread.daemon.start;
 
 /** Exit codes of the daemon. Immutable. */
-enum DaemonExitCode {
+public enum DaemonExitCode {
     /**
      * The node was told to stop and completed all open requests, or the requested help or version
      * was printed.
@@ -26,7 +26,12 @@
         this.code = code;
     }
 
-    int getCode() {
+    /**
+     * Returns the code that the process exits with.
+     *
+     * @return the exit code
+     */
+    public int getCode() {
         return code;
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/start/StartableNode.java
@@ -1,14 +1,19 @@
-package org.cardamomthread.daemon.fleet;
+package org.cardamomthread.daemon.start;
 
 import org.cardamomthread.daemon.http.ListenerBindException;
 import org.cardamomthread.replication.StorageException;
 import org.cardamomthread.transport.TransportStartException;
 
-/** Represents a node that joins the system through seed nodes. Implementations are thread-safe. */
-public interface FleetNode extends AutoCloseable {
+/**
+ * Represents a node that a process runs.
+ *
+ * <p>Invariant: a node whose start failed holds no address and no data folder once it is closed, so
+ * that another one can be started in its place. Implementations are thread-safe.
+ */
+public interface StartableNode extends AutoCloseable {
 
     /**
-     * Opens the listeners and joins the system.
+     * Binds all addresses, then opens the data folder, then joins the system.
      *
      * @throws ListenerBindException if a listen address cannot be bound
      * @throws TransportStartException if the address for other nodes cannot be bound
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/DaemonLogConfigurator.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/DaemonLogConfigurator.java
@@ -5,7 +5,6 @@
 import ch.qos.logback.classic.spi.ConfiguratorRank;
 import ch.qos.logback.core.spi.ContextAwareBase;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.slf4j.LoggerFactory;
 
 /**
  * Configures logging at the first use of a logger in the daemon's own process; leaves it to
@@ -16,6 +15,7 @@
 public final class DaemonLogConfigurator extends ContextAwareBase implements Configurator {
 
     private static final AtomicBoolean ENABLED = new AtomicBoolean();
+    private static volatile LoggerContext configuredContext;
 
     /** Creates an instance; called by the {@link java.util.ServiceLoader}. */
     public DaemonLogConfigurator() {}
@@ -27,9 +27,12 @@
         ENABLED.set(true);
     }
 
-    /** Writes what is still queued, for at most a second, and stops logging. */
+    /** Writes what is still queued, for at most a second, and stops logging if it has begun. */
     public static void stop() {
-        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+        LoggerContext context = configuredContext;
+        if (context != null) {
+            context.stop();
+        }
     }
 
     @Override
@@ -38,6 +41,7 @@
             return ExecutionStatus.NEUTRAL;
         }
         LogFormat.TEXT.configure(context);
+        configuredContext = context;
         return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
     }
 }
--- a/cardamomthread-transport/src/main/java/org/cardamomthread/transport/NettyPeerTransport.java
+++ b/cardamomthread-transport/src/main/java/org/cardamomthread/transport/NettyPeerTransport.java
@@ -122,16 +122,18 @@
     }
 
     /**
-     * Opens the peer listener. All handlers must have been registered before.
+     * Binds the address of the peer listener. Connections wait until {@link #start()}, so that a
+     * node can find out that its address is in use before it opens its data folder.
      *
      * @throws TransportStartException if the address is in use or does not belong to this host
      */
-    public void start() throws TransportStartException {
+    public void bind() throws TransportStartException {
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.AUTO_READ, false)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
@@ -146,6 +148,19 @@
             throw new TransportStartException(listenAddress, bound.cause());
         }
         listener = bound.channel();
+    }
+
+    /**
+     * Opens the peer listener, and binds its address if that was not done before. All handlers must
+     * have been registered before.
+     *
+     * @throws TransportStartException if the address is in use or does not belong to this host
+     */
+    public void start() throws TransportStartException {
+        if (listener == null) {
+            bind();
+        }
+        listener.config().setAutoRead(true);
         context.loop()
                 .scheduleWithFixedDelay(
                         this::checkTimeouts,
