--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClientTests.java
@@ -253,12 +253,13 @@
         private final AtomicInteger connections = new AtomicInteger();
         private final String response;
         private final String nextAction;
+        private final Thread acceptor;
         private volatile boolean closesAfterSecondRequest;
 
         ScriptedEndpoint(String response, String nextAction) throws IOException {
             this.response = response;
             this.nextAction = nextAction;
-            startDaemonThread(this::acceptAll);
+            acceptor = startDaemonThread(this::acceptAll);
         }
 
         String getAddress() {
@@ -318,15 +319,18 @@
             return true;
         }
 
-        private static void startDaemonThread(Runnable action) {
+        private static Thread startDaemonThread(Runnable action) {
             Thread thread = new Thread(action);
             thread.setDaemon(true);
             thread.start();
+            return thread;
         }
 
+        /** Closes the listener; the kernel accepts connections until its accepting thread ends. */
         @Override
-        public void close() throws IOException {
+        public void close() throws IOException, InterruptedException {
             listener.close();
+            acceptor.join();
         }
     }
 }
