--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FileLogStorage.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/storage/FileLogStorage.java
@@ -105,7 +105,7 @@
         fileAccess.syncFolder(parentFolder);
     }
 
-    private void acquireLock() throws IOException, StorageIdentityException {
+    private void acquireLock() throws IOException, StorageLockedException {
         lockChannel =
                 FileChannel.open(
                         folder.resolve(LOCK_FILE_NAME),
@@ -113,8 +113,7 @@
                         StandardOpenOption.WRITE);
         if (!tryLock()) {
             close();
-            throw new StorageIdentityException(
-                    folder + " is in use by another process; stop that process first");
+            throw new StorageLockedException(folder);
         }
     }
 
--- a/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
+++ b/cardamomthread-replication/src/test/java/org/cardamomthread/replication/storage/FileLogStorageTests.java
@@ -160,7 +160,7 @@
     public void rejectsAFolderInUse() throws Exception {
         FileLogStorage storage = newStorage(new DefaultFileAccess());
         storage.open(GROUP, NODE);
-        expectThrows(StorageIdentityException.class, this::reopen);
+        expectThrows(StorageLockedException.class, this::reopen);
         storage.close();
     }
 
