--- a/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/document/YamlReader.java
+++ b/cardamomthread-configuration/src/main/java/org/cardamomthread/configuration/document/YamlReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -27,8 +28,17 @@
  */
 public final class YamlReader {
 
+    /** Far deeper than any document of the project, and far below the depth that a stack holds. */
+    private static final int MAX_NESTING_DEPTH = 50;
+
     private static final YAMLFactory FACTORY =
-            YAMLFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+            YAMLFactory.builder()
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .streamReadConstraints(
+                            StreamReadConstraints.builder()
+                                    .maxNestingDepth(MAX_NESTING_DEPTH)
+                                    .build())
+                    .build();
     private static final JsonNodeFactory NODE_FACTORY = JsonNodeFactory.instance;
 
     private final String source;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Cardamomthreadd.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -34,6 +33,16 @@
                     .argName("file")
                     .desc("settings of the node (YAML)")
                     .get();
+    private static final Option START_TIMEOUT =
+            Option.builder()
+                    .longOpt("start-timeout-ms")
+                    .hasArg()
+                    .argName("ms")
+                    .desc(
+                            "how long addresses and a data folder in use are waited for, "
+                                    + NodeProcess.DEFAULT_START_PERIOD_MS
+                                    + " unless set")
+                    .get();
     private static final Option HELP =
             Option.builder("h").longOpt("help").desc("print this help").get();
     private static final Option VERSION =
@@ -47,23 +56,33 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        NodeFactory nodeFactory = new SettingsFileNodeFactory(readVersion());
+        NodeFactory nodeFactory = new SettingsFileNodeFactory();
         SettingsReloader reloader = new SettingsReloader(nodeFactory);
         reloader.install();
-        DaemonLogConfigurator.enable();
         ProcessExit exit = new ProcessExit(System.out);
+        DaemonLogConfigurator.enable();
         Thread.setDefaultUncaughtExceptionHandler(
                 (thread, failure) -> exitAfterUncaughtError(exit, thread, failure));
-        Options options = new Options().addOption(SETTINGS).addOption(HELP).addOption(VERSION);
+        Options options =
+                new Options()
+                        .addOption(SETTINGS)
+                        .addOption(START_TIMEOUT)
+                        .addOption(HELP)
+                        .addOption(VERSION);
         try {
             CommandLine commandLine = new DefaultParser().parse(options, arguments);
             if (commandLine.hasOption(HELP)) {
                 printHelp(options, System.out);
             } else if (commandLine.hasOption(VERSION)) {
-                System.out.println("cardamomthreadd " + readVersion());
+                System.out.println("cardamomthreadd " + SettingsFileNodeFactory.readVersion());
             } else if (commandLine.hasOption(SETTINGS)) {
                 NodeProcess process =
-                        new NodeProcess(nodeFactory, reloader, exit, new SystemTimeSource());
+                        new NodeProcess(
+                                nodeFactory,
+                                reloader,
+                                exit,
+                                new SystemTimeSource(),
+                                readStartTimeoutMs(commandLine));
                 process.installShutdownHook();
                 process.run(Path.of(commandLine.getOptionValue(SETTINGS)));
             } else {
@@ -74,6 +93,19 @@
         }
     }
 
+    private static long readStartTimeoutMs(CommandLine commandLine) throws ParseException {
+        String text = commandLine.getOptionValue(START_TIMEOUT);
+        if (text == null) {
+            return NodeProcess.DEFAULT_START_PERIOD_MS;
+        }
+        try {
+            return Long.parseUnsignedLong(text);
+        } catch (NumberFormatException e) {
+            throw new ParseException(
+                    "option --start-timeout-ms: \"" + text + "\" is not a number of 0 or more");
+        }
+    }
+
     private static void endAfterInvalidCommandLine(ProcessExit exit, String detail) {
         System.err.println("cardamomthreadd: " + detail + "; see --help");
         exit.end(DaemonExitCode.INVALID_SETTINGS, detail);
@@ -111,9 +143,4 @@
             out.println("cannot print the help text: " + exception.getMessage());
         }
     }
-
-    private static String readVersion() {
-        return Optional.ofNullable(Cardamomthreadd.class.getPackage().getImplementationVersion())
-                .orElse("development");
-    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/SettingsFileNodeFactory.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/SettingsFileNodeFactory.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon;
 
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cardamomthread.configuration.document.Document;
 import org.cardamomthread.configuration.document.InvalidDocumentException;
@@ -18,11 +19,13 @@
  */
 final class SettingsFileNodeFactory implements NodeFactory {
 
-    private final String version;
     private final AtomicBoolean isLoggingConfigured = new AtomicBoolean();
 
-    SettingsFileNodeFactory(String version) {
-        this.version = version;
+    /** Returns the version in the program's manifest. */
+    static String readVersion() {
+        return Optional.ofNullable(
+                        SettingsFileNodeFactory.class.getPackage().getImplementationVersion())
+                .orElse("development");
     }
 
     @Override
@@ -34,7 +37,7 @@
         }
         NodeSettings settings = load(file, document);
         configureLogging(resolveLogFormat(settings));
-        return new Node(settings, version);
+        return new Node(settings, readVersion());
     }
 
     @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/start/ProcessExit.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/start/ProcessExit.java
@@ -14,7 +14,7 @@
  * process ends even if nobody reads standard output. Only the first call has an effect.
  * Thread-safe.
  */
-public final class ProcessExit {
+public final class ProcessExit implements ExitAction {
 
     private static final long STOP_LOG_TIMEOUT_MS = 1_000;
     private static final long WRITE_TIMEOUT_MS = 500;
@@ -38,29 +38,49 @@
      * @param code the exit code
      * @param reason what made the process end, for people
      */
+    @Override
     public void end(DaemonExitCode code, String reason) {
         if (!isEnding.compareAndSet(false, true)) {
+            awaitHalt();
             return;
         }
         try {
+            String line = createLine(code, reason);
             runFor(STOP_LOG_TIMEOUT_MS, DaemonLogConfigurator::stop);
-            runFor(WRITE_TIMEOUT_MS, () -> write(code, reason));
+            runFor(WRITE_TIMEOUT_MS, () -> write(line));
         } finally {
             Runtime.getRuntime().halt(code.getCode());
         }
     }
 
-    private void write(DaemonExitCode code, String reason) {
-        out.println(
-                JsonNodeFactory.instance
-                        .objectNode()
-                        .put("event", "process-exit")
-                        .put("code", code.getCode())
-                        .put("reason", reason)
-                        .put("ageMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs)));
+    /**
+     * Returns the line; not part of what is timed, since the classes that it loads take longer than
+     * that on a slow host.
+     */
+    private String createLine(DaemonExitCode code, String reason) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("event", "process-exit")
+                .put("code", code.getCode())
+                .put("reason", reason)
+                .put("ageMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs))
+                .toString();
+    }
+
+    private void write(String line) {
+        out.println(line);
         out.flush();
     }
 
+    /** Keeps a shutdown hook from returning, which would end the process before its last line. */
+    private static void awaitHalt() {
+        try {
+            Thread.sleep(STOP_LOG_TIMEOUT_MS + WRITE_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Runs an action on a thread of its own, since a pipe that nobody reads blocks its writer. */
     private static void runFor(long timeoutMs, Runnable action) {
         Thread thread = new Thread(action, "process-exit");
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/start/SettingsReloader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/start/SettingsReloader.java
@@ -39,7 +39,7 @@
     }
 
     /**
-     * Sets the file that the node was started with.
+     * Sets the file that the node is started with. Must be called before the file is read.
      *
      * @param settingsFile the settings file
      */
@@ -56,7 +56,7 @@
                     .log("the settings are valid; they take effect at the next start");
         } catch (InvalidDocumentException e) {
             logRefusal(logger, e.getMessage());
-        } catch (RuntimeException | StackOverflowError e) {
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
             logRefusal(logger, e.toString());
         }
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/LogFormat.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/LogFormat.java
@@ -31,7 +31,7 @@
             "%d{\"yyyy-MM-dd'T'HH:mm:ss.SSSXXX\"} %-5level %logger{0} %kvp{DOUBLE} %msg%n";
 
     /** Number of events that may wait to be written before further ones are dropped. */
-    private static final int JSON_QUEUE_SIZE = 2_048;
+    private static final int QUEUE_SIZE = 2_048;
 
     /** Loggers of libraries, which are verbose below the level of warnings. */
     private static final List<String> LIBRARY_LOGGERS = List.of("io.netty", "org.asynchttpclient");
@@ -67,10 +67,10 @@
         PatternLayoutEncoder encoder = new PatternLayoutEncoder();
         encoder.setContext(context);
         encoder.setPattern(TEXT_PATTERN);
-        return createConsoleAppender(context, ConsoleTarget.SystemErr, encoder);
+        return createQueue(
+                context, createConsoleAppender(context, ConsoleTarget.SystemErr, encoder));
     }
 
-    /** Returns an appender that drops events instead of waiting until standard output is read. */
     private static Appender<ILoggingEvent> createJsonAppender(LoggerContext context) {
         JsonEncoder encoder = new JsonEncoder();
         encoder.setContext(context);
@@ -80,12 +80,19 @@
         encoder.setWithArguments(false);
         encoder.setWithMessage(false);
         encoder.setWithFormattedMessage(true);
+        return createQueue(
+                context, createConsoleAppender(context, ConsoleTarget.SystemOut, encoder));
+    }
+
+    /** Returns an appender that drops events instead of waiting until the output is read. */
+    private static Appender<ILoggingEvent> createQueue(
+            LoggerContext context, Appender<ILoggingEvent> console) {
         AsyncAppender queue = new AsyncAppender();
         queue.setContext(context);
-        queue.setQueueSize(JSON_QUEUE_SIZE);
+        queue.setQueueSize(QUEUE_SIZE);
         queue.setDiscardingThreshold(0);
         queue.setNeverBlock(true);
-        queue.addAppender(createConsoleAppender(context, ConsoleTarget.SystemOut, encoder));
+        queue.addAppender(console);
         queue.start();
         return queue;
     }
