Fetch smaller parts of the traffic document over slow links

A gateway on a link that needs more than the 600 ms of a request for 32 KiB, for example because callers' traffic fills it, would have asked for the same part for ever. It also would have asked 20 times per second for as long as a node was unreachable.

After each response that does not arrive, the gateway now asks for a part of half the size, down to 4 KiB, and waits longer before the next request: up to 400 ms after lost responses, up to 3.2 s after unusable ones, as a document that cannot be read costs the leader as much as a good one.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentClient.java
@@ -15,7 +15,9 @@
  *
  * <p>Invariant: at most one request is awaited at a time. A failed request is repeated after a
  * delay, or when the next poll announces a document; what was received before is kept, also if
- * another node becomes the source. Confined to one executor.
+ * another node becomes the source. After a response that did not arrive in time, smaller parts are
+ * asked for, since a part that takes longer than its timeout would never arrive. Confined to one
+ * executor.
  */
 final class DocumentClient {
 
@@ -23,8 +25,17 @@
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
-    /** Number of unusable responses in a row after which the delay no longer doubles: 3.2 s. */
-    private static final int MAX_DOUBLINGS = 6;
+    /** Doublings of the delay after requests without a response: up to 400 ms and a timeout. */
+    private static final int MAX_DOUBLINGS_IF_LOST = 3;
+
+    /**
+     * Doublings of the delay after unusable responses: up to 3.2 s, as these cost the leader as
+     * much as useful ones.
+     */
+    private static final int MAX_DOUBLINGS_IF_UNUSABLE = 6;
+
+    /** Smallest part that is asked for: within a request's timeout at 55 kbit/s. */
+    private static final int MIN_PART_BYTES = 4 * 1024;
 
     private final PeerTransport transport;
     private final ScheduledExecutorService executor;
@@ -35,7 +46,9 @@
     private long confirmedMs;
     private long requestNumber;
     private boolean isBusy;
+    private int lostResponses;
     private int unusableResponses;
+    private int partBytes = DocumentServer.MAX_PART_BYTES;
 
     /** Receives complete documents. */
     @FunctionalInterface
@@ -78,6 +91,7 @@
             confirmedMs = sentMs;
         }
         if (isNewSource || !isBusy || transfer.version() != formerVersion) {
+            lostResponses = 0;
             unusableResponses = 0;
             requestNextPart();
         }
@@ -91,7 +105,7 @@
     }
 
     private void requestNextPart() {
-        Optional<DocumentPartRequest> request = transfer.nextRequest();
+        Optional<DocumentPartRequest> request = transfer.nextRequest(partBytes);
         long number = ++requestNumber;
         isBusy = request.isPresent();
         if (!isBusy) {
@@ -133,22 +147,24 @@
                     "no part of the traffic document arrived from {}, asking again: {}",
                     source.get(),
                     failure.getMessage());
-            requestAfter(RETRY_DELAY);
+            partBytes = Math.max(MIN_PART_BYTES, partBytes / 2);
+            requestAfterFailures(++lostResponses, MAX_DOUBLINGS_IF_LOST);
             return;
         }
+        lostResponses = 0;
         try {
             handlePart(DocumentPartCodec.decodePart(payload));
         } catch (MalformedMessageException e) {
             LOGGER.warn("ignored a part of the traffic document from {}", source.get(), e);
-            requestAfterUnusableResponse();
+            requestAfterFailures(++unusableResponses, MAX_DOUBLINGS_IF_UNUSABLE);
         } catch (RuntimeException | Error e) {
             LOGGER.error("applying a part of the traffic document failed", e);
-            requestAfterUnusableResponse();
+            requestAfterFailures(++unusableResponses, MAX_DOUBLINGS_IF_UNUSABLE);
         }
     }
 
-    private void requestAfterUnusableResponse() {
-        int doublings = Math.min(unusableResponses++, MAX_DOUBLINGS);
+    private void requestAfterFailures(int failures, int maxDoublings) {
+        int doublings = Math.min(failures - 1, maxDoublings);
         requestAfter(RETRY_DELAY.multipliedBy(1L << doublings));
     }
 
@@ -170,7 +186,7 @@
                         source.get(),
                         transfer.version());
                 startNewest();
-                requestAfter(RETRY_DELAY);
+                requestAfterFailures(++unusableResponses, MAX_DOUBLINGS_IF_UNUSABLE);
             }
             default -> throw new IllegalStateException("unhandled outcome " + part.outcome());
         }
@@ -182,13 +198,15 @@
                 new DocumentPartRequest(
                         description.version(),
                         description.checksum(),
-                        description.compressedBytes());
+                        description.compressedBytes(),
+                        partBytes);
         transport.send(
                 source.orElseThrow(),
                 DocumentServer.TOPIC,
                 DocumentPartCodec.encode(acknowledgement));
         listener.accept(description.version(), document, confirmedMs);
         unusableResponses = 0;
+        partBytes = DocumentServer.MAX_PART_BYTES;
         if (transfer.newestVersion() > description.version()) {
             startNewest();
             requestNextPart();
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentPartCodec.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentPartCodec.java
@@ -28,6 +28,7 @@
                     output.writeInt64(1, request.version());
                     output.writeInt64(2, request.checksum());
                     output.writeInt32(3, request.offset());
+                    output.writeInt32(4, request.maxBytes());
                 });
     }
 
@@ -53,6 +54,7 @@
         long version = 0;
         long checksum = 0;
         int offset = 0;
+        int maxBytes = 0;
         try {
             CodedInputStream input = CodedInputStream.newInstance(payload);
             for (int tag = input.readTag(); tag != 0; tag = input.readTag()) {
@@ -60,13 +62,14 @@
                     case 1 -> version = input.readInt64();
                     case 2 -> checksum = input.readInt64();
                     case 3 -> offset = input.readInt32();
+                    case 4 -> maxBytes = input.readInt32();
                     default -> input.skipField(tag);
                 }
             }
         } catch (IOException e) {
             throw new MalformedMessageException("the request for a part is unreadable", e);
         }
-        return new DocumentPartRequest(version, checksum, offset);
+        return new DocumentPartRequest(version, checksum, offset, maxBytes);
     }
 
     /**
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentServer.java
@@ -201,7 +201,10 @@
             CompletableFuture<byte[]> response) {
         lastServedMs.put(gateway, timeSource.monotonicMs());
         int offset = request.offset();
-        int endOffset = Math.min(document.content().size(), offset + MAX_PART_BYTES);
+        int endOffset =
+                Math.min(
+                        document.content().size(),
+                        offset + Math.min(request.maxBytes(), MAX_PART_BYTES));
         DocumentPart part =
                 new DocumentPart(
                         DocumentPart.Outcome.INCLUDED,
@@ -215,7 +218,7 @@
     private Optional<CompressedDocument> find(DocumentPartRequest request) {
         return documents
                 .find(request.version())
-                .filter(found -> request.offset() >= 0)
+                .filter(found -> request.offset() >= 0 && request.maxBytes() > 0)
                 .filter(
                         found ->
                                 request.offset() == 0
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentTransfer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentTransfer.java
@@ -53,13 +53,17 @@
         return newestVersion;
     }
 
-    /** Returns the request for the next part, or empty if there is nothing to transfer. */
-    Optional<DocumentPartRequest> nextRequest() {
+    /**
+     * Returns the request for the next part, or empty if there is nothing to transfer.
+     *
+     * @param maxBytes maximum size of the part
+     */
+    Optional<DocumentPartRequest> nextRequest(int maxBytes) {
         if (version == 0) {
             return Optional.empty();
         }
         long checksum = description.map(DocumentDescription::checksum).orElse(0L);
-        return Optional.of(new DocumentPartRequest(version, checksum, receivedBytes));
+        return Optional.of(new DocumentPartRequest(version, checksum, receivedBytes, maxBytes));
     }
 
     /**
