Fetch the traffic document from all control nodes

The leader's outgoing link bounded how soon all gateways had a new document: simulated with 100 gateways and a document of 2,000 routes, 2,120 ms at 17.5 Mbit/s and 5,640 ms at 7 Mbit/s, beyond the bound of 2,500 ms and near the view lease, after which requests with a key are refused.

Each transfer now asks a control node drawn at random. After any failure, and if that node has not applied the document yet, the gateway goes on at the leader, with what it has received.

The same simulation with eight control nodes, of which seven apply a document 50 ms later: 1,000 ms at 7 Mbit/s (the leave within 544 ms) and 660 ms at 17.5 Mbit/s (320 ms). The leader sends 0.9 MB and 1.4 MB, view responses included, instead of 4.5 MB. With a single control node the times are as before.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -104,6 +104,7 @@
                         viewLease,
                         eventLoop,
                         timeSource,
+                        components.random().split(),
                         this::addReport,
                         this::applyView);
         callerServer = components.createHttpServer("callers", forwarder.getHandler());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentClient.java
@@ -1,9 +1,11 @@
 package org.cardamomthread.daemon.view;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.daemon.dialect.MalformedMessageException;
 import org.cardamomthread.transport.PeerTransport;
@@ -13,6 +15,9 @@
 /**
  * Fetches the newest traffic document in parts, one after another.
  *
+ * <p>Each transfer asks a control node drawn at random, so that the links of all of them are used,
+ * and the leader after any failure: it holds each document that it names.
+ *
  * <p>Invariant: at most one request is awaited at a time. A failed request is repeated after a
  * delay, or when the next poll announces a document; what was received before is kept, also if
  * another node becomes the source. After a response that did not arrive in time, smaller parts are
@@ -41,7 +46,10 @@
     private final ScheduledExecutorService executor;
     private final DocumentListener listener;
     private final DocumentTransfer transfer = new DocumentTransfer();
+    private final RandomGenerator random;
+    private Optional<NodeId> leader = Optional.empty();
     private Optional<NodeId> source = Optional.empty();
+    private List<NodeId> controlNodes = List.of();
     private long newestSentMs;
     private long confirmedMs;
     private long requestNumber;
@@ -68,29 +76,42 @@
     }
 
     DocumentClient(
-            PeerTransport transport, ScheduledExecutorService executor, DocumentListener listener) {
+            PeerTransport transport,
+            ScheduledExecutorService executor,
+            RandomGenerator random,
+            DocumentListener listener) {
         this.transport = transport;
         this.executor = executor;
+        this.random = random;
         this.listener = listener;
     }
 
     /**
      * Fetches a document unless that is in progress already.
      *
-     * @param node the control node that named the document as the newest
+     * @param node the leader, which named the document as the newest
+     * @param nodes the control nodes that may hold it
      * @param newestVersion its version, which the gateway does not hold
-     * @param sentMs when the request was sent that the node responded to, in monotonic milliseconds
+     * @param sentMs when the request was sent that the leader responded to, in monotonic
+     *     milliseconds
      */
-    void fetch(NodeId node, long newestVersion, long sentMs) {
-        boolean isNewSource = !source.equals(Optional.of(node));
+    void fetch(NodeId node, List<NodeId> nodes, long newestVersion, long sentMs) {
+        boolean wasLeader = source.equals(leader);
+        Optional<NodeId> formerSource = source;
         long formerVersion = transfer.version();
-        source = Optional.of(node);
+        leader = Optional.of(node);
+        controlNodes = nodes;
         newestSentMs = sentMs;
         transfer.announce(newestVersion);
         if (transfer.version() == newestVersion) {
             confirmedMs = sentMs;
         }
-        if (isNewSource || !isBusy || transfer.version() != formerVersion) {
+        if (source.isEmpty()) {
+            source = drawSource();
+        } else if (wasLeader) {
+            source = leader;
+        }
+        if (!source.equals(formerSource) || !isBusy || transfer.version() != formerVersion) {
             lostResponses = 0;
             unusableResponses = 0;
             requestNextPart();
@@ -101,6 +122,7 @@
     void stop() {
         requestNumber++;
         isBusy = false;
+        source = Optional.empty();
         transfer.clear();
     }
 
@@ -164,6 +186,7 @@
     }
 
     private void requestAfterFailures(int failures, int maxDoublings) {
+        source = leader;
         int doublings = Math.min(failures - 1, maxDoublings);
         requestAfter(RETRY_DELAY.multipliedBy(1L << doublings));
     }
@@ -180,6 +203,11 @@
             }
             case DELAYED -> requestAfter(RETRY_DELAY);
             case NOT_HELD -> {
+                if (!source.equals(leader)) {
+                    source = leader;
+                    requestNextPart();
+                    return;
+                }
                 LOGGER.info(
                         "{} does not hold version {} of the traffic document in the form that was"
                                 + " begun, starting over",
@@ -209,6 +237,7 @@
         partBytes = DocumentServer.MAX_PART_BYTES;
         if (transfer.newestVersion() > description.version()) {
             startNewest();
+            source = drawSource();
             requestNextPart();
         } else {
             stop();
@@ -219,4 +248,10 @@
         transfer.startNewest();
         confirmedMs = newestSentMs;
     }
+
+    private Optional<NodeId> drawSource() {
+        return controlNodes.isEmpty()
+                ? leader
+                : Optional.of(controlNodes.get(random.nextInt(controlNodes.size())));
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.MalformedMessageException;
@@ -83,6 +84,7 @@
      * @param viewLease is renewed by each response that confirms the view and its document
      * @param executor runs all methods and callbacks
      * @param timeSource supplies monotonic time
+     * @param random draws the control nodes that documents are fetched from
      * @param reportWriter adds this gateway's report to a request
      * @param viewListener receives the view after each response and each new document
      */
@@ -94,6 +96,7 @@
             ViewLease viewLease,
             ScheduledExecutorService executor,
             TimeSource timeSource,
+            RandomGenerator random,
             Consumer<ViewRequest.Builder> reportWriter,
             Consumer<GatewayView> viewListener) {
         this.transport = transport;
@@ -104,7 +107,7 @@
         this.timeSource = timeSource;
         this.reportWriter = reportWriter;
         this.viewListener = viewListener;
-        documentClient = new DocumentClient(transport, executor, this::applyDocument);
+        documentClient = new DocumentClient(transport, executor, random, this::applyDocument);
         seeds.forEach(this::addControlNode);
     }
 
@@ -188,7 +191,8 @@
             documentClient.stop();
             renewLease(sentMs);
         } else {
-            documentClient.fetch(target, updater.newestDocumentVersion(), sentMs);
+            documentClient.fetch(
+                    target, List.copyOf(controlNodes), updater.newestDocumentVersion(), sentMs);
             checkLease(target, "the newest traffic document has not arrived");
         }
         viewListener.accept(updater.view());
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/DocumentFailureTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/DocumentFailureTests.java
@@ -39,7 +39,7 @@
 
     @BeforeMethod
     public void start() {
-        fleet = new SimulatedViewFleet();
+        fleet = new SimulatedViewFleet(() -> 0); // draws the leader
         fleet.addControlNode(LEADER, 100);
         fleet.addControlNode(NEXT_LEADER, 100);
         fleet.replaceDocument(1, SimulatedViewFleet.createDocument(1, 1));
@@ -129,6 +129,26 @@
         assertEquals(firstParts, 1, "transfers begun");
     }
 
+    @DataProvider
+    public Object[][] otherSources() {
+        return new Object[][] {{"holds it later", false}, {"is down", true}};
+    }
+
+    @Test(dataProvider = "otherSources")
+    public void asksTheLeaderIfAnotherNodeDoesNotSendTheDocument(String name, boolean isDown) {
+        fleet.close();
+        fleet = new SimulatedViewFleet(() -> -1L); // draws the last node
+        fleet.addControlNode(LEADER, 100);
+        fleet.addControlNode(NEXT_LEADER, 100);
+        if (isDown) {
+            fleet.network().stop(NEXT_LEADER);
+        }
+        fleet.startGateways(1, 7);
+        fleet.replaceDocument(2, SimulatedViewFleet.createDocument(2, ROUTES));
+        fleet.run(1_250);
+        assertEquals(fleet.gateways().get(0).view().documentVersion(), 2, name);
+    }
+
     /** Guards against documents that never arrive because they change faster. */
     @Test
     public void finishesATransferWhenANewerDocumentAppears() {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/SimulatedViewFleet.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/SimulatedViewFleet.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.cardamomthread.configuration.traffic.generated.ReplaceDocument;
 import org.cardamomthread.configuration.traffic.generated.TrafficCommand;
 import org.cardamomthread.core.id.EndpointId;
@@ -40,6 +41,9 @@
     private static final int POLL_PHASES_MS = 250;
     private static final int ACCOUNTS = 50;
 
+    /** Time after which the other control nodes apply what the first one has committed. */
+    private static final long FOLLOWER_LAG_MS = 50;
+
     private final ManualTimeSource time = new ManualTimeSource();
     private final VirtualExecutor executor = new VirtualExecutor(time);
     private final SimulatedNetwork network = new SimulatedNetwork(executor);
@@ -47,6 +51,7 @@
     private final Map<NodeId, Control> controls = new LinkedHashMap<>();
     private final List<Gateway> gateways = new ArrayList<>();
     private final Random random = new Random(1);
+    private final RandomGenerator sources;
     private long logIndex;
 
     /** The parts of a control node that gateways ask for the view. */
@@ -83,6 +88,11 @@
         }
     }
 
+    /** Creates a fleet of which each gateway fetches documents from a control node drawn. */
+    SimulatedViewFleet(RandomGenerator sources) {
+        this.sources = sources;
+    }
+
     /** Adds a control node with outgoing links of a rate in Mbit/s. */
     void addControlNode(NodeId node, double megabitsPerS) {
         EndpointRegistry registry = new EndpointRegistry(time);
@@ -134,6 +144,7 @@
                             gateway.lease,
                             executor,
                             time,
+                            sources,
                             request -> {},
                             view -> record(gateway, view));
             executor.schedule(client::start, random.nextInt(POLL_PHASES_MS), TimeUnit.MILLISECONDS);
@@ -167,7 +178,13 @@
                                         .setDocument(ByteString.copyFrom(document)))
                         .build()
                         .toByteArray();
-        controls.values().forEach(control -> control.replica().apply(logIndex, command));
+        long index = logIndex;
+        long lagMs = 0;
+        for (Control control : controls.values()) {
+            Runnable apply = () -> control.replica().apply(index, command);
+            executor.schedule(apply, lagMs, TimeUnit.MILLISECONDS);
+            lagMs = FOLLOWER_LAG_MS;
+        }
     }
 
     void addEndpoint() {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewClientTests.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -87,6 +88,7 @@
                 new ViewLease(timeSource, 1_000),
                 executor,
                 timeSource,
+                new SplittableRandom(1),
                 request -> onReport.run(),
                 view -> {});
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewDistributionTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewDistributionTests.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.cardamomthread.core.id.NodeId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -24,16 +25,22 @@
     private static final long LEAVE_BOUND_MS = 1_250;
     private static final long DOCUMENT_BOUND_MS = 2_500;
 
-    /** Rates of the leader's outgoing link; 17.5 Mbit/s is the share of a node with 0.9 core. */
+    /**
+     * Rates of the outgoing links of the control nodes, and the number of these nodes; 17.5 Mbit/s
+     * is the share of a node with 0.9 core.
+     */
     @DataProvider
-    public Object[][] leaderRates() {
-        return new Object[][] {{17.5}, {100.0}, {1_000.0}};
+    public Object[][] controlNodes() {
+        return new Object[][] {{17.5, 1}, {100.0, 1}, {1_000.0, 1}, {7.0, 8}, {17.5, 8}};
     }
 
-    @Test(dataProvider = "leaderRates")
-    public void tellsAllGatewaysOfALeaveWhileTheDocumentGrows(double leaderMbitPerS) {
-        try (SimulatedViewFleet fleet = new SimulatedViewFleet()) {
-            fleet.addControlNode(LEADER, leaderMbitPerS);
+    @Test(dataProvider = "controlNodes")
+    public void tellsAllGatewaysOfALeaveWhileTheDocumentGrows(double mbitPerS, int controlNodes) {
+        try (SimulatedViewFleet fleet = new SimulatedViewFleet(new SplittableRandom(1))) {
+            fleet.addControlNode(LEADER, mbitPerS);
+            for (int i = 1; i < controlNodes; i++) {
+                fleet.addControlNode(new NodeId("10.0.1." + i), mbitPerS);
+            }
             fleet.replaceDocument(1, SimulatedViewFleet.createDocument(1, 1));
             fleet.addEndpoint();
             fleet.startGateways(GATEWAYS, GATEWAY_MBIT_PER_S);
