--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.cardamomthread.core.id.NodeId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.MalformedMessageException;
@@ -22,6 +23,10 @@
 /**
  * Polls the leader of the control nodes for the view.
  *
+ * <p>Invariant: the view lease is renewed only as of the sending of a request whose response named
+ * the traffic document that the view contains as the newest. A new document is fetched in parts
+ * besides the polls, which apply everything else meanwhile.
+ *
  * <p>Follows leader hints, and tries the known control nodes in turn while none responds. Polling
  * continues after any error. All state is confined to one executor, on which the listeners run too.
  */
@@ -51,6 +56,7 @@
     private final Consumer<ViewRequest.Builder> reportWriter;
     private final Consumer<GatewayView> viewListener;
     private final AddressRegistrar addressRegistrar;
+    private final DocumentClient documentClient;
     private final Set<NodeId> controlNodes = new LinkedHashSet<>();
     private Optional<NodeId> leader = Optional.empty();
     private int nextNodeIndex;
@@ -75,11 +81,12 @@
      * @param addressRegistrar registers the addresses of control nodes that become known
      * @param seeds the control nodes known at the start, at least one
      * @param updater applies the responses to the view
-     * @param viewLease is renewed by each response that confirms the view
+     * @param viewLease is renewed by each response that confirms the view and its document
      * @param executor runs all methods and callbacks
      * @param timeSource supplies monotonic time
+     * @param random draws the control nodes that documents are fetched from
      * @param reportWriter adds this gateway's report to a request
-     * @param viewListener receives the view after each response
+     * @param viewListener receives the view after each response and each new document
      */
     public ViewClient(
             PeerTransport transport,
@@ -89,6 +96,7 @@
             ViewLease viewLease,
             ScheduledExecutorService executor,
             TimeSource timeSource,
+            RandomGenerator random,
             Consumer<ViewRequest.Builder> reportWriter,
             Consumer<GatewayView> viewListener) {
         this.transport = transport;
@@ -99,6 +107,7 @@
         this.timeSource = timeSource;
         this.reportWriter = reportWriter;
         this.viewListener = viewListener;
+        documentClient = new DocumentClient(transport, executor, random, this::applyDocument);
         seeds.forEach(this::addControlNode);
     }
 
@@ -150,7 +159,7 @@
             } else {
                 delay = handleResponse(target, sentMs, ViewResponse.parseFrom(payload));
             }
-        } catch (InvalidProtocolBufferException | MalformedMessageException e) {
+        } catch (InvalidProtocolBufferException e) {
             LOGGER.atError()
                     .addKeyValue("node", target)
                     .log("received an unreadable view: run the same release on all nodes", e);
@@ -163,8 +172,7 @@
         scheduleNextPoll(delay);
     }
 
-    private Duration handleResponse(NodeId target, long sentMs, ViewResponse response)
-            throws MalformedMessageException {
+    private Duration handleResponse(NodeId target, long sentMs, ViewResponse response) {
         if (!response.getRefusal().isEmpty()) {
             handleFailure(target, response.getRefusal());
             if (!response.getLeader().isEmpty()) {
@@ -175,23 +183,52 @@
         leader = Optional.of(target);
         replaceControlNodes(response.getControlNodesList().stream().map(NodeId::new).toList());
         if (!updater.apply(response)) {
-            handleFailure(target, "its traffic state is older than the view of this gateway");
+            handleFailure(
+                    target, "its traffic state or document is older than the view of this gateway");
             return RETRY_DELAY;
         }
+        if (updater.holdsNewestDocument()) {
+            documentClient.stop();
+            renewLease(sentMs);
+        } else {
+            documentClient.fetch(
+                    target, List.copyOf(controlNodes), updater.newestDocumentVersion(), sentMs);
+            checkLease(target, "the newest traffic document has not arrived");
+        }
+        viewListener.accept(updater.view());
+        return POLL_INTERVAL;
+    }
+
+    private void applyDocument(long version, byte[] document, long confirmedMs)
+            throws MalformedMessageException {
+        updater.applyDocument(version, document);
+        LOGGER.atInfo()
+                .addKeyValue("event", "document-received")
+                .addKeyValue("documentVersion", version)
+                .addKeyValue("revision", updater.view().revision())
+                .addKeyValue("durationMs", timeSource.monotonicMs() - confirmedMs)
+                .log("received a traffic document");
+        renewLease(confirmedMs);
+        viewListener.accept(updater.view());
+    }
+
+    private void renewLease(long sentMs) {
         viewLease.renew(sentMs);
         if (!isConnected) {
             isConnected = true;
             LOGGER.atInfo()
-                    .addKeyValue("leader", target)
+                    .addKeyValue("leader", leader.map(NodeId::value).orElse("not known"))
                     .addKeyValue("revision", updater.view().revision())
                     .log("connected to the leader of the control nodes");
         }
-        viewListener.accept(updater.view());
-        return POLL_INTERVAL;
     }
 
     private void handleFailure(NodeId target, String reason) {
         leader = Optional.empty();
+        checkLease(target, reason);
+    }
+
+    private void checkLease(NodeId target, String reason) {
         if (isConnected && !viewLease.isHeld()) {
             isConnected = false;
             LOGGER.atWarn()
