Estimate the time to the first token of each endpoint

Gateways chose endpoints by counts of requests. Half-as-fast endpoints got the same load, and a gateway that rarely hears from an endpoint took its own requests times the number of gateways for the load.

Nothing calls it yet.

--- /dev/null
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointLoad.java
@@ -0,0 +1,164 @@
+package org.cardamomthread.policy.placement;
+
+import org.cardamomthread.core.id.EndpointId;
+
+/**
+ * Holds what one gateway knows of the load and the speed of one endpoint: the last load report, the
+ * gateway's own requests, and the times that they took.
+ *
+ * <p>Invariants: counts are never negative; the times sampled are those at the usual work time of
+ * the endpoint's host. Not thread-safe.
+ */
+public final class EndpointLoad {
+
+    /** Work time of a host that does not report one, in percent. */
+    private static final double USUAL_WORK_TIME_PERCENT = 100;
+
+    /**
+     * Weight of the latest work time. It changes many times per second, so that one report says
+     * little about the duration of the next request.
+     */
+    private static final double WORK_TIME_SMOOTHING = 0.2;
+
+    /** Prompt tokens for which the service's median pace counts beside an endpoint's samples. */
+    private static final double PRIOR_PROMPT_TOKENS = 2_000;
+
+    /** Requests for which the service's median duration counts beside an endpoint's samples. */
+    private static final double PRIOR_REQUESTS = 2;
+
+    /** Reports for which the mean load at the same place counts beside those of an endpoint. */
+    private static final double PRIOR_REPORTS = 2;
+
+    private final EndpointId id;
+    private final PaceEstimate prefillPace = new PaceEstimate();
+    private final PaceEstimate requestPace = new PaceEstimate();
+    private final PaceEstimate requestsPerReport = new PaceEstimate();
+    private int inFlight;
+    private int startedSinceReport;
+    private long pendingPromptTokens;
+    private boolean hasReport;
+    private int reportedRequests;
+    private long reportedMs;
+    private double workTimePercent = USUAL_WORK_TIME_PERCENT;
+
+    /**
+     * Creates the state of an endpoint of which nothing is known yet.
+     *
+     * @param id the id of the endpoint
+     */
+    public EndpointLoad(EndpointId id) {
+        this.id = id;
+    }
+
+    EndpointId id() {
+        return id;
+    }
+
+    /** Records that a request was sent to the endpoint. */
+    public void recordStart() {
+        inFlight++;
+        startedSinceReport++;
+    }
+
+    /** Records the end of a request that was sent to the endpoint. */
+    public void recordEnd() {
+        inFlight = Math.max(0, inFlight - 1);
+    }
+
+    /**
+     * Records a load report of the endpoint.
+     *
+     * @param requests the requests in progress and in the endpoint's queue
+     * @param reportedWorkTimePercent the time that work takes on its host, in percent of the usual
+     *     time
+     * @param nowMs the current time, in monotonic milliseconds
+     */
+    public void recordReport(int requests, int reportedWorkTimePercent, long nowMs) {
+        hasReport = true;
+        reportedRequests = requests;
+        reportedMs = nowMs;
+        startedSinceReport = 0;
+        requestsPerReport.add(requests, 1, nowMs);
+        workTimePercent +=
+                WORK_TIME_SMOOTHING * (Math.max(1, reportedWorkTimePercent) - workTimePercent);
+    }
+
+    /**
+     * Returns the number of this gateway's requests at the endpoint.
+     *
+     * @return the number
+     */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns whether there is a load report or a sampled time of this endpoint. */
+    boolean isMeasured() {
+        return hasReport || prefillPace.hasSamples() || requestPace.hasSamples();
+    }
+
+    boolean hasReport() {
+        return hasReport;
+    }
+
+    int reportedRequests() {
+        return reportedRequests;
+    }
+
+    /**
+     * Returns the mean of the reported requests.
+     *
+     * @param meanAtPlace the mean of the endpoints at the same place
+     */
+    double meanRequests(double meanAtPlace, long nowMs) {
+        return requestsPerReport.expected(meanAtPlace, PRIOR_REPORTS, nowMs);
+    }
+
+    long reportAgeMs(long nowMs) {
+        return nowMs - reportedMs;
+    }
+
+    int startedSinceReport() {
+        return startedSinceReport;
+    }
+
+    /** Returns the prompt tokens of this gateway's requests without a first token. */
+    long pendingPromptTokens() {
+        return pendingPromptTokens;
+    }
+
+    void addPendingPromptTokens(long promptTokens) {
+        pendingPromptTokens += promptTokens;
+    }
+
+    void addPrefillSample(double elapsedMs, double promptTokens, long nowMs) {
+        prefillPace.add(elapsedMs / workTimeFactor(), promptTokens, nowMs);
+    }
+
+    void addRequestSample(double elapsedMs, long nowMs) {
+        requestPace.add(elapsedMs / workTimeFactor(), 1, nowMs);
+    }
+
+    PaceEstimate prefillPace() {
+        return prefillPace;
+    }
+
+    PaceEstimate requestPace() {
+        return requestPace;
+    }
+
+    /** Returns the expected prefill time of one prompt token, in milliseconds. */
+    double msPerPromptToken(ServicePace service, long nowMs) {
+        return workTimeFactor()
+                * prefillPace.expected(service.msPerPromptToken(), PRIOR_PROMPT_TOKENS, nowMs);
+    }
+
+    /** Returns the expected duration of a request in a slot, in milliseconds. */
+    double requestMs(ServicePace service, long nowMs) {
+        return workTimeFactor() * requestPace.expected(service.requestMs(), PRIOR_REQUESTS, nowMs);
+    }
+
+    private double workTimeFactor() {
+        return workTimePercent / USUAL_WORK_TIME_PERCENT;
+    }
+}
