Place requests by the expected time to the first token

Callers of a service whose endpoints differ in speed waited at slow ones, and a gateway that had not heard from an endpoint for 1.5 s overrated its load by the number of gateways. The selector knew only counts of requests.

Until a service has a measurement, the earlier rules apply, moved to UnmeasuredEndpointChoice.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.core.id.NodeId;
@@ -27,6 +28,7 @@
 import org.cardamomthread.daemon.view.ViewLease;
 import org.cardamomthread.daemon.view.ViewUpdater;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
+import org.cardamomthread.policy.placement.DataCentreMargin;
 import org.cardamomthread.transport.TransportStartException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -82,6 +84,8 @@
                                 eventLoop,
                                 new AfterPendingReads(eventLoop),
                                 timeSource,
+                                settings.dataCentre(),
+                                new DataCentreMargin(OptionalLong.empty()),
                                 viewLease,
                                 new QuotaPoolClient(
                                         components.transport(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -11,6 +11,7 @@
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.http.RetryAfter;
+import org.cardamomthread.policy.placement.SentRequest;
 
 /**
  * Handles the response of one attempt of a {@link ForwardedCall}, whose events may arrive on the
@@ -33,6 +34,7 @@
     private final TrackedEndpoint endpoint;
     private final long startedMs;
     private final VersionResultCounter.Attempt measurement;
+    private final SentRequest sentRequest;
     private int status;
     private HttpHeaders headers;
     private EndpointResponseHead head;
@@ -51,6 +53,7 @@
         this.relay = relay;
         this.endpoint = endpoint;
         startedMs = context.timeSource().monotonicMs();
+        sentRequest = context.endpointSelector().recordSend(request, endpoint);
         VersionId version = endpoint.knownEndpoint().report().version();
         measurement =
                 context.versionResults()
@@ -162,6 +165,7 @@
             return;
         }
         if (isSuccess()) {
+            sentRequest.recordFirstToken(nowMs);
             call.recordFirstToken(nowMs - startedMs);
         }
     }
@@ -188,10 +192,11 @@
         }
     }
 
-    private void markDone() {
+    private void markDone(boolean isComplete, boolean hasRun) {
         if (!done) {
             done = true;
             endpoint.recordEnd();
+            sentRequest.recordEnd(isComplete, hasRun, context.timeSource().monotonicMs());
         }
         if (call.isFinished()) {
             measurement.recordNoResult();
@@ -209,7 +214,7 @@
                             "the stream ended inside an event, or without one"));
             return;
         }
-        markDone();
+        markDone(isSuccess(), !head.isNotRun());
         if (call.isFinished()) {
             return;
         }
@@ -272,7 +277,7 @@
         if (done) {
             return;
         }
-        markDone();
+        markDone(false, !failure.isNotSent());
         if (call.isFinished()) {
             return;
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -111,7 +111,7 @@
         Optional<TrackedEndpoint> selected =
                 context.endpointSelector()
                         .select(
-                                request.service(),
+                                request,
                                 isOnTrial ? Optional.empty() : request.affinityKey(),
                                 triedEndpoints);
         if (selected.isEmpty()) {
@@ -131,7 +131,6 @@
 
     private void send(TrackedEndpoint endpoint, long remainingMs) {
         triedEndpoints.add(endpoint.id());
-        endpoint.recordStart();
         ServerRequest clientRequest = exchange.getRequest();
         AttemptHead head =
                 new AttemptHead(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
+import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.dispatch.EndpointClient;
@@ -17,6 +18,7 @@
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 import org.cardamomthread.policy.admission.RouteDurations;
 import org.cardamomthread.policy.admission.ShutdownAdmission;
+import org.cardamomthread.policy.placement.DataCentreMargin;
 
 /**
  * Creates and connects the components that forward requests on one gateway. Its methods must be
@@ -46,6 +48,8 @@
      * @param afterPendingReads runs a task on the loop once what had arrived on the clients'
      *     connections has been read
      * @param timeSource supplies monotonic and wall clock time
+     * @param dataCentre the data centre of this gateway
+     * @param dataCentreMargin determines when endpoints of another data centre are preferred
      * @param viewLease determines whether the view is recent enough to admit requests that carry an
      *     API key
      * @param quotaPoolClient requests quota from the leader's pool when the gateway's own share is
@@ -63,6 +67,8 @@
             EventLoop loop,
             Executor afterPendingReads,
             TimeSource timeSource,
+            DataCentreId dataCentre,
+            DataCentreMargin dataCentreMargin,
             ViewLease viewLease,
             QuotaPoolClient quotaPoolClient,
             TrialClient trialClient,
@@ -103,7 +109,9 @@
                                         dependencies.limits().canaryAllocation(),
                                         dependencies.random()),
                                 timeSource,
-                                dependencies.random()),
+                                dependencies.random(),
+                                dependencies.dataCentre(),
+                                dependencies.dataCentreMargin()),
                         quotaShares,
                         dependencies.quotaPoolClient(),
                         new ServiceRetryBudget(timeSource, dependencies.limits()),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
@@ -1,81 +1,110 @@
 package org.cardamomthread.daemon.forwarding;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cardamomthread.configuration.traffic.TrafficService;
-import org.cardamomthread.core.hash.RendezvousHash;
+import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.dialect.PromptPart;
 import org.cardamomthread.daemon.view.GatewayView;
+import org.cardamomthread.policy.placement.DataCentreMargin;
+import org.cardamomthread.policy.placement.EndpointPlacement;
+import org.cardamomthread.policy.placement.PlacementDecision;
+import org.cardamomthread.policy.placement.PlacementRequest;
+import org.cardamomthread.policy.placement.PromptChain;
+import org.cardamomthread.policy.placement.RecentPrompts;
+import org.cardamomthread.policy.placement.SentRequest;
+import org.cardamomthread.policy.placement.ServicePace;
+import org.cardamomthread.policy.placement.ServicePace.Candidate;
 
 /**
- * Selects the endpoint for an attempt.
+ * Selects the endpoint for an attempt by the expected time to the first token.
  *
- * <p>Requests whose prompts share a part go to the same endpoint, selected by rendezvous hashing
- * with bounded loads, so that its prompt cache is used. Other requests go to the less loaded of two
- * random endpoints. Not thread-safe.
+ * <p>Endpoints that are not available, not of the selected version, in back-off or without a permit
+ * for a cold endpoint are left out before the times are compared. Until a load or a time of the
+ * service has been measured, {@link UnmeasuredEndpointChoice} selects. Not thread-safe.
  */
 final class ForwardingEndpointSelector {
 
-    /**
-     * Factor on the mean load, to which {@link #AFFINITY_LOAD_ALLOWANCE} is added; above the
-     * result, the next endpoint in hash order is tried.
-     */
-    private static final double AFFINITY_LOAD_FACTOR = 1.25;
-
-    /**
-     * Number of requests added to the scaled mean load, so that low loads do not break affinity.
-     */
-    private static final double AFFINITY_LOAD_ALLOWANCE = 4;
-
-    /** Number of endpoints tried in hash order before falling back to the least loaded one. */
-    private static final int MAX_AFFINITY_CANDIDATES = 3;
-
     private final EndpointTable endpoints;
     private final VersionSelector versionSelector;
     private final TimeSource timeSource;
-    private final RandomGenerator random;
+    private final DataCentreId dataCentre;
+    private final DataCentreMargin margin;
+    private final EndpointPlacement placement;
+    private final UnmeasuredEndpointChoice unmeasuredChoice;
+    private final RecentPrompts recentPrompts = new RecentPrompts();
+    private final Map<ServiceId, ServicePace> paceByService = new HashMap<>();
 
+    /**
+     * Creates a selector.
+     *
+     * @param endpoints the state of the endpoints
+     * @param versionSelector selects the version during a version move
+     * @param timeSource supplies monotonic time
+     * @param random draws the endpoints that are compared
+     * @param dataCentre the data centre of this gateway
+     * @param margin determines when another data centre is preferred
+     */
     ForwardingEndpointSelector(
             EndpointTable endpoints,
             VersionSelector versionSelector,
             TimeSource timeSource,
-            RandomGenerator random) {
+            RandomGenerator random,
+            DataCentreId dataCentre,
+            DataCentreMargin margin) {
         this.endpoints = endpoints;
         this.versionSelector = versionSelector;
         this.timeSource = timeSource;
-        this.random = random;
+        this.dataCentre = dataCentre;
+        this.margin = margin;
+        placement = new EndpointPlacement(random);
+        unmeasuredChoice = new UnmeasuredEndpointChoice(random);
     }
 
     /**
      * Selects an endpoint, or returns empty if none may take the request.
      *
-     * @param service the service that the request is for
-     * @param affinityKey the key of the shared prompt part, or empty to balance by load only
+     * @param request the request
+     * @param affinityKey the key of the shared prompt part, or empty to disregard caches
      * @param triedEndpoints endpoints that must not be selected again
      */
     Optional<TrackedEndpoint> select(
-            TrafficService service, Optional<String> affinityKey, Set<EndpointId> triedEndpoints) {
+            AdmittedRequest request, Optional<String> affinityKey, Set<EndpointId> triedEndpoints) {
+        TrafficService service = request.service();
         GatewayView view = endpoints.view();
         long nowMs = timeSource.monotonicMs();
-        List<TrackedEndpoint> usable = new ArrayList<>();
-        List<TrackedEndpoint> inBackoff = new ArrayList<>();
-        for (TrackedEndpoint endpoint :
-                versionSelector.select(
-                        service.id(),
-                        view.versionMoves().get(service.id()),
-                        view.gatewayCount(),
-                        listEligible(service, triedEndpoints, nowMs))) {
-            (endpoint.isInBackoff(nowMs) ? inBackoff : usable).add(endpoint);
-        }
-        List<TrackedEndpoint> candidates = usable.isEmpty() ? inBackoff : usable;
+        List<TrackedEndpoint> ofService = endpoints.findByService(service.id());
+        List<TrackedEndpoint> candidates =
+                listCandidates(service, ofService, triedEndpoints, view, nowMs);
+        ServicePace pace = paceOf(service.id());
+        pace.refresh(ofService, this::isLocal, nowMs);
+        PlacementRequest placementRequest =
+                pace.isMeasured() ? describe(request, affinityKey, nowMs) : null;
         while (!candidates.isEmpty()) {
-            TrackedEndpoint selected =
-                    selectFrom(candidates, affinityKey, view.gatewayCount(), nowMs);
+            TrackedEndpoint selected;
+            if (placementRequest == null) {
+                selected =
+                        unmeasuredChoice.select(
+                                candidates, affinityKey, view.gatewayCount(), nowMs);
+            } else {
+                PlacementDecision decision =
+                        placement.choose(
+                                candidates,
+                                this::isLocal,
+                                placementRequest,
+                                pace,
+                                view.gatewayCount(),
+                                nowMs);
+                selected = candidates.get(decision.index());
+            }
             if (!selected.isCold(nowMs) || tryAdmitToCold(selected, service, view, nowMs)) {
                 return Optional.of(selected);
             }
@@ -84,6 +113,66 @@
         return Optional.empty();
     }
 
+    /**
+     * Records that a request is sent to an endpoint.
+     *
+     * @return the request, to be told of its first token and its end
+     */
+    SentRequest recordSend(AdmittedRequest request, TrackedEndpoint endpoint) {
+        long nowMs = timeSource.monotonicMs();
+        PromptChain prompt = promptOf(request);
+        SentRequest sent =
+                SentRequest.send(
+                        endpoint,
+                        paceOf(request.service().id()),
+                        isLocal(endpoint),
+                        endpoints.view().gatewayCount(),
+                        promptTokensOf(request),
+                        recentPrompts.find(prompt, nowMs).at(endpoint.load()),
+                        nowMs);
+        recentPrompts.record(prompt, endpoint.load(), nowMs);
+        endpoint.recordStart();
+        return sent;
+    }
+
+    private PlacementRequest describe(
+            AdmittedRequest request, Optional<String> affinityKey, long nowMs) {
+        long objectiveMs = request.route().latencyTargetMs();
+        RecentPrompts.CachedTokens cachedTokens =
+                affinityKey.isPresent()
+                        ? recentPrompts.find(promptOf(request), nowMs)
+                        : RecentPrompts.CachedTokens.NONE;
+        return new PlacementRequest(
+                promptTokensOf(request),
+                affinityKey,
+                cachedTokens,
+                DataCentreMargin.toleranceMs(objectiveMs),
+                margin.marginMs(objectiveMs));
+    }
+
+    private static long promptTokensOf(AdmittedRequest request) {
+        return request.service().isModel() ? request.head().promptTokens() : 0;
+    }
+
+    private static PromptChain promptOf(AdmittedRequest request) {
+        List<PromptPart> parts =
+                request.service().isModel() ? request.head().promptParts() : List.of();
+        PromptChain prompt = new PromptChain(parts.size());
+        for (int i = 0; i < parts.size(); i++) {
+            prompt.add(parts.get(i).id(), parts.get(i).tokens());
+        }
+        return prompt;
+    }
+
+    private ServicePace paceOf(ServiceId service) {
+        return paceByService.computeIfAbsent(service, id -> new ServicePace());
+    }
+
+    private boolean isLocal(Candidate candidate) {
+        TrackedEndpoint endpoint = (TrackedEndpoint) candidate;
+        return endpoint.knownEndpoint().report().dataCentre().equals(dataCentre);
+    }
+
     private static boolean tryAdmitToCold(
             TrackedEndpoint endpoint, TrafficService service, GatewayView view, long nowMs) {
         if (service.maxColdRequestsPerSecond() <= 0) {
@@ -94,52 +183,30 @@
                         service.maxColdRequestsPerSecond() / view.gatewayCount(), nowMs);
     }
 
-    private List<TrackedEndpoint> listEligible(
-            TrafficService service, Set<EndpointId> triedEndpoints, long nowMs) {
-        return endpoints.findByService(service.id()).stream()
-                .filter(endpoint -> endpoints.assess(endpoint, nowMs).isAvailable())
-                .filter(endpoint -> !triedEndpoints.contains(endpoint.id()))
-                .toList();
-    }
-
-    private TrackedEndpoint selectFrom(
-            List<TrackedEndpoint> candidates,
-            Optional<String> affinityKey,
-            int gatewayCount,
+    private List<TrackedEndpoint> listCandidates(
+            TrafficService service,
+            List<TrackedEndpoint> ofService,
+            Set<EndpointId> triedEndpoints,
+            GatewayView view,
             long nowMs) {
-        if (affinityKey.isEmpty()) {
-            return selectLessLoadedOfTwo(candidates, gatewayCount, nowMs);
-        }
-        double meanLoad =
-                candidates.stream()
-                        .mapToDouble(endpoint -> endpoint.estimateLoad(gatewayCount, nowMs))
-                        .average()
-                        .orElse(0);
-        double maxLoad = meanLoad * AFFINITY_LOAD_FACTOR + AFFINITY_LOAD_ALLOWANCE;
-        List<TrackedEndpoint> remaining = new ArrayList<>(candidates);
-        for (int i = 0; i < MAX_AFFINITY_CANDIDATES && !remaining.isEmpty(); i++) {
-            TrackedEndpoint preferred =
-                    RendezvousHash.choose(
-                                    affinityKey.get(), remaining, endpoint -> endpoint.id().value())
-                            .orElseThrow();
-            if (preferred.estimateLoad(gatewayCount, nowMs) <= maxLoad) {
-                return preferred;
+        List<TrackedEndpoint> eligible = new ArrayList<>(ofService.size());
+        for (TrackedEndpoint endpoint : ofService) {
+            if (endpoints.assess(endpoint, nowMs).isAvailable()
+                    && !triedEndpoints.contains(endpoint.id())) {
+                eligible.add(endpoint);
             }
-            remaining.remove(preferred);
         }
-        return candidates.stream()
-                .min(
-                        Comparator.comparingDouble(
-                                endpoint -> endpoint.estimateLoad(gatewayCount, nowMs)))
-                .orElseThrow();
-    }
-
-    private TrackedEndpoint selectLessLoadedOfTwo(
-            List<TrackedEndpoint> candidates, int gatewayCount, long nowMs) {
-        TrackedEndpoint first = candidates.get(random.nextInt(candidates.size()));
-        TrackedEndpoint second = candidates.get(random.nextInt(candidates.size()));
-        double firstLoad = first.estimateLoad(gatewayCount, nowMs) / first.slots();
-        double secondLoad = second.estimateLoad(gatewayCount, nowMs) / second.slots();
-        return firstLoad <= secondLoad ? first : second;
+        List<TrackedEndpoint> ofVersion =
+                versionSelector.select(
+                        service.id(),
+                        view.versionMoves().get(service.id()),
+                        view.gatewayCount(),
+                        eligible);
+        List<TrackedEndpoint> usable = new ArrayList<>(ofVersion.size());
+        List<TrackedEndpoint> inBackoff = new ArrayList<>();
+        for (TrackedEndpoint endpoint : ofVersion) {
+            (endpoint.isInBackoff(nowMs) ? inBackoff : usable).add(endpoint);
+        }
+        return usable.isEmpty() ? inBackoff : usable;
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/TrackedEndpoint.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/TrackedEndpoint.java
@@ -4,14 +4,17 @@
 import org.cardamomthread.daemon.dialect.LoadReport;
 import org.cardamomthread.daemon.view.KnownEndpoint;
 import org.cardamomthread.policy.admission.TokenBucket;
+import org.cardamomthread.policy.placement.EndpointLoad;
+import org.cardamomthread.policy.placement.ServicePace.Candidate;
 
 /**
  * Holds what this gateway has observed of one incarnation of an endpoint. Not thread-safe.
  *
- * <p>The load estimate is the endpoint's last reported load plus the requests sent from here since.
- * If that report is stale, it is this gateway's requests in flight times the number of gateways.
+ * <p>{@link #load()} holds what placement by expected times needs. The load estimate is the
+ * endpoint's last reported load plus the requests sent from here since. If that report is stale, it
+ * is this gateway's requests in flight times the number of gateways.
  */
-final class TrackedEndpoint {
+final class TrackedEndpoint implements Candidate {
 
     /**
      * Age beyond which a load report is less accurate than the estimate from this gateway's own
@@ -39,10 +42,9 @@
     /** Time for which an ejected endpoint is avoided before it is tried again. */
     private static final long OUTLIER_EJECTION_MS = 2_000;
 
+    private final EndpointLoad load;
     private KnownEndpoint knownEndpoint;
     private TokenBucket coldPermits;
-    private int inFlight;
-    private int startedSinceLoadReport;
     private LoadReport lastLoad;
     private long lastLoadMs;
     private long backoffUntilMs;
@@ -52,6 +54,12 @@
 
     TrackedEndpoint(KnownEndpoint knownEndpoint) {
         this.knownEndpoint = knownEndpoint;
+        load = new EndpointLoad(knownEndpoint.report().id());
+    }
+
+    @Override
+    public EndpointLoad load() {
+        return load;
     }
 
     KnownEndpoint knownEndpoint() {
@@ -67,18 +75,17 @@
     }
 
     void recordStart() {
-        inFlight++;
-        startedSinceLoadReport++;
+        load.recordStart();
     }
 
     void recordEnd() {
-        inFlight--;
+        load.recordEnd();
     }
 
     void updateLoad(LoadReport report, long nowMs) {
         lastLoad = report;
         lastLoadMs = nowMs;
-        startedSinceLoadReport = 0;
+        load.recordReport(report.running() + report.waiting(), report.workTimePercent(), nowMs);
     }
 
     /**
@@ -134,14 +141,17 @@
 
     /** Estimates the number of requests at the endpoint from all gateways. */
     double estimateLoad(int gatewayCount, long nowMs) {
-        double scaledInFlight = (double) inFlight * Math.max(1, gatewayCount);
+        double scaledInFlight = (double) load.inFlight() * Math.max(1, gatewayCount);
         if (lastLoad == null || nowMs - lastLoadMs > LOAD_REPORT_TTL_MS) {
             return scaledInFlight;
         }
-        return Math.max(inFlight, lastLoad.running() + lastLoad.waiting() + startedSinceLoadReport);
+        return Math.max(
+                load.inFlight(),
+                lastLoad.running() + lastLoad.waiting() + load.startedSinceReport());
     }
 
-    int slots() {
+    @Override
+    public int slots() {
         return Math.max(1, knownEndpoint.report().slots());
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwarderFixture.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwarderFixture.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
@@ -43,6 +44,7 @@
 import org.cardamomthread.daemon.view.QuotaPoolClient;
 import org.cardamomthread.daemon.view.TrialClient;
 import org.cardamomthread.daemon.view.ViewLease;
+import org.cardamomthread.policy.placement.DataCentreMargin;
 
 /**
  * A forwarder of one gateway with scripted endpoints, for one service with one route and one client
@@ -93,6 +95,8 @@
                                 loop,
                                 afterPendingReads,
                                 time,
+                                new DataCentreId("perth-a"),
+                                new DataCentreMargin(OptionalLong.empty()),
                                 viewLease,
                                 new QuotaPoolClient(null, Optional::empty, Runnable::run, time),
                                 new TrialClient(null, Optional::empty, Runnable::run),
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/PromptPartForwardingTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/PromptPartForwardingTests.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -19,6 +20,7 @@
 import org.cardamomthread.configuration.traffic.TrafficRoute;
 import org.cardamomthread.configuration.traffic.TrafficService;
 import org.cardamomthread.configuration.traffic.WeightedService;
+import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.RouteId;
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.ManualTimeSource;
@@ -40,6 +42,7 @@
 import org.cardamomthread.daemon.view.ViewLease;
 import org.cardamomthread.daemon.view.generated.PromptPartEvidence;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
+import org.cardamomthread.policy.placement.DataCentreMargin;
 import org.cardamomthread.policy.quarantine.PromptPartKey;
 import org.cardamomthread.policy.quarantine.QuarantineEntry;
 import org.testng.annotations.BeforeMethod;
@@ -74,6 +77,8 @@
                                 new EmbeddedChannel().eventLoop(),
                                 Runnable::run,
                                 time,
+                                new DataCentreId("perth-a"),
+                                new DataCentreMargin(OptionalLong.empty()),
                                 viewLease,
                                 new QuotaPoolClient(null, Optional::empty, Runnable::run, time),
                                 new TrialClient(
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointLoad.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointLoad.java
@@ -118,7 +118,12 @@
         return nowMs - reportedMs;
     }
 
-    int startedSinceReport() {
+    /**
+     * Returns the number of this gateway's requests since the last load report.
+     *
+     * @return the number
+     */
+    public int startedSinceReport() {
         return startedSinceReport;
     }
 
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/RecentPrompts.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/RecentPrompts.java
@@ -71,8 +71,13 @@
             }
         }
 
-        /** Returns the prompt tokens that an endpoint is expected to have cached. */
-        long at(EndpointLoad endpoint) {
+        /**
+         * Returns the prompt tokens that an endpoint is expected to have cached.
+         *
+         * @param endpoint the load of the endpoint
+         * @return the number of tokens, 0 if none
+         */
+        public long at(EndpointLoad endpoint) {
             for (int i = 0; i < count; i++) {
                 if (endpoints[i] == endpoint) {
                     return tokens[i];
