Make the margin for other data centres a setting and show spill-over

Operators could neither see nor bound what leaves a data centre. Out-of-range integers in the settings now report their upper bound as well.

The simulation of full data centres now asserts that only probes leave.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon.fleet;
 
+import java.util.OptionalLong;
 import org.cardamomthread.daemon.forwarding.CanaryAllocation;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 
@@ -20,6 +21,8 @@
  * @param usageDeadlineS the time after the end of a window by which it must be reported, in seconds
  * @param canaryAllocation what a canary version may receive
  * @param controlNodeLosses the control nodes that may be lost at once, with their disks
+ * @param dataCentreMarginMs by how much an endpoint of another data centre must be expected to be
+ *     faster, in milliseconds, or empty to derive it from the latency objective
  */
 record FleetLimits(
         long revocationDeadlineMs,
@@ -32,7 +35,8 @@
         long usageWindowS,
         long usageDeadlineS,
         CanaryAllocation canaryAllocation,
-        int controlNodeLosses) {
+        int controlNodeLosses,
+        OptionalLong dataCentreMarginMs) {
 
     /** Fraction of the revocation deadline for which a view may be used without confirmation. */
     private static final double VIEW_LEASE_FRACTION = 0.75;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import org.cardamomthread.configuration.document.Document;
@@ -44,6 +45,13 @@
                     "platform",
                     "limits");
     private static final double DEFAULT_CANARY_SHARE = 0.05;
+
+    /**
+     * Highest margin, in milliseconds: with more than a minute, requests would leave their data
+     * centre only after any time limit in use.
+     */
+    private static final long MAX_DATA_CENTRE_MARGIN_MS = 60_000;
+
     private static final int DEFAULT_CONTROL_NODE_LOSSES = 1;
     private static final int MAX_PORT = NetworkAddress.MAX_PORT;
 
@@ -141,7 +149,8 @@
                 new CanaryAllocation(
                         readOptionalDouble("/limits/canaryShare", DEFAULT_CANARY_SHARE),
                         readOptionalDouble("/limits/canaryExtra", 0)),
-                readControlNodeLosses());
+                readControlNodeLosses(),
+                readDataCentreMargin());
     }
 
     private int readControlNodeLosses() {
@@ -151,6 +160,13 @@
                 : (int) readLong(pointer, 0, Integer.MAX_VALUE);
     }
 
+    private OptionalLong readDataCentreMargin() {
+        String pointer = "/limits/dataCentreMarginMs";
+        return document.root().at(pointer).isMissingNode()
+                ? OptionalLong.empty()
+                : OptionalLong.of(readLong(pointer, 0, MAX_DATA_CENTRE_MARGIN_MS));
+    }
+
     private void validateRole(FleetSettings settings) {
         if (settings.role() == FleetRole.GATEWAY) {
             requirePresent(settings.callers().isPresent(), "/listeners/callers", "a gateway");
@@ -216,10 +232,16 @@
 
     private long readLong(String pointer, long min, long max) {
         JsonNode value = document.root().at(pointer);
-        if (!value.isIntegralNumber() || value.asLong() < min || value.asLong() > max) {
+        boolean isInRange =
+                value.isIntegralNumber()
+                        && value.canConvertToLong()
+                        && value.asLong() >= min
+                        && value.asLong() <= max;
+        if (!isInRange) {
+            String bounds = max == Long.MAX_VALUE ? min + " or more" : min + " to " + max;
             addProblem(
                     pointer,
-                    "the value " + value + " is not an integer of " + min + " or more",
+                    "the value " + value + " is not an integer of " + bounds,
                     "set it to such a number");
             return min;
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.core.id.NodeId;
@@ -85,7 +84,7 @@
                                 new AfterPendingReads(eventLoop),
                                 timeSource,
                                 settings.dataCentre(),
-                                new DataCentreMargin(OptionalLong.empty()),
+                                new DataCentreMargin(settings.limits().dataCentreMarginMs()),
                                 viewLease,
                                 new QuotaPoolClient(
                                         components.transport(),
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
@@ -13,6 +13,7 @@
 import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PromptPart;
+import org.cardamomthread.daemon.telemetry.ForwardingMetrics;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.policy.placement.DataCentreMargin;
 import org.cardamomthread.policy.placement.EndpointPlacement;
@@ -38,6 +39,8 @@
     private final TimeSource timeSource;
     private final DataCentreId dataCentre;
     private final DataCentreMargin margin;
+    private final ForwardingLog log;
+    private final ForwardingMetrics metrics;
     private final EndpointPlacement placement;
     private final UnmeasuredEndpointChoice unmeasuredChoice;
     private final RecentPrompts recentPrompts = new RecentPrompts();
@@ -52,6 +55,8 @@
      * @param random draws the endpoints that are compared
      * @param dataCentre the data centre of this gateway
      * @param margin determines when another data centre is preferred
+     * @param log receives an entry for each choice
+     * @param metrics receives the counts of requests sent
      */
     ForwardingEndpointSelector(
             EndpointTable endpoints,
@@ -59,12 +64,16 @@
             TimeSource timeSource,
             RandomGenerator random,
             DataCentreId dataCentre,
-            DataCentreMargin margin) {
+            DataCentreMargin margin,
+            ForwardingLog log,
+            ForwardingMetrics metrics) {
         this.endpoints = endpoints;
         this.versionSelector = versionSelector;
         this.timeSource = timeSource;
         this.dataCentre = dataCentre;
         this.margin = margin;
+        this.log = log;
+        this.metrics = metrics;
         placement = new EndpointPlacement(random);
         unmeasuredChoice = new UnmeasuredEndpointChoice(random);
     }
@@ -90,12 +99,13 @@
                 pace.isMeasured() ? describe(request, affinityKey, nowMs) : null;
         while (!candidates.isEmpty()) {
             TrackedEndpoint selected;
+            PlacementDecision decision = null;
             if (placementRequest == null) {
                 selected =
                         unmeasuredChoice.select(
                                 candidates, affinityKey, view.gatewayCount(), nowMs);
             } else {
-                PlacementDecision decision =
+                decision =
                         placement.choose(
                                 candidates,
                                 this::isLocal,
@@ -106,6 +116,7 @@
                 selected = candidates.get(decision.index());
             }
             if (!selected.isCold(nowMs) || tryAdmitToCold(selected, service, view, nowMs)) {
+                logPlacement(request, candidates, selected, decision);
                 return Optional.of(selected);
             }
             candidates.remove(selected);
@@ -113,6 +124,19 @@
         return Optional.empty();
     }
 
+    private void logPlacement(
+            AdmittedRequest request,
+            List<TrackedEndpoint> candidates,
+            TrackedEndpoint selected,
+            PlacementDecision decision) {
+        boolean hasLocal = decision != null && decision.bestLocalIndex() >= 0;
+        log.logPlacement(
+                request,
+                selected.id(),
+                decision,
+                hasLocal ? candidates.get(decision.bestLocalIndex()).id() : null);
+    }
+
     /**
      * Records that a request is sent to an endpoint.
      *
@@ -132,6 +156,7 @@
                         nowMs);
         recentPrompts.record(prompt, endpoint.load(), nowMs);
         endpoint.recordStart();
+        metrics.countSend(request.service().id(), isLocal(endpoint));
         return sent;
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -10,6 +10,7 @@
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.KnownEndpoint;
 import org.cardamomthread.daemon.view.ViewLease;
+import org.cardamomthread.policy.placement.PlacementDecision;
 import org.cardamomthread.policy.quarantine.PromptPartKey;
 
 /** Writes decisions on requests to the decision log, with the values on which they were based. */
@@ -147,6 +148,44 @@
                 "the value is no number of seconds: have the endpoint send one");
     }
 
+    /**
+     * Logs the choice of an endpoint.
+     *
+     * @param decision the values on which it was based, or null if the service is not measured yet
+     * @param bestLocal the best endpoint of the gateway's data centre, or null if there is none
+     */
+    void logPlacement(
+            AdmittedRequest request,
+            EndpointId endpoint,
+            PlacementDecision decision,
+            EndpointId bestLocal) {
+        log.log(
+                "request-placed",
+                "request",
+                request.head().requestId(),
+                "service",
+                request.service().id(),
+                "endpoint",
+                endpoint,
+                "expectedMs",
+                decision == null ? "unknown" : Math.round(decision.expectedMs()),
+                "bestLocal",
+                bestLocal == null ? "none" : bestLocal,
+                "bestLocalMs",
+                bestLocal == null ? "unknown" : Math.round(decision.bestLocalMs()),
+                "reason",
+                decision == null ? "unmeasured" : describe(decision.reason()));
+    }
+
+    private static String describe(PlacementDecision.Reason reason) {
+        return switch (reason) {
+            case OWN_DATA_CENTRE -> "own-data-centre";
+            case FASTER_ELSEWHERE -> "faster-elsewhere";
+            case PROBE_ELSEWHERE -> "probe-elsewhere";
+            case NONE_IN_OWN_DATA_CENTRE -> "none-in-own-data-centre";
+        };
+    }
+
     void logFailedAttempt(
             AdmittedRequest request, EndpointId endpoint, String result, String detail) {
         log.log(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/ForwardingMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/ForwardingMetrics.java
@@ -37,6 +37,14 @@
      */
     void countEndpointStatement(ServiceId service, String statement);
 
+    /**
+     * Counts a request that is sent to an endpoint, including repeated sends.
+     *
+     * @param service the requested service
+     * @param isLocal whether the endpoint is in the gateway's data centre
+     */
+    void countSend(ServiceId service, boolean isLocal);
+
     /**
      * Counts a request that was refused before it was admitted.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeForwardingMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeForwardingMetrics.java
@@ -36,6 +36,11 @@
         metrics.countEndpointStatement(service, statement);
     }
 
+    @Override
+    public void countSend(ServiceId service, boolean isLocal) {
+        metrics.countSend(service, isLocal);
+    }
+
     @Override
     public void countRefusal(String reason) {
         metrics.countRefusal(reason);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
@@ -32,6 +32,7 @@
     private final Histogram firstByte;
     private final Counter attempts;
     private final Counter endpointStatements;
+    private final Counter sends;
     private final Counter recomputedTokens;
     private final Counter tokens;
     private final Counter peerBytes;
@@ -67,6 +68,12 @@
                                 + " and statement",
                         SERVICE_LABEL,
                         "statement");
+        sends =
+                createCounter(
+                        "cardamomthread_sends_total",
+                        "Requests sent to endpoints, by service and data centre (own or other)",
+                        SERVICE_LABEL,
+                        "place");
         recomputedTokens =
                 createCounter(
                         "cardamomthread_recomputed_tokens_total",
@@ -146,6 +153,16 @@
         endpointStatements.labelValues(service.value(), statement).inc();
     }
 
+    /**
+     * Counts a request that is sent to an endpoint.
+     *
+     * @param service the requested service
+     * @param isLocal whether the endpoint is in this node's data centre
+     */
+    public void countSend(ServiceId service, boolean isLocal) {
+        sends.labelValues(service.value(), isLocal ? "own" : "other").inc();
+    }
+
     /**
      * Counts a request that was refused before it was admitted.
      *
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.expectThrows;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.cardamomthread.configuration.document.Document;
 import org.cardamomthread.configuration.document.InvalidDocumentException;
 import org.cardamomthread.configuration.document.YamlReader;
@@ -79,6 +80,31 @@
         assertEquals(load(GATEWAY + line).limits().controlNodeLosses(), expected);
     }
 
+    @DataProvider
+    public Object[][] dataCentreMargins() {
+        return new Object[][] {
+            {"", OptionalLong.empty()},
+            {"  dataCentreMarginMs: 0\n", OptionalLong.of(0)},
+            {"  dataCentreMarginMs: 60000\n", OptionalLong.of(60_000)},
+        };
+    }
+
+    @Test(dataProvider = "dataCentreMargins")
+    public void loadsDataCentreMargin(String line, OptionalLong expected)
+            throws InvalidDocumentException {
+        assertEquals(load(GATEWAY + line).limits().dataCentreMarginMs(), expected);
+    }
+
+    /** Guards against an error that leaves the operator to guess what is allowed. */
+    @Test
+    public void namesBoundsOfInvalidMargin() {
+        String text = GATEWAY + "  dataCentreMarginMs: 60001\n";
+        InvalidDocumentException failure =
+                expectThrows(InvalidDocumentException.class, () -> load(text));
+        assertTrue(failure.getMessage().contains("60001"), failure.getMessage());
+        assertTrue(failure.getMessage().contains("0 to 60000"), failure.getMessage());
+    }
+
     @Test
     public void ignoresUnknownKeys() throws InvalidDocumentException {
         assertEquals(load(GATEWAY + "colour: blue\n").role(), FleetRole.GATEWAY);
@@ -100,6 +126,9 @@
             {"\"10.3.0.36:8229\"", "\"10.3.0.36\"", "seeds/0"},
             {"  leaseMs: 3000\n", "", "limits/leaseMs"},
             {"repeatRatio: 0.2", "repeatRatio: -1", "limits/repeatRatio"},
+            {"  leaseMs", "  dataCentreMarginMs: -1\n  leaseMs", "limits/dataCentreMarginMs"},
+            {"  leaseMs", "  dataCentreMarginMs: 60001\n  leaseMs", "limits/dataCentreMarginMs"},
+            {"  leaseMs", "  dataCentreMarginMs: 1.5\n  leaseMs", "limits/dataCentreMarginMs"},
             {"  leaseMs", "  controlNodeLosses: -1\n  leaseMs", "limits/controlNodeLosses"},
             {"  leaseMs", "  controlNodeLosses: two\n  leaseMs", "limits/controlNodeLosses"},
             {"  leaseMs", "  controlNodeLosses: 1.5\n  leaseMs", "limits/controlNodeLosses"},
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -31,6 +32,8 @@
 import org.cardamomthread.daemon.dialect.PromptPart;
 import org.cardamomthread.daemon.dialect.RequestHead;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
+import org.cardamomthread.daemon.telemetry.NodeForwardingMetrics;
+import org.cardamomthread.daemon.telemetry.NodeMetrics;
 import org.cardamomthread.daemon.testing.TestEndpoints;
 import org.cardamomthread.daemon.view.GatewayView;
 import org.cardamomthread.daemon.view.KnownEndpoint;
@@ -51,12 +54,14 @@
     private static final int SLOTS = 8;
     private static final long DECODE_MS = 500;
 
+    private NodeMetrics metrics;
     private ManualTimeSource time;
     private EndpointTable endpoints;
     private ForwardingEndpointSelector selector;
 
     @BeforeMethod
     public void setUp() {
+        metrics = new NodeMetrics();
         time = new ManualTimeSource();
         time.advanceMs(10_000);
         endpoints = createTable();
@@ -171,6 +176,25 @@
         }
     }
 
+    /** Guards against spill-over that operators cannot see. */
+    @Test
+    public void countsSendsByDataCentre() {
+        Map<EndpointId, KnownEndpoint> known = new HashMap<>();
+        known.put(new EndpointId("e1"), createEndpoint("e1", DATA_CENTRE));
+        known.put(new EndpointId("e2"), createEndpoint("e2", OTHER_DATA_CENTRE));
+        endpoints.apply(view(known));
+        for (TrackedEndpoint endpoint : endpoints.findByService(CHAT)) {
+            int sends = isOwn(endpoint) ? 3 : 2;
+            for (int i = 0; i < sends; i++) {
+                serve(endpoint, "warm", 20, report(1));
+            }
+        }
+        String rendered = new String(metrics.render(), StandardCharsets.UTF_8);
+        String name = "cardamomthread_sends_total{place=\"%s\",service=\"chat\"} %s";
+        assertTrue(rendered.contains(name.formatted("own", "3.0")), rendered);
+        assertTrue(rendered.contains(name.formatted("other", "2.0")), rendered);
+    }
+
     private static boolean isOwn(TrackedEndpoint endpoint) {
         return endpoint.knownEndpoint().report().dataCentre().equals(DATA_CENTRE);
     }
@@ -241,7 +265,9 @@
                 time,
                 new SplittableRandom(seed),
                 DATA_CENTRE,
-                new DataCentreMargin(OptionalLong.empty()));
+                new DataCentreMargin(OptionalLong.empty()),
+                new ForwardingLog(new DecisionLog(time), new ViewLease(time, 1_000)),
+                new NodeForwardingMetrics(metrics));
     }
 
     private static TrafficService service() {
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/placement/PlacementSimulation.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/placement/PlacementSimulation.java
@@ -2,14 +2,17 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.SplittableRandom;
 import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.policy.placement.PlacementDecision.Reason;
 import org.cardamomthread.policy.placement.RecentPrompts.CachedTokens;
 import org.cardamomthread.policy.placement.ServicePace.Candidate;
 
@@ -39,7 +42,12 @@
             double requestsPerS) {}
 
     /** Records one placed request. */
-    record Placed(double sentMs, int gateway, int endpoint, boolean isLocal, double firstTokenMs) {}
+    record Placed(int gateway, int endpoint, Reason reason, double firstTokenMs) {
+
+        boolean isLocal() {
+            return reason == Reason.OWN_DATA_CENTRE;
+        }
+    }
 
     /** Holds one endpoint. */
     private final class Endpoint {
@@ -127,8 +135,7 @@
                             part,
                             cached,
                             DataCentreMargin.toleranceMs(OBJECTIVE_MS),
-                            new DataCentreMargin(java.util.OptionalLong.empty())
-                                    .marginMs(OBJECTIVE_MS));
+                            new DataCentreMargin(OptionalLong.empty()).marginMs(OBJECTIVE_MS));
             PlacementDecision decision =
                     placement.choose(
                             available, this::isLocal, request, pace, setup.gateways(), now);
@@ -144,7 +151,13 @@
                             now);
             chosen.load().recordStart();
             recent.record(prompt, chosen.load(), now);
-            Request placed = new Request(this, chosen, sent, part.orElse("own" + requestCount++));
+            Request placed =
+                    new Request(
+                            this,
+                            chosen,
+                            sent,
+                            decision.reason(),
+                            part.orElse("own" + requestCount++));
             schedule(nowMs + placed.oneWayMs, () -> chosen.endpoint().accept(placed));
         }
     }
@@ -154,14 +167,16 @@
         private final Gateway gateway;
         private final Known target;
         private final SentRequest sent;
+        private final Reason reason;
         private final String part;
         private final double sentMs = nowMs;
         private final double oneWayMs;
 
-        Request(Gateway gateway, Known target, SentRequest sent, String part) {
+        Request(Gateway gateway, Known target, SentRequest sent, Reason reason, String part) {
             this.gateway = gateway;
             this.target = target;
             this.sent = sent;
+            this.reason = reason;
             this.part = part;
             oneWayMs = gateway.isLocal(target) ? 0 : ONE_WAY_MS;
         }
@@ -169,13 +184,7 @@
         void receiveFirstToken(int load) {
             target.load().recordReport(load, 100, (long) nowMs);
             sent.recordFirstToken((long) nowMs);
-            placed.add(
-                    new Placed(
-                            sentMs,
-                            gateway.index,
-                            target.endpoint().index,
-                            gateway.isLocal(target),
-                            nowMs - sentMs));
+            placed.add(new Placed(gateway.index, target.endpoint().index, reason, nowMs - sentMs));
         }
 
         void end() {
@@ -193,8 +202,7 @@
     private final List<Placed> placed = new ArrayList<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(
-                    java.util.Comparator.comparingDouble(Event::timeMs)
-                            .thenComparingLong(Event::order));
+                    Comparator.comparingDouble(Event::timeMs).thenComparingLong(Event::order));
     private double nowMs;
     private long eventCount;
     private long requestCount;
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/placement/PlacementSimulationTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/placement/PlacementSimulationTests.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.IntStream;
+import org.cardamomthread.policy.placement.PlacementDecision.Reason;
 import org.cardamomthread.policy.placement.PlacementSimulation.Placed;
 import org.cardamomthread.policy.placement.PlacementSimulation.Setup;
 import org.testng.annotations.DataProvider;
@@ -137,8 +138,15 @@
     public void staysInDataCentreWhenAllAreFull(long seed) {
         PlacementSimulation simulation = new PlacementSimulation(large(1.2, equalSpeeds(40)), seed);
         simulation.runUntil(10_000);
-        double share = remoteShare(simulation.runUntil(30_000));
-        assertTrue(share < 0.01, "share " + share);
+        List<Placed> requests = simulation.runUntil(30_000);
+        long probes = count(requests, Reason.PROBE_ELSEWHERE);
+        assertEquals(count(requests, Reason.FASTER_ELSEWHERE), 0);
+        // By the schedule a gateway sends at most two probes in any 20 s after the first 10 s.
+        assertTrue(probes <= 2 * 87, "probes " + probes);
+    }
+
+    private static long count(List<Placed> requests, Reason reason) {
+        return requests.stream().filter(request -> request.reason() == reason).count();
     }
 
     /** Guards against loads that swing between endpoints or data centres after a peak. */
