Follow load reports faster while a data centre lacks endpoints

With half of a data centre's endpoints lost, requests returned to the overloaded rest: after an outdated report, a local endpoint was expected at 0.9 of its slots, and the mean of past reports covered ten of them. The mean now covers about three and at most some seconds, and the limit is the number of slots.

--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointLoad.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointLoad.java
@@ -20,6 +20,21 @@
      */
     private static final double WORK_TIME_SMOOTHING = 0.2;
 
+    /** Factor on earlier times with each new one: about the last ten count. */
+    private static final double PACE_DECAY = 0.9;
+
+    /**
+     * Age at which a time counts for 1/e. A gateway of the largest deployments sends an endpoint a
+     * request about every five seconds.
+     */
+    private static final double PACE_AGE_MS = 20_000;
+
+    /** Factor on earlier loads with each new report: about the last three count. */
+    private static final double LOAD_DECAY = 0.7;
+
+    /** Age at which a reported load counts for 1/e in the mean. */
+    private static final double LOAD_AGE_MS = 5_000;
+
     /** Prompt tokens for which the service's median pace counts beside an endpoint's samples. */
     private static final double PRIOR_PROMPT_TOKENS = 2_000;
 
@@ -30,9 +45,9 @@
     private static final double PRIOR_REPORTS = 2;
 
     private final EndpointId id;
-    private final PaceEstimate prefillPace = new PaceEstimate();
-    private final PaceEstimate requestPace = new PaceEstimate();
-    private final PaceEstimate requestsPerReport = new PaceEstimate();
+    private final PaceEstimate prefillPace = new PaceEstimate(PACE_DECAY, PACE_AGE_MS);
+    private final PaceEstimate requestPace = new PaceEstimate(PACE_DECAY, PACE_AGE_MS);
+    private final PaceEstimate requestsPerReport = new PaceEstimate(LOAD_DECAY, LOAD_AGE_MS);
     private int inFlight;
     private int startedSinceReport;
     private long pendingPromptTokens;
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ExpectedFirstToken.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ExpectedFirstToken.java
@@ -11,9 +11,10 @@
     /**
      * Highest expected load per slot of a local endpoint once its last report is outdated. With the
      * mean of past reports, gateways of two data centres kept avoiding their own endpoints for 20 s
-     * after a peak: what is not tried reports nothing.
+     * after a peak: what is not tried reports nothing. With 0.9, requests returned to overloaded
+     * endpoints, and the 99th percentile with half of a data centre lost doubled.
      */
-    private static final double MAX_LOCAL_LOAD_WITHOUT_REPORT = 0.9;
+    private static final double MAX_LOCAL_LOAD_WITHOUT_REPORT = 1;
 
     private ExpectedFirstToken() {}
 
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/PaceEstimate.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/PaceEstimate.java
@@ -10,19 +10,24 @@
  */
 final class PaceEstimate {
 
-    /** Factor on the weight of earlier samples with each new one: about the last ten count. */
-    private static final double SAMPLE_DECAY = 0.9;
-
-    /**
-     * Time after which the weight of a sample has fallen to 1/e. A gateway of the largest
-     * deployments samples an endpoint about every five seconds.
-     */
-    private static final double AGE_DECAY_MS = 20_000;
-
+    private final double sampleDecay;
+    private final double ageDecayMs;
     private double sum;
     private double units;
     private long updatedMs;
 
+    /**
+     * Creates an estimate without samples.
+     *
+     * @param sampleDecay the factor on the weight of earlier samples with each new one
+     * @param ageDecayMs the time after which the weight of a sample has fallen to 1/e, in
+     *     milliseconds
+     */
+    PaceEstimate(double sampleDecay, double ageDecayMs) {
+        this.sampleDecay = sampleDecay;
+        this.ageDecayMs = ageDecayMs;
+    }
+
     /**
      * Adds a sample.
      *
@@ -30,7 +35,7 @@
      * @param sampleUnits the number of units, above 0
      */
     void add(double amount, double sampleUnits, long nowMs) {
-        double decay = SAMPLE_DECAY * ageDecay(nowMs);
+        double decay = sampleDecay * ageDecay(nowMs);
         sum = sum * decay + amount;
         units = units * decay + sampleUnits;
         updatedMs = nowMs;
@@ -58,6 +63,6 @@
     }
 
     private double ageDecay(long nowMs) {
-        return Math.exp(-(nowMs - updatedMs) / AGE_DECAY_MS);
+        return Math.exp(-(nowMs - updatedMs) / ageDecayMs);
     }
 }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ServicePace.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ServicePace.java
@@ -13,7 +13,7 @@
     private static final long REFRESH_INTERVAL_MS = 250;
 
     /** Age beyond which a load report says nothing about the present load of the service. */
-    static final long MAX_REPORT_AGE_MS = 10_000;
+    static final long MAX_REPORT_AGE_MS = 5_000;
 
     /** Weight of the latest request in the means, which thus cover about the last 50 requests. */
     private static final double MEAN_SMOOTHING = 0.02;
