Test long prompts on endpoints of mixed speed

Placement by counts of requests made one in eight prompts of 6,000 tokens later than 1,000 ms at 70 percent of the prefill capacity of 42 endpoints of speed 0.6 to 1.6.

--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/placement/PlacementSimulationTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/placement/PlacementSimulationTests.java
@@ -74,6 +74,24 @@
         assertTrue(p99 < PlacementSimulation.OBJECTIVE_MS, "p99 " + p99);
     }
 
+    /**
+     * Guards against long prompts that wait at slow endpoints. By counts of requests, one in eight
+     * was late at this load.
+     */
+    @Test(dataProvider = "seeds")
+    public void longPromptsAreOnTimeOnEndpointsOfMixedSpeed(long seed) {
+        double[] speeds = new double[42];
+        for (int i = 0; i < speeds.length; i++) {
+            speeds[i] = 0.6 + (i * 17 % speeds.length) / (speeds.length - 1.0);
+        }
+        double prefillsPerS = Arrays.stream(speeds).sum() * 57_000 / 6_000;
+        Setup setup = new Setup(87, 4, speeds, SLOTS, 57, DECODE_MS, 6_000, 0, prefillsPerS * 0.7);
+        PlacementSimulation simulation = new PlacementSimulation(setup, seed);
+        simulation.runUntil(15_000);
+        double p99 = percentile(simulation.runUntil(45_000), 0.99);
+        assertTrue(p99 < PlacementSimulation.OBJECTIVE_MS, "p99 " + p99);
+    }
+
     @DataProvider
     public Object[][] hotPromptRates() {
         return new Object[][] {{0.01, 1, 2}, {0.25, 3, 8}, {0.5, 5, 10}};
