Keep gateways from trying a new endpoint all at once

With prompts of 6,000 tokens, 87 gateways put 60 to 70 requests on a new endpoint of 48 slots, where 14 are usual: to each gateway it looked idle until its first response. A local endpoint without a report is now taken to be loaded like the others; only a random part of the requests, the share of such endpoints, takes it to be idle. Requests that probably waited for a slot no longer count as samples of prefill speed.

--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointPlacement.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointPlacement.java
@@ -100,6 +100,7 @@
             int gatewayCount,
             long nowMs) {
         ensureCapacity(candidates.size());
+        boolean triesUnknown = shouldTryUnknown(candidates, locality, service, nowMs);
         for (int i = 0; i < candidates.size(); i++) {
             Candidate candidate = candidates.get(i);
             EndpointLoad load = candidate.load();
@@ -107,7 +108,13 @@
             isLocal[i] = locality.isLocal(candidate);
             requests[i] =
                     ExpectedFirstToken.requests(
-                            load, service, slots, isLocal[i], gatewayCount, nowMs);
+                            load,
+                            service,
+                            slots,
+                            isLocal[i],
+                            isLocal[i] && triesUnknown,
+                            gatewayCount,
+                            nowMs);
             isOpen[i] = isLocal[i] || requests[i] + 1 <= slots;
             expectedMs[i] =
                     ExpectedFirstToken.expectedMs(
@@ -123,6 +130,30 @@
         }
     }
 
+    /**
+     * Decides whether this request takes local endpoints of unknown load to be idle. All gateways
+     * would try a new endpoint at once; with the probability that a random local endpoint is an
+     * unknown one, they try it at its share of the rate of requests.
+     */
+    private boolean shouldTryUnknown(
+            List<? extends Candidate> candidates,
+            Locality locality,
+            ServicePace service,
+            long nowMs) {
+        int localCount = 0;
+        int unknownCount = 0;
+        for (int i = 0; i < candidates.size(); i++) {
+            Candidate candidate = candidates.get(i);
+            if (locality.isLocal(candidate)) {
+                localCount++;
+                if (ExpectedFirstToken.isUnknown(candidate.load(), service, true, nowMs)) {
+                    unknownCount++;
+                }
+            }
+        }
+        return unknownCount > 0 && random.nextInt(localCount) < unknownCount;
+    }
+
     private void ensureCapacity(int count) {
         if (expectedMs.length < count) {
             expectedMs = new double[count];
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ExpectedFirstToken.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ExpectedFirstToken.java
@@ -24,9 +24,10 @@
      * <p>After a report, requests leave and others arrive. What the other gateways send is taken to
      * draw the load towards its usual level, at the pace at which requests end. Without this, an
      * idle endpoint would look idle to all gateways for as long as they have not heard from it
-     * again, and a full one full. Endpoints elsewhere that have not reported are taken to be loaded
-     * as those that have, so that not each of them is tried when all are full.
+     * again, and a full one full.
      *
+     * @param isIdleIfUnknown whether an endpoint without report is taken to have no requests of
+     *     others, instead of the mean
      * @param gatewayCount the number of gateways, 0 if not known
      */
     static double requests(
@@ -34,16 +35,13 @@
             ServicePace service,
             int slots,
             boolean isLocal,
+            boolean isIdleIfUnknown,
             int gatewayCount,
             long nowMs) {
         double utilisation = service.utilisation(isLocal);
-        boolean isUnknown =
-                !load.hasReport()
-                        || Double.isNaN(utilisation)
-                                && load.reportAgeMs(nowMs) > ServicePace.MAX_REPORT_AGE_MS;
-        if (isUnknown) {
+        if (isUnknown(load, service, isLocal, nowMs)) {
             double scaledInFlight = (double) load.inFlight() * Math.max(1, gatewayCount);
-            return isLocal || Double.isNaN(utilisation)
+            return isIdleIfUnknown || Double.isNaN(utilisation)
                     ? scaledInFlight
                     : Math.max(scaledInFlight, utilisation * slots);
         }
@@ -59,6 +57,13 @@
         return Math.max(load.inFlight(), expected + load.startedSinceReport());
     }
 
+    /** Returns whether there is no report by which the load of an endpoint can be estimated. */
+    static boolean isUnknown(EndpointLoad load, ServicePace service, boolean isLocal, long nowMs) {
+        return !load.hasReport()
+                || Double.isNaN(service.utilisation(isLocal))
+                        && load.reportAgeMs(nowMs) > ServicePace.MAX_REPORT_AGE_MS;
+    }
+
     /**
      * Returns the expected time to the first token, in milliseconds, without network latency.
      *
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/SentRequest.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/SentRequest.java
@@ -17,6 +17,7 @@
     private final long uncachedTokens;
     private final double tokensAhead;
     private final double relativeSlotWait;
+    private final boolean wasFull;
     private final double expectedMs;
     private long firstTokenMs;
     private boolean hasFirstToken;
@@ -45,7 +46,8 @@
         EndpointLoad load = candidate.load();
         int slots = candidate.slots();
         double requests =
-                ExpectedFirstToken.requests(load, service, slots, isLocal, gatewayCount, nowMs);
+                ExpectedFirstToken.requests(
+                        load, service, slots, isLocal, isLocal, gatewayCount, nowMs);
         return new SentRequest(load, service, slots, requests, promptTokens, cachedTokens, nowMs);
     }
 
@@ -63,6 +65,7 @@
         sentMs = nowMs;
         uncachedTokens = Math.max(0, promptTokens - cachedTokens);
         tokensAhead = ExpectedFirstToken.promptTokensAhead(load, service, slots, requests);
+        wasFull = load.hasReport() && requests + 1 > slots;
         relativeSlotWait =
                 ExpectedFirstToken.relativeSlotWait(load, service, slots, requests, nowMs);
         expectedMs =
@@ -125,7 +128,7 @@
     }
 
     private void addPrefillSample(long nowMs) {
-        boolean isFull = load.hasReport() && load.reportedRequests() >= slots;
+        boolean isFull = wasFull || load.hasReport() && load.reportedRequests() >= slots;
         if (uncachedTokens > 0 && !isFull) {
             double elapsedMs = Math.max(1, nowMs - sentMs);
             service.recordFirstToken(elapsedMs);
