--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -27,6 +27,7 @@
 import org.cardamomthread.daemon.view.ViewLease;
 import org.cardamomthread.daemon.view.ViewUpdater;
 import org.cardamomthread.daemon.view.generated.ViewRequest;
+import org.cardamomthread.policy.placement.DataCentreMargin;
 import org.cardamomthread.transport.TransportStartException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -82,6 +83,8 @@
                                 eventLoop,
                                 new AfterPendingReads(eventLoop),
                                 timeSource,
+                                settings.dataCentre(),
+                                new DataCentreMargin(settings.limits().dataCentreMarginMs()),
                                 viewLease,
                                 new QuotaPoolClient(
                                         components.transport(),
