--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/AccountQueue.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/AccountQueue.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
+import java.util.function.ObjDoubleConsumer;
 
 /**
  * Holds the waiting requests of one client account and the virtual time of the first. Not
@@ -67,6 +68,46 @@
         return expired;
     }
 
+    /** Removes a request from any position; returns false if it does not wait here. */
+    boolean remove(QueuedRequest request) {
+        boolean isRemoved = requests.remove(request);
+        if (isRemoved) {
+            queuedCost -= request.cost();
+        }
+        return isRemoved;
+    }
+
+    /** Returns the virtual finish time that a request added now would have. */
+    double virtualFinishOf(QueuedRequest request) {
+        return headVirtualStart + (queuedCost + request.cost()) / weight;
+    }
+
+    /**
+     * Estimates how many of the waiting requests finish up to a virtual time, from their mean cost.
+     */
+    double estimateFinishedBy(double virtualTime) {
+        double meanVirtualCost = queuedCost / weight / requests.size();
+        double finished = Math.floor((virtualTime - headVirtualStart) / meanVirtualCost);
+        return Math.max(0, Math.min(requests.size(), finished));
+    }
+
+    /** Passes each waiting request with its virtual finish time, the oldest first. */
+    void forEach(ObjDoubleConsumer<QueuedRequest> action) {
+        double virtualFinish = headVirtualStart;
+        for (QueuedRequest request : requests) {
+            virtualFinish += request.cost() / weight;
+            action.accept(request, virtualFinish);
+        }
+    }
+
+    QueuedRequest oldest() {
+        return requests.getFirst();
+    }
+
+    int size() {
+        return requests.size();
+    }
+
     /** Returns the cost of the waiting requests divided by the weight of the account. */
     double weightedCost() {
         return queuedCost / weight;
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/DrainRate.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/DrainRate.java
@@ -10,6 +10,16 @@
 
     private double requestsPerMs;
 
+    /** Creates an unknown rate. */
+    DrainRate() {
+        this(0);
+    }
+
+    /** Creates a rate with a first estimate, in requests per millisecond; 0 if it is unknown. */
+    DrainRate(double requestsPerMs) {
+        this.requestsPerMs = requestsPerMs;
+    }
+
     void add(int requests, long periodMs) {
         if (periodMs <= 0) {
             throw new IllegalArgumentException("periodMs " + periodMs + " must be greater than 0");
@@ -28,4 +38,9 @@
     long estimateDrainMs(int requests) {
         return requestsPerMs == 0 ? 0 : (long) (requests / requestsPerMs);
     }
+
+    /** Returns whether the rate is known. */
+    boolean isKnown() {
+        return requestsPerMs > 0;
+    }
 }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/WeightedFairQueue.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/WeightedFairQueue.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.ObjIntConsumer;
 import java.util.function.ToDoubleFunction;
 import org.cardamomthread.core.id.ClientAccountId;
 import org.cardamomthread.policy.profile.Priority;
@@ -66,9 +67,7 @@
         if (victim == null) {
             return List.of(createRefusal(request, AdmissionRefusal.Reason.QUEUE_FULL));
         }
-        QueuedRequest displaced = victim.removeNewest();
-        size--;
-        removeIfEmpty(displaced.priority(), displaced.account(), victim);
+        QueuedRequest displaced = removeNewest(victim);
         add(request);
         return List.of(createRefusal(displaced, AdmissionRefusal.Reason.DISPLACED));
     }
@@ -76,12 +75,7 @@
     @Override
     public Optional<QueuedRequest> poll() {
         for (Priority priority : Priority.values()) {
-            AccountQueue next = null;
-            for (AccountQueue queue : queuesByPriority.get(priority).values()) {
-                if (next == null || queue.headVirtualFinish() < next.headVirtualFinish()) {
-                    next = queue;
-                }
-            }
+            AccountQueue next = findNext(priority);
             if (next != null) {
                 virtualTimeByPriority.put(priority, next.headVirtualStart());
                 QueuedRequest request = next.removeOldest();
@@ -93,6 +87,107 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns the next request without removing it.
+     *
+     * @return next request, or empty if none is waiting
+     */
+    public Optional<QueuedRequest> peek() {
+        for (Priority priority : Priority.values()) {
+            AccountQueue next = findNext(priority);
+            if (next != null) {
+                return Optional.of(next.oldest());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Removes a request from any position.
+     *
+     * @param request the request
+     * @return false if it does not wait here
+     */
+    public boolean remove(QueuedRequest request) {
+        AccountQueue queue = queuesByPriority.get(request.priority()).get(request.account());
+        if (queue == null || !queue.remove(request)) {
+            return false;
+        }
+        size--;
+        removeIfEmpty(request.priority(), request.account(), queue);
+        return true;
+    }
+
+    /** Removes the newest request of the account with the highest queued cost for its weight. */
+    Optional<QueuedRequest> removeNewestOfLargest(Priority priority) {
+        return Optional.ofNullable(findLargestQueue(priority)).map(this::removeNewest);
+    }
+
+    /**
+     * Removes the request that another one may displace, which is not one of an account that is
+     * below its share.
+     */
+    Optional<QueuedRequest> removeDisplacedBy(QueuedRequest request) {
+        return Optional.ofNullable(selectVictim(request)).map(this::removeNewest);
+    }
+
+    /** Estimates how many requests of the same priority would be served before a new request. */
+    int estimateAhead(QueuedRequest request) {
+        Map<ClientAccountId, AccountQueue> queues = queuesByPriority.get(request.priority());
+        AccountQueue own = queues.get(request.account());
+        double virtualFinish =
+                own == null
+                        ? virtualTimeByPriority.get(request.priority())
+                                + request.cost() / weights.applyAsDouble(request.account())
+                        : own.virtualFinishOf(request);
+        return (own == null ? 0 : own.size()) + estimateOthersAhead(queues, own, virtualFinish);
+    }
+
+    /**
+     * Passes each waiting request of a priority with the estimated number of requests of the same
+     * priority that are served before it.
+     */
+    void forEach(Priority priority, ObjIntConsumer<QueuedRequest> action) {
+        Map<ClientAccountId, AccountQueue> queues = queuesByPriority.get(priority);
+        for (AccountQueue own : queues.values()) {
+            int[] ownAhead = new int[1];
+            own.forEach(
+                    (request, virtualFinish) ->
+                            action.accept(
+                                    request,
+                                    ownAhead[0]++
+                                            + estimateOthersAhead(queues, own, virtualFinish)));
+        }
+    }
+
+    private static int estimateOthersAhead(
+            Map<ClientAccountId, AccountQueue> queues, AccountQueue own, double virtualFinish) {
+        double ahead = 0;
+        for (AccountQueue queue : queues.values()) {
+            if (queue != own) {
+                ahead += queue.estimateFinishedBy(virtualFinish);
+            }
+        }
+        return (int) ahead;
+    }
+
+    private AccountQueue findNext(Priority priority) {
+        AccountQueue next = null;
+        for (AccountQueue queue : queuesByPriority.get(priority).values()) {
+            if (next == null || queue.headVirtualFinish() < next.headVirtualFinish()) {
+                next = queue;
+            }
+        }
+        return next;
+    }
+
+    private QueuedRequest removeNewest(AccountQueue queue) {
+        QueuedRequest newest = queue.removeNewest();
+        size--;
+        removeIfEmpty(newest.priority(), newest.account(), queue);
+        return newest;
+    }
+
     /**
      * Records how many requests left the queue; the recommended retry delay of refusals is derived
      * from this rate.
@@ -128,7 +223,8 @@
         return size;
     }
 
-    private void add(QueuedRequest request) {
+    /** Adds a request without regard to the capacity and to its latest start. */
+    void add(QueuedRequest request) {
         Map<ClientAccountId, AccountQueue> queues = queuesByPriority.get(request.priority());
         AccountQueue queue = queues.get(request.account());
         if (queue == null) {
