Let requests wait at their gateway while all endpoints are full

While the endpoints of a service were full, each request was sent to one of them, refused there and sent to the next, until the retry budget was spent; callers got 503 with a Retry-After of 300 ms, whatever the load. The cause is that a gateway had no place for a request that no endpoint had room for.

A request waits when every available endpoint of its service has 1.1 requests per slot or more by a report that is not stale, has refused one within 300 ms, or is cold without a permit. It is sent when an attempt ends or a report shows room; a first attempt after the wait is no retry. A client that leaves, the time limit, a leave of the endpoint, a revoked key, the end of the view lease and the stop of the gateway end or check the wait. Every refusal is one as not run, with the Retry-After of the measured drain rate; after a planned stop it is 0, and a revoked key gets 401 as on arrival. With nothing waiting, a request costs one check of the endpoints, which does not allocate for each of them.

Requests that may have run, and those that find all endpoints held back by their own pauses, are handled as before.

The part of a call that concerns trials of quarantined prompt parts moves to PromptPartTrial unchanged.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/AdmittedRequest.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/AdmittedRequest.java
@@ -41,6 +41,11 @@
         if (!service.isModel()) {
             return OptionalInt.empty();
         }
+        return OptionalInt.of(priorityLevel());
+    }
+
+    /** Returns the priority, 0 to 9, where 0 is the most urgent. */
+    int priorityLevel() {
         int priority =
                 account.flatMap(
                                 owner ->
@@ -48,7 +53,7 @@
                                                 ? Optional.of(owner.priority().getAsInt())
                                                 : Optional.empty())
                         .orElse(route.priority());
-        return OptionalInt.of(Math.max(0, Math.min(LOWEST_PRIORITY, priority)));
+        return Math.max(0, Math.min(LOWEST_PRIORITY, priority));
     }
 
     /**
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/EndpointTable.java
@@ -1,6 +1,8 @@
 package org.cardamomthread.daemon.forwarding;
 
 import java.util.Arrays;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -77,6 +79,19 @@
         return availability.assess(incarnationOf(report), reported, nowMs);
     }
 
+    /** Returns the same as {@link #assess} without allocating. */
+    boolean isAvailable(TrackedEndpoint endpoint, long nowMs) {
+        EndpointReport report = endpoint.knownEndpoint().report();
+        return !report.isDraining()
+                && !view.drainedDataCentres().contains(report.dataCentre())
+                && availability.isAvailable(endpoint.incarnation(), nowMs);
+    }
+
+    /** Returns the endpoints of all services, without copying them. */
+    Collection<TrackedEndpoint> all() {
+        return Collections.unmodifiableCollection(trackedEndpoints.values());
+    }
+
     /**
      * Returns the time until an endpoint of a service is available again, in milliseconds, or empty
      * if one is available or none is merely held back.
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -51,6 +51,7 @@
         this.relay = relay;
         this.endpoint = endpoint;
         startedMs = context.timeSource().monotonicMs();
+        context.waitingRooms().recordStart(request);
         VersionId version = endpoint.knownEndpoint().report().version();
         measurement =
                 context.versionResults()
@@ -75,6 +76,7 @@
                     headers = receivedHeaders;
                     head = context.dialect().decodeResponseHead(status, headers);
                     handleHead();
+                    context.waitingRooms().startNext(request.service().id());
                 });
     }
 
@@ -91,12 +93,20 @@
 
     @Override
     public void onComplete() {
-        call.runOnLoop(this::handleComplete);
+        call.runOnLoop(
+                () -> {
+                    handleComplete();
+                    context.waitingRooms().startNext(request.service().id());
+                });
     }
 
     @Override
     public void onFailure(EndpointFailureException failure) {
-        call.runOnLoop(() -> handleFailure(failure));
+        call.runOnLoop(
+                () -> {
+                    handleFailure(failure);
+                    context.waitingRooms().startNext(request.service().id());
+                });
     }
 
     private void handleBodyPart(byte[] chunk) {
@@ -133,6 +143,7 @@
         Optional<EndpointAttempt> rejected = call.currentAttempt();
         handleFailure(createFailure(kind, detail));
         rejected.ifPresent(EndpointAttempt::cancel);
+        context.waitingRooms().startNext(request.service().id());
     }
 
     private EndpointFailureException createFailure(Kind kind, String detail) {
@@ -154,6 +165,8 @@
         call.countAttempt();
         if (!head.isNotRun()) {
             call.recordMayHaveRun();
+        } else if (status == STATUS_UNAVAILABLE) {
+            endpoint.recordRefusal(nowMs);
         }
         if (isSuccess() && !relay.beginSuccess(status, headers)) {
             rejectResponse(
@@ -192,6 +205,7 @@
         if (!done) {
             done = true;
             endpoint.recordEnd();
+            context.waitingRooms().recordEnd(request, startedMs, head != null && isSuccess());
         }
         if (call.isFinished()) {
             measurement.recordNoResult();
@@ -299,7 +313,7 @@
             endpoint.recordConnectionFailure(context.timeSource().monotonicMs());
         }
         boolean mayBeCause =
-                mayHaveCrashedEndpoint(failure) && call.recordLossBeforeAnswer(endpoint);
+                mayHaveCrashedEndpoint(failure) && call.trial().recordLossBeforeAnswer(endpoint);
         relay.discardUndelivered();
         if (mayBeCause) {
             call.failWith(
@@ -318,7 +332,7 @@
     private void recordAnswerBegun() {
         if (!hasAnswerBegun) {
             hasAnswerBegun = true;
-            call.recordAnswerBegun(startedMs);
+            call.trial().recordAnswerBegun(startedMs);
         }
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -17,8 +16,6 @@
 import org.cardamomthread.daemon.dispatch.ResponseAcceptancePolicy;
 import org.cardamomthread.daemon.http.HttpExchange;
 import org.cardamomthread.daemon.http.ServerRequest;
-import org.cardamomthread.daemon.view.EndpointIncarnation;
-import org.cardamomthread.policy.quarantine.PromptPartKey;
 import org.cardamomthread.policy.quarantine.TrialDecision;
 
 /**
@@ -36,26 +33,22 @@
     /** Number of attempts without a connection after which the request is rejected as not run. */
     private static final int MAX_UNSENT_ATTEMPTS = 3;
 
-    /**
-     * Retry delay for a request that no endpoint could take: about the duration of a short request.
-     */
-    private static final long UNAVAILABLE_RETRY_AFTER_MS = 300;
-
     private final ForwardingContext context;
     private final HttpExchange exchange;
     private final AdmittedRequest request;
     private final ResponseRelay relay;
     private final ReadPacer readPacer;
-    private final List<PromptPartKey> promptParts;
-    private final String trialId;
+    private final PromptPartTrial trial;
     private final Set<EndpointId> triedEndpoints = new HashSet<>();
+    private final Set<EndpointId> excludedEndpoints = new HashSet<>();
     private ScheduledFuture<?> deadline;
     private EndpointAttempt currentAttempt;
     private int attemptCount;
     private int unsentAttempts;
     private boolean mayHaveRun;
     private boolean isUsageCounted;
-    private boolean isOnTrial;
+    private boolean isResuming;
+    private boolean hasWaited;
     private boolean finished;
     private long firstByteMs;
 
@@ -67,8 +60,7 @@
                 new ResponseRelay(
                         exchange, request.route().requestKind(), context.heldBytesBudget());
         this.readPacer = new ReadPacer(relay, context.loop());
-        this.promptParts = PromptPartGuard.keysOf(request);
-        this.trialId = context.promptPartGuard().createTrialId(request.head().requestId());
+        this.trial = new PromptPartTrial(context, request);
     }
 
     void start() {
@@ -84,13 +76,12 @@
 
     /** Sends the request to another endpoint, unless a part of its prompt is quarantined. */
     void tryNextEndpoint() {
-        context.promptPartGuard().decide(promptParts, trialId, this::handleTrialDecision);
+        trial.decide(this::handleTrialDecision);
     }
 
     private void handleTrialDecision(TrialDecision decision) {
-        isOnTrial |= decision.kind() == TrialDecision.Kind.TRIAL;
         if (finished) {
-            releaseTrial();
+            trial.release();
         } else if (decision.maySend()) {
             selectEndpoint();
         } else {
@@ -103,17 +94,26 @@
     }
 
     private void selectEndpoint() {
+        isResuming = false;
         long remainingMs = request.deadlineMs() - context.timeSource().monotonicMs();
         if (remainingMs <= 0) {
             onDeadline();
             return;
         }
+        // A request that may have run could not be refused as not run, so that it does not wait.
+        boolean mayWait = !hasWaited && !mayHaveRun && !relay.hasStarted();
+        hasWaited = false;
+        if (mayWait && context.waitingRooms().mustWait(request.service().id())) {
+            trial.release();
+            context.waitingRooms().enter(this, request, exchange.getRequest());
+            return;
+        }
         Optional<TrackedEndpoint> selected =
                 context.endpointSelector()
                         .select(
                                 request.service(),
-                                isOnTrial ? Optional.empty() : request.affinityKey(),
-                                triedEndpoints);
+                                trial.isOnTrial() ? Optional.empty() : request.affinityKey(),
+                                excludedEndpoints);
         if (selected.isEmpty()) {
             failWith(
                     "no-endpoint",
@@ -129,8 +129,24 @@
         send(selected.get(), remainingMs);
     }
 
+    /**
+     * Goes on after the request has waited. The endpoints that refused it before may have room now.
+     */
+    void resume() {
+        isResuming = true;
+        hasWaited = true;
+        excludedEndpoints.clear();
+        tryNextEndpoint();
+    }
+
+    /** Returns whether it is still decided whether the request may be sent after its wait. */
+    boolean isResuming() {
+        return isResuming;
+    }
+
     private void send(TrackedEndpoint endpoint, long remainingMs) {
         triedEndpoints.add(endpoint.id());
+        excludedEndpoints.add(endpoint.id());
         endpoint.recordStart();
         ServerRequest clientRequest = exchange.getRequest();
         AttemptHead head =
@@ -185,6 +201,13 @@
         if (finished) {
             return;
         }
+        if (context.waitingRooms().isWaiting(this)) {
+            failWith(
+                    "too-late",
+                    "no endpoint could take the request within its time limit: send it again after"
+                            + " the given delay");
+            return;
+        }
         relay.abort();
         finish(
                 "timeout",
@@ -210,7 +233,8 @@
                 context.endpoints()
                         .pauseMs(request.service().id(), context.timeSource().monotonicMs())
                         .orElse(0);
-        failWith(reason, detail, Math.max(UNAVAILABLE_RETRY_AFTER_MS, pauseMs));
+        long waitMs = context.waitingRooms().retryAfterMs(request.service().id());
+        failWith(reason, detail, Math.max(waitMs, pauseMs));
     }
 
     /** Ends the call, whose current attempt counts as one that may have run. */
@@ -222,6 +246,11 @@
                         + " it may be repeated");
     }
 
+    /** Refuses the request, which waits and has not run, for a reason other than the load. */
+    void refuse(GatewayError error) {
+        finish(error.type(), error);
+    }
+
     private void failWith(String reason, String detail, long retryAfterMs) {
         if (relay.hasStarted()) {
             relay.abort();
@@ -235,6 +264,8 @@
 
     private void finish(String outcome, GatewayError error) {
         finished = true;
+        isResuming = false;
+        context.waitingRooms().leave(this);
         context.openCalls().remove(this);
         context.serviceLoads().recordEnd(request.service().id());
         deadline.cancel(false);
@@ -242,7 +273,7 @@
         if (currentAttempt != null) {
             currentAttempt.cancel();
         }
-        releaseTrial();
+        trial.release();
         if (!mayHaveRun) {
             request.account()
                     .ifPresent(
@@ -298,39 +329,9 @@
         finish(outcome, null);
     }
 
-    /** Records that an answer began to an attempt that was sent at the given time. */
-    void recordAnswerBegun(long sentMs) {
-        context.promptPartGuard()
-                .recordAnswer(request.service().id(), promptParts, sentMs, isOnTrial);
-        PromptPartGuard.lastKeyOf(request).ifPresent(context.promptPartGuard()::rememberAnswered);
-        isOnTrial = false;
-    }
-
-    /**
-     * Records that the current attempt was lost with its endpoint before an answer began.
-     *
-     * @return whether the request may be the cause, so that it must not be sent to another endpoint
-     */
-    boolean recordLossBeforeAnswer(TrackedEndpoint endpoint) {
-        Optional<String> trial = isOnTrial ? Optional.of(trialId) : Optional.empty();
-        isOnTrial = false;
-        List<PromptPartKey> suspects =
-                context.promptPartGuard()
-                        .recordLoss(
-                                promptParts,
-                                EndpointIncarnation.of(endpoint.knownEndpoint().report()),
-                                trial);
-        if (!suspects.isEmpty()) {
-            context.forwardingLog().logSuspects(request, endpoint.id(), suspects);
-        }
-        return !suspects.isEmpty();
-    }
-
-    private void releaseTrial() {
-        if (isOnTrial) {
-            isOnTrial = false;
-            context.promptPartGuard().releaseTrial(promptParts, trialId);
-        }
+    /** Returns the request's part in trials of quarantined prompt parts. */
+    PromptPartTrial trial() {
+        return trial;
     }
 
     boolean isFinished() {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -35,6 +35,7 @@
     private final PromptPartGuard promptPartGuard;
     private final OpenCalls openCalls = new OpenCalls();
     private final ShutdownAdmission shutdownAdmission;
+    private final WaitingRooms waitingRooms;
     private final ForwardingHandler handler;
 
     /**
@@ -89,6 +90,14 @@
         usage = new UsageCounter(timeSource, dependencies.limits().usageWindowS());
         RouteDurations routeDurations = new RouteDurations();
         shutdownAdmission = new ShutdownAdmission(routeDurations);
+        ForwardingEndpointSelector endpointSelector =
+                new ForwardingEndpointSelector(
+                        endpoints,
+                        new VersionSelector(
+                                dependencies.limits().canaryAllocation(), dependencies.random()),
+                        timeSource,
+                        dependencies.random());
+        waitingRooms = new WaitingRooms(dependencies, endpoints, endpointSelector, forwardingLog);
         ForwardingContext context =
                 new ForwardingContext(
                         dependencies.dialect(),
@@ -97,13 +106,7 @@
                         timeSource,
                         dependencies.viewLease(),
                         endpoints,
-                        new ForwardingEndpointSelector(
-                                endpoints,
-                                new VersionSelector(
-                                        dependencies.limits().canaryAllocation(),
-                                        dependencies.random()),
-                                timeSource,
-                                dependencies.random()),
+                        endpointSelector,
                         quotaShares,
                         dependencies.quotaPoolClient(),
                         new ServiceRetryBudget(timeSource, dependencies.limits()),
@@ -112,6 +115,7 @@
                         versionResults,
                         serviceLoads,
                         openCalls,
+                        waitingRooms,
                         new HeldBytesBudget(),
                         routeDurations,
                         forwardingLog,
@@ -145,12 +149,13 @@
 
     /**
      * Begins the stop of the gateway, or brings its end forward: requests that are not likely to
-     * end before are rejected as not run.
+     * end before, and those that wait for an endpoint, are rejected as not run.
      *
      * @param endMs when the open requests are ended, in monotonic milliseconds
      */
     public void stopAt(long endMs) {
         shutdownAdmission.stopAt(endMs);
+        waitingRooms.stop();
     }
 
     /** Ends the open requests with a response that tells whether they may have run. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingContext.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingContext.java
@@ -28,6 +28,7 @@
  * @param versionResults counts responses by version
  * @param serviceLoads measures the load sent to each service
  * @param openCalls the calls that have not ended
+ * @param waitingRooms hold the requests that wait for an endpoint
  * @param heldBytesBudget limits the bytes that responses hold back
  * @param routeDurations tracks how long the requests of each route take
  * @param forwardingLog writes an entry for each decision
@@ -49,6 +50,7 @@
         VersionResultCounter versionResults,
         ServiceLoadTracker serviceLoads,
         OpenCalls openCalls,
+        WaitingRooms waitingRooms,
         HeldBytesBudget heldBytesBudget,
         RouteDurations routeDurations,
         ForwardingLog forwardingLog,
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
@@ -9,6 +9,7 @@
 import org.cardamomthread.configuration.traffic.TrafficService;
 import org.cardamomthread.core.hash.RendezvousHash;
 import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.id.ServiceId;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.view.GatewayView;
 
@@ -142,4 +143,45 @@
         double secondLoad = second.estimateLoad(gatewayCount, nowMs) / second.slots();
         return firstLoad <= secondLoad ? first : second;
     }
+
+    /**
+     * Returns whether a request need not wait: false only if all endpoints that may be sent
+     * requests are known to be full, or are cold ones without a permit left. Endpoints in backoff
+     * count only if there are no others. Allocates nothing per endpoint.
+     *
+     * @param service the service that the request is for
+     * @param nowMs monotonic time, in milliseconds
+     */
+    boolean hasRoom(ServiceId service, long nowMs) {
+        boolean isOneFull = false;
+        for (TrackedEndpoint endpoint : endpoints.all()) {
+            if (!endpoint.knownEndpoint().report().service().equals(service)) {
+                continue;
+            }
+            boolean isFull = endpoint.isKnownFull(nowMs);
+            if (isFull && isOneFull
+                    || endpoint.isInBackoff(nowMs)
+                    || !endpoints.isAvailable(endpoint, nowMs)) {
+                continue;
+            }
+            if (!isFull && !lacksColdPermit(endpoint, service, nowMs)) {
+                return true;
+            }
+            isOneFull = true;
+        }
+        return !isOneFull;
+    }
+
+    private boolean lacksColdPermit(TrackedEndpoint endpoint, ServiceId service, long nowMs) {
+        GatewayView view = endpoints.view();
+        if (!endpoint.isCold(nowMs) || view.gatewayCount() <= 0) {
+            return false;
+        }
+        double ratePerS =
+                view.routes()
+                        .flatMap(routes -> routes.findService(service))
+                        .map(TrafficService::maxColdRequestsPerSecond)
+                        .orElse(0.0);
+        return ratePerS > 0 && !endpoint.hasColdPermit(ratePerS / view.gatewayCount(), nowMs);
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingHandler.java
@@ -88,6 +88,7 @@
         context.quotaShares().applyView(newView);
         context.retryBudget().setGatewayCount(newView.gatewayCount());
         context.promptPartGuard().applyRecordedParts(newView.recordedParts());
+        context.waitingRooms().applyView(newView);
     }
 
     @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLimits.java
@@ -12,6 +12,7 @@
  * @param quotaAllocation the division of quotas between the gateways and the leader's pool
  * @param usageWindowS the length of an accounting window, in seconds
  * @param canaryAllocation what a canary version may receive
+ * @param waitingLimits bounds the requests that wait for an endpoint
  */
 public record ForwardingLimits(
         double retryRatio,
@@ -19,4 +20,33 @@
         double retryWindowS,
         QuotaAllocation quotaAllocation,
         long usageWindowS,
-        CanaryAllocation canaryAllocation) {}
+        CanaryAllocation canaryAllocation,
+        WaitingLimits waitingLimits) {
+
+    /**
+     * Creates limits with the default bounds of waiting requests.
+     *
+     * @param retryRatio retries allowed for each first attempt
+     * @param retryAllowance retries allowed in addition, for all gateways together in one window
+     * @param retryWindowS the length of the window for the allowance, in seconds
+     * @param quotaAllocation the division of quotas between the gateways and the leader's pool
+     * @param usageWindowS the length of an accounting window, in seconds
+     * @param canaryAllocation what a canary version may receive
+     */
+    public ForwardingLimits(
+            double retryRatio,
+            double retryAllowance,
+            double retryWindowS,
+            QuotaAllocation quotaAllocation,
+            long usageWindowS,
+            CanaryAllocation canaryAllocation) {
+        this(
+                retryRatio,
+                retryAllowance,
+                retryWindowS,
+                quotaAllocation,
+                usageWindowS,
+                canaryAllocation,
+                WaitingLimits.DEFAULT);
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingLog.java
@@ -147,6 +147,29 @@
                 "the value is no number of seconds: have the endpoint send one");
     }
 
+    /** Logs the end of a wait: the request was sent, refused for a reason, or ended otherwise. */
+    void logWait(WaitingCall waiting, String result, long nowMs, long retryAfterMs) {
+        AdmittedRequest request = waiting.request();
+        log.log(
+                "request-waited",
+                "request",
+                request.head().requestId(),
+                "route",
+                request.route().id(),
+                "service",
+                request.service().id(),
+                "priority",
+                waiting.entry().level(),
+                "result",
+                result,
+                "waitedMs",
+                nowMs - waiting.enteredMs(),
+                "latestStartInMs",
+                waiting.entry().entry().latestStartMs() - nowMs,
+                "retryAfterMs",
+                retryAfterMs);
+    }
+
     void logFailedAttempt(
             AdmittedRequest request, EndpointId endpoint, String result, String detail) {
         log.log(
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/TrackedEndpoint.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/TrackedEndpoint.java
@@ -4,6 +4,7 @@
 import org.cardamomthread.daemon.dialect.LoadReport;
 import org.cardamomthread.daemon.view.KnownEndpoint;
 import org.cardamomthread.policy.admission.TokenBucket;
+import org.cardamomthread.policy.availability.EndpointAvailability.Incarnation;
 
 /**
  * Holds what this gateway has observed of one incarnation of an endpoint. Not thread-safe.
@@ -39,19 +40,33 @@
     /** Time for which an ejected endpoint is avoided before it is tried again. */
     private static final long OUTLIER_EJECTION_MS = 2_000;
 
+    /**
+     * Time for which an endpoint that has refused a request is taken for full, unless it reports
+     * its load again: about the duration of a short request.
+     */
+    private static final long REFUSAL_TTL_MS = 300;
+
+    /** Requests per slot from which on an endpoint has no room for another one. */
+    private static final double FULL_LOAD_FACTOR = 1.1;
+
+    private final Incarnation incarnation;
     private KnownEndpoint knownEndpoint;
     private TokenBucket coldPermits;
     private int inFlight;
     private int startedSinceLoadReport;
+    private int endedSinceLoadReport;
     private LoadReport lastLoad;
     private long lastLoadMs;
     private long backoffUntilMs;
     private int consecutiveConnectionFailures;
     private double failureRate;
     private int resultsSinceEjection;
+    private long refusedMs = Long.MIN_VALUE;
 
     TrackedEndpoint(KnownEndpoint knownEndpoint) {
         this.knownEndpoint = knownEndpoint;
+        incarnation =
+                new Incarnation(knownEndpoint.report().id(), knownEndpoint.report().startTimeMs());
     }
 
     KnownEndpoint knownEndpoint() {
@@ -73,12 +88,14 @@
 
     void recordEnd() {
         inFlight--;
+        endedSinceLoadReport++;
     }
 
     void updateLoad(LoadReport report, long nowMs) {
         lastLoad = report;
         lastLoadMs = nowMs;
         startedSinceLoadReport = 0;
+        endedSinceLoadReport = 0;
     }
 
     /**
@@ -144,4 +161,42 @@
     int slots() {
         return Math.max(1, knownEndpoint.report().slots());
     }
+
+    Incarnation incarnation() {
+        return incarnation;
+    }
+
+    /** Records that the endpoint has refused a request without running it. */
+    void recordRefusal(long nowMs) {
+        refusedMs = nowMs;
+    }
+
+    /**
+     * Returns whether the endpoint has refused a request since its last report, or has a tenth more
+     * requests than slots by a report that is not stale and by the requests from here that began
+     * and ended since.
+     */
+    boolean isKnownFull(long nowMs) {
+        if (refusedMs != Long.MIN_VALUE && nowMs - refusedMs < REFUSAL_TTL_MS) {
+            boolean isReportNewer = lastLoad != null && lastLoadMs > refusedMs;
+            if (!isReportNewer) {
+                return true;
+            }
+        }
+        if (lastLoad == null || nowMs - lastLoadMs > LOAD_REPORT_TTL_MS) {
+            return false;
+        }
+        int changeSinceReport = startedSinceLoadReport - endedSinceLoadReport;
+        int load = Math.max(inFlight, lastLoad.running() + lastLoad.waiting() + changeSinceReport);
+        return load >= FULL_LOAD_FACTOR * Math.max(1, lastLoad.slots());
+    }
+
+    /** Returns whether {@link #tryAcquireColdPermit} would succeed. */
+    boolean hasColdPermit(double ratePerS, long nowMs) {
+        if (coldPermits == null) {
+            coldPermits = new TokenBucket(ratePerS, 1, 0, nowMs);
+        }
+        coldPermits.resize(ratePerS, 1, nowMs);
+        return coldPermits.availableTokens(nowMs) >= 1;
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/ForwardingMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/ForwardingMetrics.java
@@ -43,4 +43,20 @@
      * @param reason the reason, from a fixed set
      */
     void countRefusal(String reason);
+
+    /**
+     * Sets the number of requests that wait for an endpoint.
+     *
+     * @param service the requested service
+     * @param count the number of requests
+     */
+    void setWaiting(ServiceId service, int count);
+
+    /**
+     * Records how long a request that is sent now has waited for an endpoint.
+     *
+     * @param service the requested service
+     * @param waitedMs the time, in milliseconds
+     */
+    void recordWait(ServiceId service, long waitedMs);
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeForwardingMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeForwardingMetrics.java
@@ -40,4 +40,14 @@
     public void countRefusal(String reason) {
         metrics.countRefusal(reason);
     }
+
+    @Override
+    public void setWaiting(ServiceId service, int count) {
+        metrics.setWaiting(service, count);
+    }
+
+    @Override
+    public void recordWait(ServiceId service, long waitedMs) {
+        metrics.recordWait(service, waitedMs);
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
@@ -37,6 +37,8 @@
     private final Counter peerBytes;
     private final Counter refusals;
     private final Gauge inProgress;
+    private final Gauge waiting;
+    private final Histogram wait;
 
     /** Creates and registers the metrics, all zero. */
     public NodeMetrics() {
@@ -86,11 +88,17 @@
                         "Requests refused before they were admitted, by reason",
                         "reason");
         inProgress =
-                Gauge.builder()
-                        .name("cardamomthread_requests_in_progress")
-                        .help("Requests accepted and not yet answered whole")
-                        .labelNames(SERVICE_LABEL)
-                        .register(registry);
+                createGauge(
+                        "cardamomthread_requests_in_progress",
+                        "Requests accepted and not yet answered whole");
+        waiting =
+                createGauge(
+                        "cardamomthread_requests_waiting",
+                        "Requests that wait for an endpoint with room");
+        wait =
+                createHistogram(
+                        "cardamomthread_request_wait_seconds",
+                        "Time for which requests that were sent had waited for an endpoint");
     }
 
     /**
@@ -155,6 +163,26 @@
         refusals.labelValues(reason).inc();
     }
 
+    /**
+     * Sets the number of requests that wait for an endpoint.
+     *
+     * @param service the requested service
+     * @param count the number of requests
+     */
+    public void setWaiting(ServiceId service, int count) {
+        waiting.labelValues(service.value()).set(count);
+    }
+
+    /**
+     * Records how long a request that is sent now has waited for an endpoint.
+     *
+     * @param service the requested service
+     * @param waitedMs the time, in milliseconds
+     */
+    public void recordWait(ServiceId service, long waitedMs) {
+        wait.labelValues(service.value()).observe(waitedMs / MS_PER_S);
+    }
+
     /**
      * Counts tokens sent to a caller.
      *
@@ -219,6 +247,10 @@
         return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
 
+    private Gauge createGauge(String name, String help) {
+        return Gauge.builder().name(name).help(help).labelNames(SERVICE_LABEL).register(registry);
+    }
+
     private Histogram createHistogram(String name, String help) {
         return Histogram.builder()
                 .name(name)
--- /dev/null
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/EndpointRoomTests.java
@@ -0,0 +1,125 @@
+package org.cardamomthread.daemon.forwarding;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import org.cardamomthread.configuration.traffic.RequestKind;
+import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.core.time.ManualTimeSource;
+import org.cardamomthread.daemon.dialect.LoadReport;
+import org.cardamomthread.daemon.telemetry.DecisionLog;
+import org.cardamomthread.daemon.testing.TestEndpoints;
+import org.cardamomthread.daemon.view.ViewLease;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests when {@link ForwardingEndpointSelector} finds that a request need not wait. */
+public class EndpointRoomTests {
+
+    private static final int SLOTS = 10;
+    private static final long NOW_MS = 10_000;
+
+    private static LoadReport load(int running, int waiting) {
+        return new LoadReport(running, waiting, SLOTS, LoadReport.USUAL_WORK_TIME_PERCENT);
+    }
+
+    private static void start(TrackedEndpoint endpoint, int requests) {
+        for (int i = 0; i < requests; i++) {
+            endpoint.recordStart();
+        }
+    }
+
+    @DataProvider
+    public Object[][] states() {
+        BiConsumer<EndpointTable, TrackedEndpoint> full =
+                (table, endpoint) -> endpoint.updateLoad(load(SLOTS, 1), NOW_MS);
+        return new Object[][] {
+            {"nothing is known", step((table, endpoint) -> {}), true},
+            {"full", step(full), false},
+            {"below the bound", step((t, e) -> e.updateLoad(load(SLOTS, 0), NOW_MS)), true},
+            {"stale report", step((t, e) -> e.updateLoad(load(SLOTS, 1), NOW_MS - 1_600)), true},
+            {
+                "filled since the report",
+                step(
+                        (t, e) -> {
+                            e.updateLoad(load(SLOTS - 2, 0), NOW_MS);
+                            start(e, 3);
+                        }),
+                false
+            },
+            {
+                "ended since the report",
+                step(
+                        (t, e) -> {
+                            start(e, 1);
+                            e.updateLoad(load(SLOTS, 1), NOW_MS);
+                            e.recordEnd();
+                        }),
+                true
+            },
+            {"just refused", step((t, e) -> e.recordRefusal(NOW_MS)), false},
+            {"refused earlier", step((t, e) -> e.recordRefusal(NOW_MS - 300)), true},
+            {
+                "reported room since the refusal",
+                step(
+                        (t, e) -> {
+                            e.recordRefusal(NOW_MS - 100);
+                            e.updateLoad(load(1, 0), NOW_MS);
+                        }),
+                true
+            },
+            {"full or leaving", others(full, (t, e) -> t.recordLeaving(e, NOW_MS)), false},
+            {"full or held back", others(full, (t, e) -> t.recordPause(e, 500, NOW_MS)), false},
+            {
+                "full or in backoff",
+                others(full, (t, e) -> e.recordConnectionFailure(NOW_MS)),
+                false
+            },
+            {"only in backoff", step((t, e) -> e.recordConnectionFailure(NOW_MS)), true},
+            {"full or unknown", others(full, (t, e) -> {}), true},
+            {"none is available", step((t, e) -> t.recordLeaving(e, NOW_MS)), true},
+        };
+    }
+
+    private static List<BiConsumer<EndpointTable, TrackedEndpoint>> step(
+            BiConsumer<EndpointTable, TrackedEndpoint> all) {
+        return List.of(all, all);
+    }
+
+    private static List<BiConsumer<EndpointTable, TrackedEndpoint>> others(
+            BiConsumer<EndpointTable, TrackedEndpoint> first,
+            BiConsumer<EndpointTable, TrackedEndpoint> others) {
+        return List.of(first, others);
+    }
+
+    /** Guards against requests that wait beside an idle endpoint, or are sent to a full one. */
+    @Test(dataProvider = "states")
+    public void letsRequestsWaitOnlyIfAllAvailableEndpointsAreKnownToBeFull(
+            String name, List<BiConsumer<EndpointTable, TrackedEndpoint>> steps, boolean hasRoom) {
+        ManualTimeSource time = new ManualTimeSource();
+        time.advanceMs(NOW_MS);
+        EndpointTable endpoints =
+                new EndpointTable(
+                        new ForwardingLog(new DecisionLog(time), new ViewLease(time, 1_000)));
+        endpoints.apply(
+                ForwarderFixture.view(
+                        RequestKind.STREAM,
+                        1,
+                        TestEndpoints.createEndpoints(ForwarderFixture.CHAT, 3, false),
+                        Set.of()));
+        for (TrackedEndpoint endpoint : endpoints.all()) {
+            boolean isFirst = endpoint.id().equals(new EndpointId("e1"));
+            steps.get(isFirst ? 0 : 1).accept(endpoints, endpoint);
+        }
+        ForwardingEndpointSelector selector =
+                new ForwardingEndpointSelector(
+                        endpoints,
+                        new VersionSelector(new CanaryAllocation(0.1, 50), new SplittableRandom(1)),
+                        time,
+                        new SplittableRandom(1));
+        assertEquals(selector.hasRoom(ForwarderFixture.CHAT, NOW_MS), hasRoom, name);
+    }
+}
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/TestPlatformDialect.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/TestPlatformDialect.java
@@ -10,6 +10,7 @@
 import org.cardamomthread.daemon.dialect.ControlRequest;
 import org.cardamomthread.daemon.dialect.ControllerLeaseHolder;
 import org.cardamomthread.daemon.dialect.EndpointResponseHead;
+import org.cardamomthread.daemon.dialect.LoadReport;
 import org.cardamomthread.daemon.dialect.PlatformCall;
 import org.cardamomthread.daemon.dialect.PlatformDialect;
 import org.cardamomthread.daemon.dialect.PromptPart;
@@ -33,6 +34,9 @@
     /** The header of a response of an endpoint that leaves. */
     public static final String LEAVING = "x-test-leaving";
 
+    /** The header with an endpoint's running and waiting requests and its slots. */
+    public static final String LOAD = "x-test-load";
+
     /** The request header with the ids of the prompt's parts, separated by commas. */
     public static final String PROMPT_PARTS = "x-test-prompt-parts";
 
@@ -66,11 +70,20 @@
         return new EndpointResponseHead(
                 headers.contains(SIGNATURE),
                 headers.contains(NOT_RUN),
-                Optional.empty(),
+                Optional.ofNullable(headers.get(LOAD)).map(TestPlatformDialect::decodeLoad),
                 OptionalLong.empty(),
                 headers.contains(LEAVING));
     }
 
+    private static LoadReport decodeLoad(String value) {
+        String[] counts = value.split(",");
+        return new LoadReport(
+                Integer.parseInt(counts[0]),
+                Integer.parseInt(counts[1]),
+                Integer.parseInt(counts[2]),
+                LoadReport.USUAL_WORK_TIME_PERCENT);
+    }
+
     @Override
     public HttpHeaders encodeResponseHeaders(HttpHeaders received) {
         return EndToEndHeaders.copy(received);
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/availability/EndpointAvailability.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/availability/EndpointAvailability.java
@@ -115,6 +115,19 @@
                 : Availability.AVAILABLE;
     }
 
+    /**
+     * Returns whether an endpoint that accepts requests by its reports may be sent some, without
+     * allocating.
+     *
+     * @param incarnation the endpoint
+     * @param nowMs monotonic time, in milliseconds
+     * @return false if it has stated that it leaves, or asked for a pause that has not passed
+     */
+    public synchronized boolean isAvailable(Incarnation incarnation, long nowMs) {
+        Statements known = statements.get(incarnation);
+        return known == null || !known.isLeaving && nowMs >= known.heldBackUntilMs;
+    }
+
     /**
      * Returns the endpoints that have stated that they leave.
      *
