--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.fleet;
 
 import org.cardamomthread.daemon.forwarding.CanaryAllocation;
+import org.cardamomthread.daemon.forwarding.WaitingLimits;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 
 /**
@@ -20,6 +21,7 @@
  * @param usageDeadlineS the time after the end of a window by which it must be reported, in seconds
  * @param canaryAllocation what a canary version may receive
  * @param controlNodeLosses the control nodes that may be lost at once, with their disks
+ * @param waitingLimits bounds the requests that wait for an endpoint at a gateway
  */
 record FleetLimits(
         long revocationDeadlineMs,
@@ -32,7 +34,8 @@
         long usageWindowS,
         long usageDeadlineS,
         CanaryAllocation canaryAllocation,
-        int controlNodeLosses) {
+        int controlNodeLosses,
+        WaitingLimits waitingLimits) {
 
     /** Fraction of the revocation deadline for which a view may be used without confirmation. */
     private static final double VIEW_LEASE_FRACTION = 0.75;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -15,6 +15,7 @@
 import org.cardamomthread.configuration.document.YamlReader;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.daemon.forwarding.CanaryAllocation;
+import org.cardamomthread.daemon.forwarding.WaitingLimits;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.slf4j.Logger;
@@ -45,6 +46,13 @@
                     "limits");
     private static final double DEFAULT_CANARY_SHARE = 0.05;
     private static final int DEFAULT_CONTROL_NODE_LOSSES = 1;
+
+    /** Checking more waiting requests would take too much of a gateway's processor time. */
+    private static final long MAX_WAITING_REQUESTS = 4_096;
+
+    /** Less than a third of the heap with which gateways are started. */
+    private static final long MAX_WAITING_BYTES = 16L * 1024 * 1024;
+
     private static final int MAX_PORT = NetworkAddress.MAX_PORT;
 
     private final List<DocumentProblem> problems = new ArrayList<>();
@@ -141,7 +149,17 @@
                 new CanaryAllocation(
                         readOptionalDouble("/limits/canaryShare", DEFAULT_CANARY_SHARE),
                         readOptionalDouble("/limits/canaryExtra", 0)),
-                readControlNodeLosses());
+                readControlNodeLosses(),
+                new WaitingLimits(
+                        (int)
+                                readBoundedLong(
+                                        "/limits/waitingRequests",
+                                        WaitingLimits.DEFAULT.maxRequests(),
+                                        MAX_WAITING_REQUESTS),
+                        readBoundedLong(
+                                "/limits/waitingBytes",
+                                WaitingLimits.DEFAULT.maxBytes(),
+                                MAX_WAITING_BYTES)));
     }
 
     private int readControlNodeLosses() {
@@ -226,6 +244,25 @@
         return value.asLong();
     }
 
+    /** Reads an optional integer from 0 to a maximum. */
+    private long readBoundedLong(String pointer, long defaultValue, long max) {
+        JsonNode value = document.root().at(pointer);
+        if (value.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!value.canConvertToLong()
+                || !value.isIntegralNumber()
+                || value.asLong() < 0
+                || value.asLong() > max) {
+            addProblem(
+                    pointer,
+                    "the value " + value + " is not an integer from 0 to " + max,
+                    "set it to such a number");
+            return defaultValue;
+        }
+        return value.asLong();
+    }
+
     private double readOptionalDouble(String pointer, double defaultValue) {
         return document.root().at(pointer).isMissingNode()
                 ? defaultValue
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -227,7 +227,8 @@
                 limits.retryWindowS(),
                 limits.quotaAllocation(),
                 limits.usageWindowS(),
-                limits.canaryAllocation());
+                limits.canaryAllocation(),
+                limits.waitingLimits());
     }
 
     private static NetworkAddress requireAddress(Optional<NetworkAddress> address) {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
@@ -10,6 +10,7 @@
 import org.cardamomthread.configuration.document.InvalidDocumentException;
 import org.cardamomthread.configuration.document.YamlReader;
 import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.daemon.forwarding.WaitingLimits;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -63,6 +64,47 @@
         assertTrue(control.platform().isPresent());
     }
 
+    @DataProvider
+    public Object[][] waitingLimits() {
+        return new Object[][] {
+            {"", 256, 4_194_304},
+            {"  waitingRequests: 0\n", 0, 4_194_304},
+            {"  waitingRequests: 4096\n  waitingBytes: 16777216\n", 4_096, 16_777_216},
+        };
+    }
+
+    @Test(dataProvider = "waitingLimits")
+    public void loadsTheLimitsOfWaitingRequests(String lines, int maxRequests, long maxBytes)
+            throws InvalidDocumentException {
+        assertEquals(
+                load(GATEWAY + lines).limits().waitingLimits(),
+                new WaitingLimits(maxRequests, maxBytes));
+    }
+
+    @DataProvider
+    public Object[][] invalidWaitingLimits() {
+        return new Object[][] {
+            {"waitingRequests", "-1", "4096"},
+            {"waitingRequests", "4097", "4096"},
+            {"waitingRequests", "1.5", "4096"},
+            {"waitingBytes", "99999999999999999999", "16777216"},
+            {"waitingBytes", "\"4 MB\"", "16777216"},
+        };
+    }
+
+    /** Guards against errors that do not tell which value would be valid. */
+    @Test(dataProvider = "invalidWaitingLimits")
+    public void namesFieldValueAndBoundOfAnInvalidLimit(String key, String value, String bound) {
+        InvalidDocumentException invalid =
+                expectThrows(
+                        InvalidDocumentException.class,
+                        () -> load(GATEWAY + "  " + key + ": " + value + "\n"));
+        String message = invalid.getMessage();
+        assertTrue(
+                message.contains(key) && message.contains(value) && message.contains(bound),
+                message);
+    }
+
     @DataProvider
     public Object[][] controlNodeLosses() {
         return new Object[][] {
