Keep the time limit of one caller from shortening the wait of others

A request with little time left, after an earlier attempt or by the time limit in its header, bounded the wait of all requests of its account for up to 10 s, and of all callers without an account; these were refused although they could have been served. The cause is that the shortest tolerance was taken from the time that each request had left. It is now that of its kind: the time limit of the route less the usual service time, at least the objective.

A test also bounds the garbage of the check of 200 endpoints per request.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/WaitingRooms.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/WaitingRooms.java
@@ -164,6 +164,7 @@
                 request.priorityLevel(),
                 request.receivedMs(),
                 request.route().latencyTargetMs(),
+                request.route().timeoutMs() - serviceMs,
                 HEAD_BYTES + clientRequest.body().length);
     }
 
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/EndpointRoomTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/EndpointRoomTests.java
@@ -1,7 +1,10 @@
 package org.cardamomthread.daemon.forwarding;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -21,6 +24,7 @@
 
     private static final int SLOTS = 10;
     private static final long NOW_MS = 10_000;
+    private static final int CALLS = 1_000;
 
     private static LoadReport load(int running, int waiting) {
         return new LoadReport(running, waiting, SLOTS, LoadReport.USUAL_WORK_TIME_PERCENT);
@@ -99,8 +103,35 @@
     @Test(dataProvider = "states")
     public void letsRequestsWaitOnlyIfAllAvailableEndpointsAreKnownToBeFull(
             String name, List<BiConsumer<EndpointTable, TrackedEndpoint>> steps, boolean hasRoom) {
+        EndpointTable endpoints = createTable(3);
+        for (TrackedEndpoint endpoint : endpoints.all()) {
+            boolean isFirst = endpoint.id().equals(new EndpointId("e1"));
+            steps.get(isFirst ? 0 : 1).accept(endpoints, endpoint);
+        }
+        assertEquals(
+                createSelector(endpoints).hasRoom(ForwarderFixture.CHAT, NOW_MS), hasRoom, name);
+    }
+
+    /** Guards against garbage in proportion to the endpoints, on each request. */
+    @Test
+    public void allocatesNothingPerEndpoint() {
+        EndpointTable endpoints = createTable(200);
+        for (TrackedEndpoint endpoint : endpoints.all()) {
+            endpoints.recordPause(endpoint, 500, NOW_MS);
+        }
+        ForwardingEndpointSelector selector = createSelector(endpoints);
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        selector.hasRoom(ForwarderFixture.CHAT, NOW_MS);
+        long beforeBytes = threads.getCurrentThreadAllocatedBytes();
+        for (int i = 0; i < CALLS; i++) {
+            selector.hasRoom(ForwarderFixture.CHAT, NOW_MS);
+        }
+        long bytesPerCall = (threads.getCurrentThreadAllocatedBytes() - beforeBytes) / CALLS;
+        assertTrue(bytesPerCall < 200, bytesPerCall + " bytes per call");
+    }
+
+    private static EndpointTable createTable(int count) {
         ManualTimeSource time = new ManualTimeSource();
-        time.advanceMs(NOW_MS);
         EndpointTable endpoints =
                 new EndpointTable(
                         new ForwardingLog(new DecisionLog(time), new ViewLease(time, 1_000)));
@@ -108,18 +139,16 @@
                 ForwarderFixture.view(
                         RequestKind.STREAM,
                         1,
-                        TestEndpoints.createEndpoints(ForwarderFixture.CHAT, 3, false),
+                        TestEndpoints.createEndpoints(ForwarderFixture.CHAT, count, false),
                         Set.of()));
-        for (TrackedEndpoint endpoint : endpoints.all()) {
-            boolean isFirst = endpoint.id().equals(new EndpointId("e1"));
-            steps.get(isFirst ? 0 : 1).accept(endpoints, endpoint);
-        }
-        ForwardingEndpointSelector selector =
-                new ForwardingEndpointSelector(
-                        endpoints,
-                        new VersionSelector(new CanaryAllocation(0.1, 50), new SplittableRandom(1)),
-                        time,
-                        new SplittableRandom(1));
-        assertEquals(selector.hasRoom(ForwarderFixture.CHAT, NOW_MS), hasRoom, name);
+        return endpoints;
+    }
+
+    private static ForwardingEndpointSelector createSelector(EndpointTable endpoints) {
+        return new ForwardingEndpointSelector(
+                endpoints,
+                new VersionSelector(new CanaryAllocation(0.1, 50), new SplittableRandom(1)),
+                new ManualTimeSource(),
+                new SplittableRandom(1));
     }
 }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/WaitingRoomsTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/WaitingRoomsTests.java
@@ -19,7 +19,6 @@
 import java.util.function.Consumer;
 import org.cardamomthread.configuration.traffic.RequestKind;
 import org.cardamomthread.configuration.traffic.RouteTable;
-import org.cardamomthread.configuration.traffic.TrafficAccount;
 import org.cardamomthread.configuration.traffic.TrafficDocument;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.testing.FakeEndpointClient;
@@ -162,19 +161,12 @@
     private static GatewayView withoutKeys() {
         GatewayView view = view(1, false);
         TrafficDocument document = view.routes().orElseThrow().document();
-        var account = document.accounts().get(0);
-        var other =
-                new TrafficAccount(
-                        account.id(), List.of("other"), account.priority(), false, 0, 0, 0);
         return new GatewayView(
                 2,
                 Optional.of(
                         new RouteTable(
                                 new TrafficDocument(
-                                        2,
-                                        document.routes(),
-                                        document.services(),
-                                        List.of(other)))),
+                                        2, document.routes(), document.services(), List.of()))),
                 Set.of(),
                 Map.of(),
                 view.endpoints(),
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/WaitingLevel.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/WaitingLevel.java
@@ -37,8 +37,8 @@
      * milliseconds.
      */
     long maxWaitMs(WaitingRequest request, long nowMs) {
-        QueuedRequest entry = request.entry();
-        return shortestTolerance.record(entry.account(), entry.latestStartMs() - nowMs, nowMs);
+        long toleranceMs = Math.max(request.kindToleranceMs(), request.objectiveMs());
+        return shortestTolerance.record(request.entry().account(), toleranceMs, nowMs);
     }
 
     /** Returns the waiting requests in no particular order. */
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/WaitingRequest.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/WaitingRequest.java
@@ -11,10 +11,17 @@
  * @param level the priority level, 0 is the most urgent
  * @param receivedMs when the request was received, in monotonic milliseconds
  * @param objectiveMs latency objective, in milliseconds, at least zero
+ * @param kindToleranceMs time for which requests of its kind may usually wait, in milliseconds; it
+ *     bounds the wait of all requests of the account, so that it must not depend on the caller
  * @param bytes memory that the request occupies while it waits, in bytes, at least zero
  */
 public record WaitingRequest(
-        QueuedRequest entry, int level, long receivedMs, long objectiveMs, long bytes) {
+        QueuedRequest entry,
+        int level,
+        long receivedMs,
+        long objectiveMs,
+        long kindToleranceMs,
+        long bytes) {
 
     /** Validates the components. */
     public WaitingRequest {
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/WaitingRoom.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/WaitingRoom.java
@@ -110,9 +110,10 @@
         WaitingLevel level =
                 levels.computeIfAbsent(request.level(), priority -> new WaitingLevel());
         long expectedMs = expectedWaitMs(request, level.estimateAhead(request), nowMs);
-        boolean isLate = request.entry().latestStartMs() <= nowMs;
+        long remainingMs = request.entry().latestStartMs() - nowMs;
+        long maxWaitMs = Math.min(remainingMs, level.maxWaitMs(request, nowMs));
         // With nothing before it, one request may try: the rate was measured for earlier ones.
-        if (isLate || expectedMs > level.maxWaitMs(request, nowMs) && size > 0) {
+        if (remainingMs <= 0 || size > 0 && expectedMs > maxWaitMs) {
             return List.of(refuse(request, AdmissionRefusal.Reason.TOO_LATE, expectedMs));
         }
         List<WaitingRequest> displaced = new ArrayList<>();
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomSimulation.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomSimulation.java
@@ -125,7 +125,13 @@
                         nowMs + kind.timeLimitMs() - kind.serviceMs());
         refuse(
                 room.offer(
-                        new WaitingRequest(entry, kind.level(), nowMs, kind.objectiveMs(), 1_000),
+                        new WaitingRequest(
+                                entry,
+                                kind.level(),
+                                nowMs,
+                                kind.objectiveMs(),
+                                kind.timeLimitMs() - kind.serviceMs(),
+                                1_000),
                         nowMs),
                 nowMs);
     }
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomTests.java
@@ -125,7 +125,8 @@
         room.offer(request("old2", "a", 5, 100), 0);
         for (int i = 0; i < 2; i++) {
             WaitingRequest young = request("young" + i, "b", 0, 100);
-            room.offer(new WaitingRequest(young.entry(), young.level(), 400, 1_000, 100), 400);
+            room.offer(
+                    new WaitingRequest(young.entry(), young.level(), 400, 1_000, 10_000, 100), 400);
         }
         List<String> order = new ArrayList<>();
         for (long nowMs : new long[] {450, 500, 500, 500}) {
@@ -194,6 +195,25 @@
         }
     }
 
+    /**
+     * Guards against callers that shorten the wait of others by a short time limit of their own.
+     */
+    @Test
+    public void admitsOthersBesideRequestWithLittleTimeLeft() {
+        WaitingRoom room = new WaitingRoom(new WaitingBudget(64, 80_000), new SplittableRandom(1));
+        room.recordStart();
+        room.recordStart();
+        room.recordEnd(1_000, true);
+        room.offer(request("first", "a", 0, 100), 0);
+        QueuedRequest entry =
+                new QueuedRequest(
+                        new RequestId("late"), new ClientAccountId("a"), Priority.URGENT, 1, 500);
+        AdmissionRefusal late =
+                room.offer(new WaitingRequest(entry, 0, 0, 1_000, 10_000, 100), 0).get(0);
+        assertEquals(late.reason(), AdmissionRefusal.Reason.TOO_LATE);
+        assertEquals(room.offer(request("next", "a", 0, 100), 0), List.of());
+    }
+
     private static WaitingRequest request(String id, String account, int level, long bytes) {
         QueuedRequest entry =
                 new QueuedRequest(
@@ -202,7 +222,7 @@
                         Priority.URGENT,
                         1,
                         10_000);
-        return new WaitingRequest(entry, level, 0, 1_000, bytes);
+        return new WaitingRequest(entry, level, 0, 1_000, 10_000, bytes);
     }
 
     /** Guards against a queue without bound, and a full one that is closed to everybody else. */
