Refuse a retry beyond the budget before it waits

A request that an endpoint had refused waited for room, and only then learned that the retry budget of its service was exhausted: its caller got 503 after a wait in vain. The permit for the retry is now taken before the wait and kept through it; without one the request is refused at once.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/AdmittedRequest.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/AdmittedRequest.java
@@ -5,6 +5,9 @@
 import org.cardamomthread.configuration.traffic.TrafficAccount;
 import org.cardamomthread.configuration.traffic.TrafficRoute;
 import org.cardamomthread.configuration.traffic.TrafficService;
+import org.cardamomthread.configuration.traffic.generated.MoveStage;
+import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
+import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.daemon.dialect.PromptPart;
 import org.cardamomthread.daemon.dialect.RequestHead;
 import org.cardamomthread.daemon.view.GatewayView;
@@ -56,6 +59,14 @@
         return Math.max(0, Math.min(LOWEST_PRIORITY, priority));
     }
 
+    /** Returns whether a version is the one that the service's traffic moves to. */
+    boolean isCanary(VersionId version) {
+        VersionMoveState move = view.versionMoves().get(service.id());
+        return move != null
+                && (move.getStage() == MoveStage.RUNNING || move.getStage() == MoveStage.PROMOTED)
+                && move.getTarget().equals(version.value());
+    }
+
     /**
      * Returns the id of the prompt part that other requests are likely to share, which is the last
      * but one, or empty if there is none.
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -60,7 +60,7 @@
                                 version,
                                 request.route().id(),
                                 !endpoint.isCold(startedMs),
-                                !call.isCanary(version));
+                                !request.isCanary(version));
     }
 
     /** Returns whether the attempt has ended. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -6,10 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import org.cardamomthread.configuration.traffic.generated.MoveStage;
-import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
 import org.cardamomthread.core.id.EndpointId;
-import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.daemon.dialect.AttemptHead;
 import org.cardamomthread.daemon.dispatch.EndpointAttempt;
 import org.cardamomthread.daemon.dispatch.EndpointRequest;
@@ -49,6 +46,7 @@
     private boolean isUsageCounted;
     private boolean isResuming;
     private boolean hasWaited;
+    private boolean hasRetryPermit;
     private boolean finished;
     private long firstByteMs;
 
@@ -104,8 +102,11 @@
         boolean mayWait = !hasWaited && !mayHaveRun && !relay.hasStarted();
         hasWaited = false;
         if (mayWait && context.waitingRooms().mustWait(request.service().id())) {
-            trial.release();
-            context.waitingRooms().enter(this, request, exchange.getRequest());
+            if (takeRetryPermit()) {
+                currentAttempt = null;
+                trial.release();
+                context.waitingRooms().enter(this, request, exchange.getRequest());
+            }
             return;
         }
         Optional<TrackedEndpoint> selected =
@@ -120,13 +121,24 @@
                     "no endpoint of the service can take the request: send it again later");
             return;
         }
-        if (attemptCount > 0 && !context.retryBudget().tryConsumeRetry(request.service().id())) {
+        if (takeRetryPermit()) {
+            hasRetryPermit = false;
+            send(selected.get(), remainingMs);
+        }
+    }
+
+    /** Takes a permit if the next attempt is a retry, or fails the request if there is none. */
+    private boolean takeRetryPermit() {
+        hasRetryPermit =
+                hasRetryPermit
+                        || attemptCount == 0
+                        || context.retryBudget().tryConsumeRetry(request.service().id());
+        if (!hasRetryPermit) {
             failWith(
                     "no-repeat",
                     "the retry budget of the service is exhausted: send the request again later");
-            return;
         }
-        send(selected.get(), remainingMs);
+        return hasRetryPermit;
     }
 
     /**
@@ -301,13 +313,6 @@
                 && (!mayHaveRun || request.route().requestKind().isRetryable());
     }
 
-    boolean isCanary(VersionId version) {
-        VersionMoveState move = request.view().versionMoves().get(request.service().id());
-        return move != null
-                && (move.getStage() == MoveStage.RUNNING || move.getStage() == MoveStage.PROMOTED)
-                && move.getTarget().equals(version.value());
-    }
-
     void retryAfterUnsentAttempt() {
         unsentAttempts++;
         if (unsentAttempts < MAX_UNSENT_ATTEMPTS && isKeyCurrent()) {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/WaitingRoomsTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/WaitingRoomsTests.java
@@ -158,6 +158,28 @@
         assertEquals(exchange.getBody(), "later");
     }
 
+    /**
+     * Guards against a wait in vain: a retry that the budget does not permit is refused at once.
+     */
+    @Test
+    public void refusesRetryBeyondBudgetBeforeItWaits() {
+        fixture.forwarder().applyView(view(2, false));
+        HttpHeaders notRun = new DefaultHttpHeaders().set(TestPlatformDialect.NOT_RUN, "1");
+        RecordedExchange last = null;
+        for (int i = 0; i < 300 && (last == null || last.getStatus() != 503); i++) {
+            client.addScript(respondWith(503, notRun, ""));
+            client.addScript(respondWith(200, signed(), "later"));
+            last = fixture.send();
+            if (last.getStatus() == 0) {
+                advance(350);
+                assertEquals(last.getBody(), "later");
+                fixture.renewLease();
+            }
+        }
+        assertEquals(last.getStatus(), 503);
+        assertTrue(last.getBody().contains("no-repeat"), last.getBody());
+    }
+
     private static GatewayView withoutKeys() {
         GatewayView view = view(1, false);
         TrafficDocument document = view.routes().orElseThrow().document();
