Test that requests wait for the permit of a cold endpoint

That a request waits while a cold endpoint has used up this gateway's share of its rate, and is sent once there is a permit again, was not tested. The simulation of the waiting room keeps its outcomes as records, with the same checks.

--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/EndpointRoomTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/EndpointRoomTests.java
@@ -1,15 +1,19 @@
 package org.cardamomthread.daemon.forwarding;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.sun.management.ThreadMXBean;
 import java.lang.management.ManagementFactory;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import org.cardamomthread.configuration.traffic.RequestKind;
+import org.cardamomthread.configuration.traffic.TrafficDocument;
+import org.cardamomthread.configuration.traffic.TrafficService;
 import org.cardamomthread.core.id.EndpointId;
 import org.cardamomthread.core.time.ManualTimeSource;
 import org.cardamomthread.daemon.dialect.LoadReport;
@@ -30,12 +34,6 @@
         return new LoadReport(running, waiting, SLOTS, LoadReport.USUAL_WORK_TIME_PERCENT);
     }
 
-    private static void start(TrackedEndpoint endpoint, int requests) {
-        for (int i = 0; i < requests; i++) {
-            endpoint.recordStart();
-        }
-    }
-
     @DataProvider
     public Object[][] states() {
         BiConsumer<EndpointTable, TrackedEndpoint> full =
@@ -49,8 +47,8 @@
                 "filled since the report",
                 step(
                         (t, e) -> {
-                            e.updateLoad(load(SLOTS - 2, 0), NOW_MS);
-                            start(e, 3);
+                            e.updateLoad(load(SLOTS, 0), NOW_MS);
+                            e.recordStart();
                         }),
                 false
             },
@@ -58,7 +56,7 @@
                 "ended since the report",
                 step(
                         (t, e) -> {
-                            start(e, 1);
+                            e.recordStart();
                             e.updateLoad(load(SLOTS, 1), NOW_MS);
                             e.recordEnd();
                         }),
@@ -112,6 +110,24 @@
                 createSelector(endpoints).hasRoom(ForwarderFixture.CHAT, NOW_MS), hasRoom, name);
     }
 
+    /** Guards against refusals while cold endpoints have used up their rate and others are full. */
+    @Test
+    public void letsRequestsWaitForPermitOfColdEndpoint() {
+        EndpointTable endpoints = createTable(1);
+        TrafficDocument document = endpoints.view().routes().orElseThrow().document();
+        TrafficService limited =
+                new TrafficService(ForwarderFixture.CHAT, "/h", 10, 2, false, Optional.empty());
+        endpoints.apply(
+                ForwarderFixture.view(
+                        new TrafficDocument(2, document.routes(), List.of(limited), List.of()),
+                        endpoints.view().endpoints(),
+                        Set.of()));
+        endpoints.all().iterator().next().extendCold(NOW_MS + 9_000);
+        ForwardingEndpointSelector selector = createSelector(endpoints);
+        assertFalse(selector.hasRoom(ForwarderFixture.CHAT, NOW_MS));
+        assertTrue(selector.hasRoom(ForwarderFixture.CHAT, NOW_MS + 500));
+    }
+
     /** Guards against garbage in proportion to the endpoints, on each request. */
     @Test
     public void allocatesNothingPerEndpoint() {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwarderFixture.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwarderFixture.java
@@ -181,8 +181,15 @@
                                         0,
                                         0,
                                         0)));
+        return view(document, endpoints, drainedDataCentres);
+    }
+
+    static GatewayView view(
+            TrafficDocument document,
+            Map<EndpointId, KnownEndpoint> endpoints,
+            Set<DataCentreId> drainedDataCentres) {
         return new GatewayView(
-                1,
+                document.version(),
                 Optional.of(new RouteTable(document)),
                 drainedDataCentres,
                 Map.of(),
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/WaitingRoomsTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/WaitingRoomsTests.java
@@ -12,13 +12,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cardamomthread.configuration.traffic.RequestKind;
-import org.cardamomthread.configuration.traffic.RouteTable;
 import org.cardamomthread.configuration.traffic.TrafficDocument;
 import org.cardamomthread.daemon.dispatch.EndpointResponseListener;
 import org.cardamomthread.daemon.testing.FakeEndpointClient;
@@ -62,13 +59,14 @@
         return signed().set(TestPlatformDialect.LOAD, running + "," + waiting + "," + SLOTS);
     }
 
+    private void beginFull(EndpointResponseListener listener) {
+        listener.onHead(200, load(SLOTS, 1));
+        open.add(listener);
+    }
+
     /** Sends a request whose response begins and tells that the endpoint is full. */
     private void fillEndpoint() {
-        client.addScript(
-                listener -> {
-                    listener.onHead(200, load(SLOTS, 1));
-                    open.add(listener);
-                });
+        client.addScript(this::beginFull);
         fixture.send();
     }
 
@@ -128,11 +126,7 @@
     @Test
     public void spendsNoRetryForWaiting() {
         for (int i = 0; i < 100; i++) {
-            client.addScript(
-                    listener -> {
-                        listener.onHead(200, load(SLOTS, 1));
-                        open.add(listener);
-                    });
+            client.addScript(this::beginFull);
         }
         fixture.send();
         RecordedExchange last = null;
@@ -183,18 +177,9 @@
     private static GatewayView withoutKeys() {
         GatewayView view = view(1, false);
         TrafficDocument document = view.routes().orElseThrow().document();
-        return new GatewayView(
-                2,
-                Optional.of(
-                        new RouteTable(
-                                new TrafficDocument(
-                                        2, document.routes(), document.services(), List.of()))),
-                Set.of(),
-                Map.of(),
-                view.endpoints(),
-                1,
-                Map.of(),
-                Map.of());
+        TrafficDocument newer =
+                new TrafficDocument(2, document.routes(), document.services(), List.of());
+        return ForwarderFixture.view(newer, view.endpoints(), Set.of());
     }
 
     @DataProvider
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomSimulation.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomSimulation.java
@@ -31,33 +31,7 @@
             long timeLimitMs) {}
 
     /** What happened to one request; the times are -1 if it did not come to that. */
-    static final class Outcome {
-        private final Kind kind;
-        private final long receivedMs;
-        private long startedMs = -1;
-        private long refusedMs = -1;
-        private long retryAfterMs = -1;
-
-        Outcome(Kind kind, long receivedMs) {
-            this.kind = kind;
-            this.receivedMs = receivedMs;
-        }
-
-        Kind kind() {
-            return kind;
-        }
-
-        long receivedMs() {
-            return receivedMs;
-        }
-
-        long refusedMs() {
-            return refusedMs;
-        }
-
-        long retryAfterMs() {
-            return retryAfterMs;
-        }
+    record Outcome(Kind kind, long receivedMs, long startedMs, long refusedMs, long retryAfterMs) {
 
         boolean isServed() {
             return startedMs >= 0;
@@ -70,7 +44,7 @@
 
     private final LongToIntFunction slotsAtMs;
     private final WaitingRoom room;
-    private final Map<RequestId, Outcome> waiting = new HashMap<>();
+    private final Map<RequestId, Integer> waiting = new HashMap<>();
     private final PriorityQueue<long[]> running =
             new PriorityQueue<>(Comparator.comparingLong(end -> end[0]));
     private final List<Outcome> outcomes = new ArrayList<>();
@@ -108,14 +82,14 @@
     }
 
     private void arrive(Kind kind, long nowMs) {
-        Outcome outcome = new Outcome(kind, nowMs);
-        outcomes.add(outcome);
+        outcomes.add(new Outcome(kind, nowMs, -1, -1, -1));
+        int index = outcomes.size() - 1;
         if (room.size() == 0 && hasSlot(nowMs)) {
-            run(outcome, nowMs);
+            run(index, nowMs);
             return;
         }
         RequestId id = new RequestId("w" + nextId++);
-        waiting.put(id, outcome);
+        waiting.put(id, index);
         QueuedRequest entry =
                 new QueuedRequest(
                         id,
@@ -144,17 +118,26 @@
         return running.size() < slotsAtMs.applyAsInt(nowMs);
     }
 
-    private void run(Outcome outcome, long nowMs) {
-        outcome.startedMs = nowMs;
+    private void run(int index, long nowMs) {
+        Outcome received = outcomes.get(index);
+        outcomes.set(index, new Outcome(received.kind(), received.receivedMs(), nowMs, -1, -1));
+        long serviceMs = received.kind().serviceMs();
         room.recordStart();
-        running.add(new long[] {nowMs + outcome.kind.serviceMs(), outcome.kind.serviceMs()});
+        running.add(new long[] {nowMs + serviceMs, serviceMs});
     }
 
     private void refuse(List<AdmissionRefusal> refusals, long nowMs) {
         for (AdmissionRefusal refusal : refusals) {
-            Outcome outcome = waiting.remove(refusal.request().id());
-            outcome.refusedMs = nowMs;
-            outcome.retryAfterMs = refusal.retryAfterMs();
+            int index = waiting.remove(refusal.request().id());
+            Outcome received = outcomes.get(index);
+            outcomes.set(
+                    index,
+                    new Outcome(
+                            received.kind(),
+                            received.receivedMs(),
+                            -1,
+                            nowMs,
+                            refusal.retryAfterMs()));
         }
     }
 }
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomTests.java
@@ -58,11 +58,8 @@
         simulation.play(5_000, 15_000, List.of(burst));
         List<Outcome> outcomes = simulation.play(15_000, 20_000, List.of(calm));
         assertTrue(servedShare(outcomes, of(burst)) > 0.32, "" + servedShare(outcomes, of(burst)));
-        for (Outcome outcome : outcomes) {
-            if (outcome.isServed()) {
-                assertTrue(outcome.waitedMs() <= 1_800, "waited " + outcome.waitedMs());
-            }
-        }
+        assertTrue(
+                outcomes.stream().allMatch(outcome -> outcome.waitedMs() <= 1_800), "late start");
         long heldInVain =
                 outcomes.stream()
                         .filter(outcome -> outcome.refusedMs() > outcome.receivedMs())
@@ -158,13 +155,13 @@
                         PLACES, 1, nowMs -> nowMs < 10_000 ? 8 : nowMs < 20_000 ? 1 : 8);
         Kind load = kind("a", 0, 60, 3_000);
         List<Outcome> outcomes = simulation.play(0, 30_000, List.of(load));
-        List<Outcome> slow = new ArrayList<>();
-        for (Outcome outcome : outcomes) {
-            if (outcome.receivedMs() >= 13_000 && outcome.receivedMs() < 19_000) {
-                slow.add(outcome);
-            }
-            assertTrue(!outcome.isServed() || outcome.waitedMs() <= 2_800, "late start");
-        }
+        assertTrue(
+                outcomes.stream().allMatch(outcome -> outcome.waitedMs() <= 2_800), "late start");
+        List<Outcome> slow =
+                outcomes.stream()
+                        .filter(outcome -> outcome.receivedMs() >= 13_000)
+                        .filter(outcome -> outcome.receivedMs() < 19_000)
+                        .toList();
         long inVain =
                 slow.stream()
                         .filter(outcome -> outcome.refusedMs() > outcome.receivedMs() + 100)
