--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetLimits.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 import org.cardamomthread.daemon.forwarding.CanaryAllocation;
+import org.cardamomthread.daemon.forwarding.WaitingLimits;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 
 /**
@@ -23,6 +24,7 @@
  * @param controlNodeLosses the control nodes that may be lost at once, with their disks
  * @param dataCentreMarginMs by how much an endpoint of another data centre must be expected to be
  *     faster, in milliseconds, or empty to derive it from the latency objective
+ * @param waitingLimits bounds the requests that wait for an endpoint at a gateway
  */
 record FleetLimits(
         long revocationDeadlineMs,
@@ -36,7 +38,8 @@
         long usageDeadlineS,
         CanaryAllocation canaryAllocation,
         int controlNodeLosses,
-        OptionalLong dataCentreMarginMs) {
+        OptionalLong dataCentreMarginMs,
+        WaitingLimits waitingLimits) {
 
     /** Fraction of the revocation deadline for which a view may be used without confirmation. */
     private static final double VIEW_LEASE_FRACTION = 0.75;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/AdmittedRequest.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/AdmittedRequest.java
@@ -5,6 +5,9 @@
 import org.cardamomthread.configuration.traffic.TrafficAccount;
 import org.cardamomthread.configuration.traffic.TrafficRoute;
 import org.cardamomthread.configuration.traffic.TrafficService;
+import org.cardamomthread.configuration.traffic.generated.MoveStage;
+import org.cardamomthread.configuration.traffic.generated.VersionMoveState;
+import org.cardamomthread.core.id.VersionId;
 import org.cardamomthread.daemon.dialect.PromptPart;
 import org.cardamomthread.daemon.dialect.RequestHead;
 import org.cardamomthread.daemon.view.GatewayView;
@@ -41,6 +44,11 @@
         if (!service.isModel()) {
             return OptionalInt.empty();
         }
+        return OptionalInt.of(priorityLevel());
+    }
+
+    /** Returns the priority, 0 to 9, where 0 is the most urgent. */
+    int priorityLevel() {
         int priority =
                 account.flatMap(
                                 owner ->
@@ -48,7 +56,15 @@
                                                 ? Optional.of(owner.priority().getAsInt())
                                                 : Optional.empty())
                         .orElse(route.priority());
-        return OptionalInt.of(Math.max(0, Math.min(LOWEST_PRIORITY, priority)));
+        return Math.max(0, Math.min(LOWEST_PRIORITY, priority));
+    }
+
+    /** Returns whether a version is the one that the service's traffic moves to. */
+    boolean isCanary(VersionId version) {
+        VersionMoveState move = view.versionMoves().get(service.id());
+        return move != null
+                && (move.getStage() == MoveStage.RUNNING || move.getStage() == MoveStage.PROMOTED)
+                && move.getTarget().equals(version.value());
     }
 
     /**
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -54,6 +54,7 @@
         this.endpoint = endpoint;
         startedMs = context.timeSource().monotonicMs();
         sentRequest = context.endpointSelector().recordSend(request, endpoint);
+        context.waitingRooms().recordStart(request);
         VersionId version = endpoint.knownEndpoint().report().version();
         measurement =
                 context.versionResults()
@@ -62,7 +63,7 @@
                                 version,
                                 request.route().id(),
                                 !endpoint.isCold(startedMs),
-                                !call.isCanary(version));
+                                !request.isCanary(version));
     }
 
     /** Returns whether the attempt has ended. */
@@ -78,6 +79,7 @@
                     headers = receivedHeaders;
                     head = context.dialect().decodeResponseHead(status, headers);
                     handleHead();
+                    context.waitingRooms().startNext(request.service().id());
                 });
     }
 
@@ -94,12 +96,20 @@
 
     @Override
     public void onComplete() {
-        call.runOnLoop(this::handleComplete);
+        call.runOnLoop(
+                () -> {
+                    handleComplete();
+                    context.waitingRooms().startNext(request.service().id());
+                });
     }
 
     @Override
     public void onFailure(EndpointFailureException failure) {
-        call.runOnLoop(() -> handleFailure(failure));
+        call.runOnLoop(
+                () -> {
+                    handleFailure(failure);
+                    context.waitingRooms().startNext(request.service().id());
+                });
     }
 
     private void handleBodyPart(byte[] chunk) {
@@ -136,6 +146,7 @@
         Optional<EndpointAttempt> rejected = call.currentAttempt();
         handleFailure(createFailure(kind, detail));
         rejected.ifPresent(EndpointAttempt::cancel);
+        context.waitingRooms().startNext(request.service().id());
     }
 
     private EndpointFailureException createFailure(Kind kind, String detail) {
@@ -157,6 +168,8 @@
         call.countAttempt();
         if (!head.isNotRun()) {
             call.recordMayHaveRun();
+        } else if (status == STATUS_UNAVAILABLE) {
+            endpoint.recordRefusal(nowMs);
         }
         if (isSuccess() && !relay.beginSuccess(status, headers)) {
             rejectResponse(
@@ -197,6 +210,7 @@
             done = true;
             endpoint.recordEnd();
             sentRequest.recordEnd(isComplete, hasRun, context.timeSource().monotonicMs());
+            context.waitingRooms().recordEnd(request, startedMs, head != null && isSuccess());
         }
         if (call.isFinished()) {
             measurement.recordNoResult();
@@ -304,7 +318,7 @@
             endpoint.recordConnectionFailure(context.timeSource().monotonicMs());
         }
         boolean mayBeCause =
-                mayHaveCrashedEndpoint(failure) && call.recordLossBeforeAnswer(endpoint);
+                mayHaveCrashedEndpoint(failure) && call.trial().recordLossBeforeAnswer(endpoint);
         relay.discardUndelivered();
         if (mayBeCause) {
             call.failWith(
@@ -323,7 +337,7 @@
     private void recordAnswerBegun() {
         if (!hasAnswerBegun) {
             hasAnswerBegun = true;
-            call.recordAnswerBegun(startedMs);
+            call.trial().recordAnswerBegun(startedMs);
         }
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/Forwarder.java
@@ -37,6 +37,7 @@
     private final PromptPartGuard promptPartGuard;
     private final OpenCalls openCalls = new OpenCalls();
     private final ShutdownAdmission shutdownAdmission;
+    private final WaitingRooms waitingRooms;
     private final ForwardingHandler handler;
 
     /**
@@ -95,6 +96,18 @@
         usage = new UsageCounter(timeSource, dependencies.limits().usageWindowS());
         RouteDurations routeDurations = new RouteDurations();
         shutdownAdmission = new ShutdownAdmission(routeDurations);
+        ForwardingEndpointSelector endpointSelector =
+                new ForwardingEndpointSelector(
+                        endpoints,
+                        new VersionSelector(
+                                dependencies.limits().canaryAllocation(), dependencies.random()),
+                        timeSource,
+                        dependencies.random(),
+                        dependencies.dataCentre(),
+                        dependencies.dataCentreMargin(),
+                        forwardingLog,
+                        dependencies.metrics());
+        waitingRooms = new WaitingRooms(dependencies, endpoints, endpointSelector, forwardingLog);
         ForwardingContext context =
                 new ForwardingContext(
                         dependencies.dialect(),
@@ -103,17 +116,7 @@
                         timeSource,
                         dependencies.viewLease(),
                         endpoints,
-                        new ForwardingEndpointSelector(
-                                endpoints,
-                                new VersionSelector(
-                                        dependencies.limits().canaryAllocation(),
-                                        dependencies.random()),
-                                timeSource,
-                                dependencies.random(),
-                                dependencies.dataCentre(),
-                                dependencies.dataCentreMargin(),
-                                forwardingLog,
-                                dependencies.metrics()),
+                        endpointSelector,
                         quotaShares,
                         dependencies.quotaPoolClient(),
                         new ServiceRetryBudget(timeSource, dependencies.limits()),
@@ -122,6 +125,7 @@
                         versionResults,
                         serviceLoads,
                         openCalls,
+                        waitingRooms,
                         new HeldBytesBudget(),
                         routeDurations,
                         forwardingLog,
@@ -155,12 +159,13 @@
 
     /**
      * Begins the stop of the gateway, or brings its end forward: requests that are not likely to
-     * end before are rejected as not run.
+     * end before, and those that wait for an endpoint, are rejected as not run.
      *
      * @param endMs when the open requests are ended, in monotonic milliseconds
      */
     public void stopAt(long endMs) {
         shutdownAdmission.stopAt(endMs);
+        waitingRooms.stop();
     }
 
     /** Ends the open requests with a response that tells whether they may have run. */
