Prefer an untried local endpoint to one far above its slots

While only one endpoint of a service had reported, a load far above its slots was taken for the others, too, and requests with a cached prompt part stayed there in one of six cases. A local endpoint without a fresh report is now expected at its slots at most, whether it has reported before or not.

--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ExpectedFirstToken.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ExpectedFirstToken.java
@@ -9,10 +9,10 @@
 final class ExpectedFirstToken {
 
     /**
-     * Highest expected load per slot of a local endpoint once its last report is outdated. With the
-     * mean of past reports, gateways of two data centres kept avoiding their own endpoints for 20 s
-     * after a peak: what is not tried reports nothing. With 0.9, requests returned to overloaded
-     * endpoints, and the 99th percentile with half of a data centre lost doubled.
+     * Highest expected load per slot of a local endpoint without a fresh report. With the mean of
+     * past reports, gateways of two data centres kept avoiding their own endpoints for 20 s after a
+     * peak: what is not tried reports nothing. With 0.9, requests returned to overloaded endpoints,
+     * and the 99th percentile with half of a data centre lost doubled.
      */
     private static final double MAX_LOCAL_LOAD_WITHOUT_REPORT = 1;
 
@@ -39,19 +39,17 @@
             int gatewayCount,
             long nowMs) {
         double utilisation = service.utilisation(isLocal);
+        double maxMean = isLocal ? MAX_LOCAL_LOAD_WITHOUT_REPORT * slots : Double.MAX_VALUE;
         if (isUnknown(load, service, isLocal, nowMs)) {
             double scaledInFlight = (double) load.inFlight() * Math.max(1, gatewayCount);
             return isIdleIfUnknown || Double.isNaN(utilisation)
                     ? scaledInFlight
-                    : Math.max(scaledInFlight, utilisation * slots);
+                    : Math.max(scaledInFlight, Math.min(maxMean, utilisation * slots));
         }
         double expected = load.reportedRequests();
         if (!Double.isNaN(utilisation)) {
             double remaining = remainingShare(load, service, nowMs);
-            double mean = load.meanRequests(utilisation * slots, nowMs);
-            if (isLocal) {
-                mean = Math.min(mean, MAX_LOCAL_LOAD_WITHOUT_REPORT * slots);
-            }
+            double mean = Math.min(maxMean, load.meanRequests(utilisation * slots, nowMs));
             expected = expected * remaining + mean * (1 - remaining);
         }
         return Math.max(load.inFlight(), expected + load.startedSinceReport());
