Count lost and unusable parts of the traffic document

Operators could not see how often a gateway asked again for a part. The gauge cardamomthread_view_document_failures counts it. A transfer accepts documents of up to 4 MiB, the largest that reach the replicas, and no longer copies the compressed document once it is complete.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/GatewayNode.java
@@ -116,6 +116,12 @@
                         "cardamomthread_view_age_seconds",
                         "Time since the leader confirmed the view",
                         () -> viewLease.ageMs() / 1_000.0);
+        components
+                .metrics()
+                .registerGauge(
+                        "cardamomthread_view_document_failures",
+                        "Parts of traffic documents that were lost or unusable since the start",
+                        viewClient::documentFailures);
     }
 
     @Override
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentClient.java
@@ -56,6 +56,7 @@
     private boolean isBusy;
     private int lostResponses;
     private int unusableResponses;
+    private volatile long failures;
     private int partBytes = DocumentServer.MAX_PART_BYTES;
 
     /** Receives complete documents. */
@@ -126,6 +127,11 @@
         transfer.clear();
     }
 
+    /** Returns the number of requests without a usable part since the start. Thread-safe. */
+    long failures() {
+        return failures;
+    }
+
     private void requestNextPart() {
         Optional<DocumentPartRequest> request = transfer.nextRequest(partBytes);
         long number = ++requestNumber;
@@ -185,9 +191,10 @@
         }
     }
 
-    private void requestAfterFailures(int failures, int maxDoublings) {
+    private void requestAfterFailures(int failuresInARow, int maxDoublings) {
+        failures = failures + 1;
         source = leader;
-        int doublings = Math.min(failures - 1, maxDoublings);
+        int doublings = Math.min(failuresInARow - 1, maxDoublings);
         requestAfter(RETRY_DELAY.multipliedBy(1L << doublings));
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentTransfer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentTransfer.java
@@ -14,8 +14,8 @@
  */
 final class DocumentTransfer {
 
-    /** Maximum length of a document: twice the largest command that the transport carries. */
-    static final int MAX_DOCUMENT_BYTES = 8 << 20;
+    /** Maximum length of a document: that of the largest command that reaches the replicas. */
+    static final int MAX_DOCUMENT_BYTES = 4 << 20;
 
     private long newestVersion;
     private long version;
@@ -100,7 +100,7 @@
         if (receivedBytes < document.compressedBytes()) {
             return Optional.empty();
         }
-        byte[] content = Arrays.copyOf(received, receivedBytes);
+        byte[] content = received;
         restart(version);
         return Optional.of(CompressedDocument.decompress(document, content));
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
@@ -125,6 +125,15 @@
         return leader;
     }
 
+    /**
+     * Returns how often a part of a traffic document was lost or unusable. Thread-safe.
+     *
+     * @return the number since the start
+     */
+    public long documentFailures() {
+        return documentClient.failures();
+    }
+
     private void poll() {
         try {
             sendRequest();
