Bound the load and prompt figures that placement takes in

An endpoint that reports the highest counts looked idle, as their sum overflowed to a negative number. A caller that states billions of prompt tokens would have made the endpoint that served it look infinitely fast for minutes. Sums are saturated, and at most 131,072 prompt tokens of a request count.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
@@ -34,6 +34,12 @@
  */
 final class ForwardingEndpointSelector {
 
+    /**
+     * Prompt tokens above which a request counts as having so many. Callers state the number; one
+     * of billions would make the endpoint that serves it look infinitely fast for minutes.
+     */
+    private static final long MAX_PROMPT_TOKENS = 131_072;
+
     private final EndpointTable endpoints;
     private final VersionSelector versionSelector;
     private final TimeSource timeSource;
@@ -176,7 +182,9 @@
     }
 
     private static long promptTokensOf(AdmittedRequest request) {
-        return request.service().isModel() ? request.head().promptTokens() : 0;
+        return request.service().isModel()
+                ? Math.min(MAX_PROMPT_TOKENS, request.head().promptTokens())
+                : 0;
     }
 
     private static PromptChain promptOf(AdmittedRequest request) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/TrackedEndpoint.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/TrackedEndpoint.java
@@ -85,7 +85,9 @@
     void updateLoad(LoadReport report, long nowMs) {
         lastLoad = report;
         lastLoadMs = nowMs;
-        load.recordReport(report.running() + report.waiting(), report.workTimePercent(), nowMs);
+        long requests = (long) report.running() + report.waiting();
+        load.recordReport(
+                (int) Math.min(Integer.MAX_VALUE, requests), report.workTimePercent(), nowMs);
     }
 
     /**
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
@@ -176,6 +176,38 @@
         }
     }
 
+    @DataProvider
+    public Object[][] implausibleReports() {
+        int max = Integer.MAX_VALUE;
+        return new Object[][] {
+            {new LoadReport(max, max, SLOTS, 100)},
+            {new LoadReport(0, max, SLOTS, 100)},
+            {new LoadReport(0, 0, SLOTS, max)},
+        };
+    }
+
+    /** Guards against one implausible report or prompt that spoils the estimates of a service. */
+    @Test(dataProvider = "implausibleReports")
+    public void withstandsImplausibleFigures(LoadReport implausible) {
+        for (TrackedEndpoint endpoint : endpoints.findByService(CHAT)) {
+            serve(endpoint, "warm", 20, report(1));
+        }
+        TrackedEndpoint odd = endpoints.findByService(CHAT).get(0);
+        int max = Integer.MAX_VALUE;
+        odd.updateLoad(implausible, time.monotonicMs());
+        List<PromptPart> huge = List.of(new PromptPart("x", max), new PromptPart("y", max));
+        for (int i = 0; i < 30; i++) {
+            TrackedEndpoint selected =
+                    selector.select(request(huge), Optional.of("x"), Set.of()).orElseThrow();
+            assertNotEquals(selected.id(), odd.id());
+            SentRequest sent = selector.recordSend(request(huge), selected);
+            sent.recordFirstToken(time.monotonicMs());
+            selected.recordEnd();
+            sent.recordEnd(true, true, time.monotonicMs());
+            assertNotEquals(select(selector, "part" + i).orElseThrow().id(), odd.id());
+        }
+    }
+
     /** Guards against spill-over that operators cannot see. */
     @Test
     public void countsSendsByDataCentre() {
