Let gateways follow a stream of traffic documents

A transfer that has received nothing takes the newest document, a poll no longer invalidates the request that is awaited, and a document that is gone is replaced by the newest one at once.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/CompressedDocuments.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/CompressedDocuments.java
@@ -32,6 +32,12 @@
         return Optional.ofNullable(documents.get(version));
     }
 
+    /** Returns the newest document, or empty if it is older than the given version. */
+    Optional<CompressedDocument> findNewest(long minVersion) {
+        long newestVersion = replica.getState().getDocumentVersion();
+        return newestVersion >= minVersion ? find(newestVersion) : Optional.empty();
+    }
+
     int count() {
         return documents.size();
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentClient.java
@@ -54,6 +54,7 @@
     private long confirmedMs;
     private long requestNumber;
     private boolean isBusy;
+    private boolean isAwaited;
     private int lostResponses;
     private int unusableResponses;
     private volatile long failures;
@@ -104,7 +105,10 @@
         controlNodes = nodes;
         newestSentMs = sentMs;
         transfer.announce(newestVersion);
-        if (transfer.version() == newestVersion) {
+        if (!isAwaited && transfer.isEmpty()) {
+            transfer.startNewest();
+        }
+        if (transfer.version() >= newestVersion) {
             confirmedMs = sentMs;
         }
         if (source.isEmpty()) {
@@ -122,6 +126,7 @@
     /** Ends a transfer because the gateway holds the newest document. */
     void stop() {
         requestNumber++;
+        isAwaited = false;
         isBusy = false;
         source = Optional.empty();
         transfer.clear();
@@ -139,6 +144,7 @@
         if (!isBusy) {
             return;
         }
+        isAwaited = true;
         try {
             transport
                     .request(
@@ -151,6 +157,7 @@
         } catch (RuntimeException | Error e) {
             LOGGER.error("asking for a part of the traffic document failed", e);
             isBusy = false;
+            isAwaited = false;
         }
     }
 
@@ -170,6 +177,7 @@
         if (number != requestNumber) {
             return;
         }
+        isAwaited = false;
         if (failure != null) {
             LOGGER.info(
                     "no part of the traffic document arrived from {}, asking again: {}",
@@ -184,6 +192,7 @@
             handlePart(DocumentPartCodec.decodePart(payload));
         } catch (MalformedMessageException e) {
             LOGGER.warn("ignored a part of the traffic document from {}", source.get(), e);
+            startNewestIfEmpty();
             requestAfterFailures(++unusableResponses, MAX_DOUBLINGS_IF_UNUSABLE);
         } catch (RuntimeException | Error e) {
             LOGGER.error("applying a part of the traffic document failed", e);
@@ -191,6 +200,12 @@
         }
     }
 
+    private void startNewestIfEmpty() {
+        if (transfer.version() > 0 && transfer.isEmpty()) {
+            startNewest();
+        }
+    }
+
     private void requestAfterFailures(int failuresInARow, int maxDoublings) {
         failures = failures + 1;
         source = leader;
@@ -202,6 +217,9 @@
         switch (part.outcome()) {
             case INCLUDED -> {
                 Optional<byte[]> document = transfer.accept(part);
+                if (part.document().version() >= transfer.newestVersion()) {
+                    confirmedMs = newestSentMs;
+                }
                 if (document.isPresent()) {
                     finish(part.document(), document.get());
                 } else {
@@ -220,8 +238,13 @@
                                 + " begun, starting over",
                         source.get(),
                         transfer.version());
+                boolean hasNewer = transfer.newestVersion() > transfer.version();
                 startNewest();
-                requestAfterFailures(++unusableResponses, MAX_DOUBLINGS_IF_UNUSABLE);
+                if (hasNewer) {
+                    requestNextPart();
+                } else {
+                    requestAfterFailures(++unusableResponses, MAX_DOUBLINGS_IF_UNUSABLE);
+                }
             }
             default -> throw new IllegalStateException("unhandled outcome " + part.outcome());
         }
@@ -243,7 +266,7 @@
         unusableResponses = 0;
         partBytes = DocumentServer.MAX_PART_BYTES;
         if (transfer.newestVersion() > description.version()) {
-            startNewest();
+            startNewestIfEmpty();
             source = drawSource();
             requestNextPart();
         } else {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentServer.java
@@ -214,11 +214,17 @@
         response.complete(DocumentPartCodec.encode(part));
     }
 
-    /** Returns the document in the form of which the gateway holds the beginning. */
+    /**
+     * Returns the document in the form of which the gateway holds the beginning, or the newest one
+     * if it holds nothing: under a stream of documents, the one asked for may be gone by its turn.
+     */
     private Optional<CompressedDocument> find(DocumentPartRequest request) {
-        return documents
-                .find(request.version())
-                .filter(found -> request.offset() >= 0 && request.maxBytes() > 0)
+        boolean isBeginning = request.offset() == 0 && request.version() > 0;
+        Optional<CompressedDocument> document =
+                isBeginning
+                        ? documents.findNewest(request.version())
+                        : documents.find(request.version());
+        return document.filter(found -> request.offset() >= 0 && request.maxBytes() > 0)
                 .filter(
                         found ->
                                 request.offset() == 0
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentTransfer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/DocumentTransfer.java
@@ -26,12 +26,16 @@
     /** Sets the newest version, which is transferred next or after the current one. */
     void announce(long announcedVersion) {
         newestVersion = announcedVersion;
-        boolean isFinishedFirst = receivedBytes > 0 && version < newestVersion;
-        if (!isFinishedFirst && version != newestVersion) {
+        if (version == 0) {
             restart(newestVersion);
         }
     }
 
+    /** Returns whether nothing of the current document has been received yet. */
+    boolean isEmpty() {
+        return receivedBytes == 0;
+    }
+
     /** Discards everything received and announced. */
     void clear() {
         newestVersion = 0;
@@ -75,6 +79,9 @@
      */
     Optional<byte[]> accept(DocumentPart part) throws MalformedMessageException {
         DocumentDescription document = part.document();
+        if (version != 0 && receivedBytes == 0) {
+            version = Math.max(version, document.version());
+        }
         if (version == 0 || document.version() != version) {
             throw new MalformedMessageException(
                     "the part belongs to version " + document.version() + ", expected " + version);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewDistributionTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewDistributionTests.java
@@ -24,6 +24,8 @@
     private static final long MAX_BYTES_PER_GATEWAY = 64 * 1024;
     private static final long LEAVE_BOUND_MS = 1_250;
     private static final long DOCUMENT_BOUND_MS = 2_500;
+    private static final long STREAM_INTERVAL_MS = 100;
+    private static final int STREAM_DOCUMENTS = 50;
 
     /**
      * Rates of the outgoing links of the control nodes, and the number of these nodes; 17.5 Mbit/s
@@ -63,4 +65,36 @@
             assertEquals(late, List.of(), "gateways that learnt late");
         }
     }
+
+    @DataProvider
+    public Object[][] streams() {
+        return new Object[][] {{100.0, 1}, {100.0, 3}, {1_000.0, 3}};
+    }
+
+    /** Guards against gateways that start over with each document of a stream. */
+    @Test(dataProvider = "streams")
+    public void bringsEachDocumentOfAStreamIntoForceInTime(double mbitPerS, int controlNodes) {
+        try (SimulatedViewFleet fleet = new SimulatedViewFleet(new SplittableRandom(1))) {
+            fleet.addControlNode(LEADER, mbitPerS);
+            for (int i = 1; i < controlNodes; i++) {
+                fleet.addControlNode(new NodeId("10.0.1." + i), mbitPerS);
+            }
+            fleet.replaceDocument(1, SimulatedViewFleet.createDocument(1, ROUTES));
+            fleet.startGateways(GATEWAYS, GATEWAY_MBIT_PER_S);
+            fleet.run(3_000);
+            long boundVersions = DOCUMENT_BOUND_MS / STREAM_INTERVAL_MS;
+            List<String> late = new ArrayList<>();
+            for (long version = 2; version < 2 + STREAM_DOCUMENTS; version++) {
+                fleet.replaceDocument(version, SimulatedViewFleet.createDocument(version, ROUTES));
+                fleet.run(STREAM_INTERVAL_MS);
+                for (SimulatedViewFleet.Gateway gateway : fleet.gateways()) {
+                    long behind = version - gateway.view().documentVersion();
+                    if (behind > boundVersions) {
+                        late.add("version " + version + ": " + behind + " behind");
+                    }
+                }
+            }
+            assertEquals(late, List.of(), "gateways that fell behind");
+        }
+    }
 }
