Refuse waiting requests early when nothing leaves the queue

Found by review: without a request in flight when the first one waited, the drain rate stayed unknown, and 40 of 40 requests were held until their latest start. While nothing leaves, at most one request per time waited is assumed to leave. A request on trial with quarantined prompt parts no longer stops the others of its service, and ended calls are not kept.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -44,7 +44,6 @@
     private int unsentAttempts;
     private boolean mayHaveRun;
     private boolean isUsageCounted;
-    private boolean isResuming;
     private boolean hasWaited;
     private boolean hasRetryPermit;
     private boolean finished;
@@ -92,7 +91,6 @@
     }
 
     private void selectEndpoint() {
-        isResuming = false;
         long remainingMs = request.deadlineMs() - context.timeSource().monotonicMs();
         if (remainingMs <= 0) {
             onDeadline();
@@ -145,17 +143,11 @@
      * Goes on after the request has waited. The endpoints that refused it before may have room now.
      */
     void resume() {
-        isResuming = true;
         hasWaited = true;
         excludedEndpoints.clear();
         tryNextEndpoint();
     }
 
-    /** Returns whether it is still decided whether the request may be sent after its wait. */
-    boolean isResuming() {
-        return isResuming;
-    }
-
     private void send(TrackedEndpoint endpoint, long remainingMs) {
         triedEndpoints.add(endpoint.id());
         excludedEndpoints.add(endpoint.id());
@@ -275,7 +267,6 @@
 
     private void finish(String outcome, GatewayError error) {
         finished = true;
-        isResuming = false;
         context.waitingRooms().leave(this);
         context.openCalls().remove(this);
         context.serviceLoads().recordEnd(request.service().id());
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/WaitingRooms.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/WaitingRooms.java
@@ -81,7 +81,6 @@
         private final ServiceId service;
         private final WaitingRoom room;
         private boolean isStartingCalls;
-        private ForwardedCall lastStarted;
 
         ServiceRoom(ServiceId service, WaitingRoom room) {
             this.service = service;
@@ -215,15 +214,12 @@
         forget(waiting);
         metrics.recordWait(room.service, nowMs - waiting.enteredMs());
         log.logWait(waiting, "sent", nowMs, 0);
-        room.lastStarted = waiting.call();
         waiting.call().resume();
     }
 
     /** Returns whether the next call may start, or be refused because there is no endpoint left. */
     private boolean mayStart(ServiceRoom room, long nowMs) {
-        boolean isLastPending = room.lastStarted != null && room.lastStarted.isResuming();
-        return !isLastPending
-                && room.room.size() > 0
+        return room.room.size() > 0
                 && selector.hasRoom(room.service, nowMs)
                 && endpoints.pauseMs(room.service, nowMs).isEmpty();
     }
@@ -339,6 +335,9 @@
 
     private void refuse(AdmissionRefusal refusal) {
         WaitingCall waiting = waitingById.get(refusal.request().id());
+        if (waiting == null) {
+            return;
+        }
         String reason = refusal.reason().name().toLowerCase(Locale.ROOT).replace('_', '-');
         String detail =
                 switch (refusal.reason()) {
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/DrainMeter.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/admission/DrainMeter.java
@@ -17,6 +17,8 @@
 
     private DrainRate rate = new DrainRate();
     private boolean isMeasuring;
+    private boolean isAssumed;
+    private long startMs;
     private long windowStartMs;
     private long stoppedMs;
     private int drained;
@@ -36,6 +38,7 @@
     void start(long nowMs) {
         if (!isMeasuring) {
             isMeasuring = true;
+            startMs = nowMs;
             windowStartMs = nowMs;
             drained = 0;
         }
@@ -62,7 +65,14 @@
         if (!isMeasuring || nowMs - windowStartMs < minWindowMs) {
             return false;
         }
-        rate.add(drained, nowMs - windowStartMs);
+        if (drained == 0 && (isAssumed || !rate.isKnown())) {
+            // At most one request leaves in the time in which none has left.
+            rate = new DrainRate(1.0 / (nowMs - startMs));
+            isAssumed = true;
+        } else {
+            rate.add(drained, nowMs - windowStartMs);
+            isAssumed = false;
+        }
         windowStartMs = nowMs;
         drained = 0;
         return true;
@@ -74,6 +84,7 @@
 
     /** Returns the expected time until a number of requests have left, 0 if it is unknown. */
     long estimateDrainMs(int requests) {
-        return rate.estimateDrainMs(requests);
+        // An assumed rate says nothing of the first request, which may leave at any moment.
+        return rate.estimateDrainMs(isAssumed ? requests - 1 : requests);
     }
 }
--- a/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomTests.java
+++ b/cardamomthread-policy/src/test/java/org/cardamomthread/policy/admission/WaitingRoomTests.java
@@ -132,6 +132,25 @@
         assertEquals(order, List.of("young0", "old1", "young1", "old2"));
     }
 
+    /** Guards against requests held until their time limit while nothing leaves at all. */
+    @Test
+    public void refusesMostOfAQueueFromWhichNothingLeaves() {
+        WaitingRoom room =
+                new WaitingRoom(new WaitingBudget(256, 4 << 20), new SplittableRandom(1));
+        for (int i = 0; i < 40; i++) {
+            QueuedRequest entry =
+                    new QueuedRequest(
+                            new RequestId("stuck" + i),
+                            new ClientAccountId("a"),
+                            Priority.URGENT,
+                            1,
+                            2_500);
+            room.offer(new WaitingRequest(entry, 0, 0, 500, 2_500, 100), 0);
+        }
+        room.recheck(500);
+        assertTrue(room.size() > 0 && room.size() <= 10, "still waiting: " + room.size());
+    }
+
     /** Guards against long requests that never get their turn among many short ones. */
     @Test(dataProvider = "seeds")
     public void servesLongRequestsAmongShortOnes(long seed) {
