Keep shared prompts on one endpoint for all gateways

Near-equal endpoints are now ordered by hash, the same at all gateways.

Found by review: services without load reports kept to their data centre after the first sampled time; an endpoint that had reported a slow host once was avoided for good; a long pause between probes outlived the peak it came from; cold endpoints without a permit repeated the whole placement.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
@@ -224,8 +224,7 @@
             long nowMs) {
         List<TrackedEndpoint> eligible = new ArrayList<>(ofService.size());
         for (TrackedEndpoint endpoint : ofService) {
-            if (endpoints.assess(endpoint, nowMs).isAvailable()
-                    && !triedEndpoints.contains(endpoint.id())) {
+            if (endpoints.isAvailable(endpoint, nowMs) && !triedEndpoints.contains(endpoint.id())) {
                 eligible.add(endpoint);
             }
         }
@@ -238,6 +237,9 @@
         List<TrackedEndpoint> usable = new ArrayList<>(ofVersion.size());
         List<TrackedEndpoint> inBackoff = new ArrayList<>();
         for (TrackedEndpoint endpoint : ofVersion) {
+            if (lacksColdPermit(endpoint, service.id(), nowMs)) {
+                continue;
+            }
             (endpoint.isInBackoff(nowMs) ? inBackoff : usable).add(endpoint);
         }
         return usable.isEmpty() ? inBackoff : usable;
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointLoad.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointLoad.java
@@ -35,6 +35,9 @@
     /** Age at which a reported load counts for 1/e in the mean. */
     private static final double LOAD_AGE_MS = 5_000;
 
+    /** Time after which a reported excess of the work time has fallen to 1/e, in milliseconds. */
+    private static final double WORK_TIME_AGE_MS = 5_000;
+
     /** Prompt tokens for which the service's median pace counts beside an endpoint's samples. */
     private static final double PRIOR_PROMPT_TOKENS = 2_000;
 
@@ -107,11 +110,6 @@
         return inFlight;
     }
 
-    /** Returns whether there is a load report or a sampled time of this endpoint. */
-    boolean isMeasured() {
-        return hasReport || prefillPace.hasSamples() || requestPace.hasSamples();
-    }
-
     boolean hasReport() {
         return hasReport;
     }
@@ -152,11 +150,11 @@
     }
 
     void addPrefillSample(double elapsedMs, double promptTokens, long nowMs) {
-        prefillPace.add(elapsedMs / workTimeFactor(), promptTokens, nowMs);
+        prefillPace.add(elapsedMs / workTimeFactor(nowMs), promptTokens, nowMs);
     }
 
     void addRequestSample(double elapsedMs, long nowMs) {
-        requestPace.add(elapsedMs / workTimeFactor(), 1, nowMs);
+        requestPace.add(elapsedMs / workTimeFactor(nowMs), 1, nowMs);
     }
 
     PaceEstimate prefillPace() {
@@ -169,16 +167,19 @@
 
     /** Returns the expected prefill time of one prompt token, in milliseconds. */
     double msPerPromptToken(ServicePace service, long nowMs) {
-        return workTimeFactor()
+        return workTimeFactor(nowMs)
                 * prefillPace.expected(service.msPerPromptToken(), PRIOR_PROMPT_TOKENS, nowMs);
     }
 
     /** Returns the expected duration of a request in a slot, in milliseconds. */
     double requestMs(ServicePace service, long nowMs) {
-        return workTimeFactor() * requestPace.expected(service.requestMs(), PRIOR_REQUESTS, nowMs);
+        return workTimeFactor(nowMs)
+                * requestPace.expected(service.requestMs(), PRIOR_REQUESTS, nowMs);
     }
 
-    private double workTimeFactor() {
-        return workTimePercent / USUAL_WORK_TIME_PERCENT;
+    /** Returns to the usual time as the last report ages; an avoided endpoint sends no other. */
+    private double workTimeFactor(long nowMs) {
+        double excess = workTimePercent / USUAL_WORK_TIME_PERCENT - 1;
+        return 1 + excess * Math.exp(-reportAgeMs(nowMs) / WORK_TIME_AGE_MS);
     }
 }
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointPlacement.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointPlacement.java
@@ -196,10 +196,11 @@
                 band[bandCount++] = i;
             }
         }
-        if (isAffine && cachedCount == 0 && bandCount > 1) {
-            return chooseByHash(candidates, request.affinityKey(), bandCount);
-        }
-        return chooseBetterOfTwo(cachedCount > 0 ? cachedCount : bandCount);
+        int count = cachedCount > 0 ? cachedCount : bandCount;
+        // All gateways prefer the same one of near-equal endpoints, so that they share its cache.
+        return isAffine && count > 1
+                ? chooseByHash(candidates, request.affinityKey(), count)
+                : chooseBetterOfTwo(count);
     }
 
     private int chooseByHash(
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ProbeSchedule.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ProbeSchedule.java
@@ -22,6 +22,10 @@
         if (nowMs < nextMs) {
             return false;
         }
+        // No probe was wanted for so long: what the last ones found is out of date.
+        if (nowMs - MAX_INTERVAL_MS > nextMs) {
+            intervalMs = MIN_INTERVAL_MS;
+        }
         nextMs = nowMs + intervalMs;
         intervalMs = Math.min(MAX_INTERVAL_MS, 2 * intervalMs);
         return true;
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ServicePace.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ServicePace.java
@@ -88,7 +88,7 @@
         for (int i = 0; i < candidates.size(); i++) {
             Candidate candidate = candidates.get(i);
             EndpointLoad load = candidate.load();
-            isMeasured |= load.isMeasured();
+            isMeasured |= load.hasReport();
             if (load.prefillPace().hasSamples()) {
                 prefillMs[prefillCount++] = load.prefillPace().sampled();
             }
@@ -116,7 +116,8 @@
     }
 
     /**
-     * Returns whether any endpoint of the service has reported its load or has a sampled time.
+     * Returns whether any endpoint of the service has reported its load. Sampled times alone say
+     * nothing of the load elsewhere, so that all requests would stay in their data centre.
      *
      * @return true if one has
      */
