Test processes beside clients that observe no limits

Clients with very many header lines, endless chunks, or bodies that stop just short of their end made gateways and control nodes run out of memory, so that they no longer answered. The tests start the product's own processes with the memory options of the deployments, a crowd of connections for each kind of such a client, and check that the process lives, keeps within its memory and descriptors, answers an ordinary request and ends on SIGTERM.

--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/StartingNode.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/StartingNode.java
@@ -84,6 +84,19 @@
         return startProcess();
     }
 
+    /** Starts the process with the given options for the size of its memory. */
+    ManagedProcess start(List<String> memoryOptions) throws IOException {
+        writeSettings(settings());
+        process =
+                ManagedProcess.startJar(
+                        role + peerPort,
+                        folder,
+                        JAR,
+                        memoryOptions,
+                        List.of("--settings", settingsFile().toString()));
+        return process;
+    }
+
     /** Replaces the settings file in one step. */
     void writeSettings(String content) throws IOException {
         Path temporary = folder.resolve("settings.new");
