Bound header lines, empty lines and chunk framing of requests

A head of 64 KiB in short lines becomes some hundred KB of objects, and each chunk of one byte kept a slice of its read buffer: some hundred clients filled the heap. Lines are now counted before they are decoded (200 per head and per trailer, 16 empty ones before a request), the sizes, extensions and trailers of the chunks of a body are bounded (256 KiB), and bodies are copied into one buffer. A read event takes at most 16 KiB of one connection, so that the requests of others are read in turn. The limits are settings, apply to all listeners, and are counted and logged by listener and reason.

FailedWriteTests builds the handler with its new arguments; its checks are unchanged.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettings.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettings.java
@@ -6,6 +6,7 @@
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.NodeId;
+import org.cardamomthread.daemon.http.ClientLimits;
 
 /**
  * Holds the settings of a node that joins through seed nodes. Immutable.
@@ -25,6 +26,7 @@
  * @param dataFolder the folder for durable state, on control nodes
  * @param platform the address of the platform's API for the controllers, or empty if there is none
  * @param limits the limits that the platform requires
+ * @param clientLimits the limits on clients that send without bound
  */
 record FleetSettings(
         FleetRole role,
@@ -41,7 +43,8 @@
         boolean isFirstStart,
         Optional<Path> dataFolder,
         Optional<NetworkAddress> platform,
-        FleetLimits limits) {
+        FleetLimits limits,
+        ClientLimits clientLimits) {
 
     /** Creates the settings with a copy of the seeds. */
     FleetSettings {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -15,6 +15,7 @@
 import org.cardamomthread.configuration.document.YamlReader;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.daemon.forwarding.CanaryAllocation;
+import org.cardamomthread.daemon.http.ClientLimits;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.slf4j.Logger;
@@ -45,6 +46,7 @@
                     "limits");
     private static final double DEFAULT_CANARY_SHARE = 0.05;
     private static final int DEFAULT_CONTROL_NODE_LOSSES = 1;
+    private static final long MAX_CLIENT_LIMIT = 1_000_000;
     private static final int MAX_PORT = NetworkAddress.MAX_PORT;
 
     private final List<DocumentProblem> problems = new ArrayList<>();
@@ -103,6 +105,7 @@
         List<NetworkAddress> seeds = readSeeds();
         boolean isFirstStart = readBoolean("/firstStart");
         FleetLimits limits = readLimits();
+        ClientLimits clientLimits = readClientLimits();
         if (!problems.isEmpty()) {
             return null;
         }
@@ -121,7 +124,8 @@
                 isFirstStart,
                 dataFolder,
                 platform,
-                limits);
+                limits,
+                clientLimits);
     }
 
     private FleetLimits readLimits() {
@@ -145,10 +149,30 @@
     }
 
     private int readControlNodeLosses() {
-        String pointer = "/limits/controlNodeLosses";
+        return (int)
+                readOptionalLong(
+                        "/limits/controlNodeLosses",
+                        0,
+                        Integer.MAX_VALUE,
+                        DEFAULT_CONTROL_NODE_LOSSES);
+    }
+
+    private ClientLimits readClientLimits() {
+        ClientLimits defaults = ClientLimits.DEFAULT;
+        return new ClientLimits(
+                readLimit("maxHeaderLines", 1, defaults.maxHeaderLines()),
+                readLimit("maxEmptyLines", 1, defaults.maxEmptyLines()),
+                readLimit("maxChunkFramingBytes", 1, defaults.maxChunkFramingBytes()));
+    }
+
+    private int readLimit(String key, int min, long defaultValue) {
+        return (int) readOptionalLong("/limits/" + key, min, MAX_CLIENT_LIMIT, defaultValue);
+    }
+
+    private long readOptionalLong(String pointer, long min, long max, long defaultValue) {
         return document.root().at(pointer).isMissingNode()
-                ? DEFAULT_CONTROL_NODE_LOSSES
-                : (int) readLong(pointer, 0, Integer.MAX_VALUE);
+                ? defaultValue
+                : readLong(pointer, min, max);
     }
 
     private void validateRole(FleetSettings settings) {
@@ -219,7 +243,12 @@
         if (!value.isIntegralNumber() || value.asLong() < min || value.asLong() > max) {
             addProblem(
                     pointer,
-                    "the value " + value + " is not an integer of " + min + " or more",
+                    "the value "
+                            + value
+                            + " is not an integer of "
+                            + min
+                            + " or more"
+                            + (max < Integer.MAX_VALUE ? " and at most " + max : ""),
                     "set it to such a number");
             return min;
         }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/NodeComponents.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/NodeComponents.java
@@ -10,9 +10,11 @@
 import org.cardamomthread.core.time.SuspendAwareTimeSource;
 import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.http.ClientGuard;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.HttpLimits;
 import org.cardamomthread.daemon.http.HttpServer;
+import org.cardamomthread.daemon.http.LimitReason;
 import org.cardamomthread.daemon.http.ServerRequest;
 import org.cardamomthread.daemon.http.ServerResponse;
 import org.cardamomthread.daemon.telemetry.DecisionLog;
@@ -56,6 +58,7 @@
     private final DecisionLog log = new DecisionLog(timeSource);
     private final EventLoopGroup eventLoops;
     private final NettyPeerTransport transport;
+    private final ClientGuard clientGuard;
 
     @SuppressWarnings("deprecation")
     NodeComponents(FleetSettings settings) {
@@ -71,6 +74,12 @@
                         timeSource,
                         TransportSettings.forFastRecovery(),
                         TransportListener.NONE);
+        clientGuard = new ClientGuard(settings.clientLimits(), this::reportLimit);
+    }
+
+    private void reportLimit(String listener, LimitReason reason) {
+        metrics.countClientLimit(listener, reason.text());
+        log.log("client-limit-reached", "listener", listener, "reason", reason.text());
     }
 
     FleetSettings settings() {
@@ -113,7 +122,7 @@
                         BODY_TIMEOUT_MS,
                         IDLE_TIMEOUT_MS,
                         MAX_CONNECTIONS);
-        return new HttpServer(name, eventLoops, limits, handler);
+        return new HttpServer(name, eventLoops, limits, clientGuard, handler);
     }
 
     HttpServer createMetricsServer() {
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ClientGuard.java
@@ -0,0 +1,20 @@
+package org.cardamomthread.daemon.http;
+
+/**
+ * Holds what protects a process from clients without bounds, shared by its listeners. Immutable;
+ * its parts are thread-safe.
+ *
+ * @param limits the limits on single connections
+ * @param listener is told of clients that reach a limit
+ */
+public record ClientGuard(ClientLimits limits, ClientLimitListener listener) {
+
+    /**
+     * Creates a guard with the default limits that reports to nobody.
+     *
+     * @return the guard
+     */
+    public static ClientGuard createDefault() {
+        return new ClientGuard(ClientLimits.DEFAULT, ClientLimitListener.NONE);
+    }
+}
--- /dev/null
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ClientLimits.java
@@ -0,0 +1,30 @@
+package org.cardamomthread.daemon.http;
+
+/**
+ * Defines the limits on clients that send without bound.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param maxHeaderLines maximum number of header lines of a request, and of trailer lines
+ * @param maxEmptyLines maximum number of empty lines before a request
+ * @param maxChunkFramingBytes maximum length of the sizes, extensions and trailers of the chunks of
+ *     one body, in bytes; bounds the number of chunks, each of which has at least 5 of them
+ */
+public record ClientLimits(int maxHeaderLines, int maxEmptyLines, int maxChunkFramingBytes) {
+
+    /** The defaults: legal clients send about 60 lines, and at most 8 MiB in larger chunks. */
+    public static final ClientLimits DEFAULT = new ClientLimits(200, 16, 256 * 1024);
+
+    /** Checks that each limit is positive. */
+    public ClientLimits {
+        requirePositive("maxHeaderLines", maxHeaderLines);
+        requirePositive("maxEmptyLines", maxEmptyLines);
+        requirePositive("maxChunkFramingBytes", maxChunkFramingBytes);
+    }
+
+    private static void requirePositive(String name, long value) {
+        if (value <= 0) {
+            throw new IllegalArgumentException(name + " " + value + " must be positive");
+        }
+    }
+}
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
@@ -15,44 +14,59 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.ArrayDeque;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Aggregates the requests of one connection and passes them to the handler in order, one at a time.
  *
  * <p>Runs only on the connection's event loop. A request that is malformed or exceeds a limit is
  * answered with a problem document, after which the connection is closed, since it is unknown where
- * the next request would begin.
+ * the next request would begin. Invariant: a request is refused as not run only before a handler
+ * has taken it; a connection whose request a handler has taken is closed without a response.
  */
 final class HttpConnectionHandler extends SimpleChannelInboundHandler<HttpObject> {
 
-    /** Maximum number of parts of pipelined requests that wait for the request in progress. */
-    private static final int MAX_QUEUED_PIPELINED_PARTS = 64;
+    private static final Logger LOGGER = LoggerFactory.getLogger(HttpConnectionHandler.class);
+
+    /** Time in which a client can take a refusal before its connection is closed regardless. */
+    private static final long REFUSAL_TIMEOUT_MS = 1_000;
 
     private static final String NO_REQUEST_ID = "none";
 
+    private final String listenerName;
     private final HttpLimits limits;
+    private final ClientGuard guard;
+    private final LimitedRequestDecoder decoder;
     private final HttpHandler handler;
     private final ServerState serverState;
-    private final Queue<HttpObject> pipelined = new ArrayDeque<>();
+    private final PipelinedParts pipelined = new PipelinedParts();
+    private final RequestProblems problems;
     private HttpRequest head;
-    private CompositeByteBuf body;
+    private ByteBuf body;
     private ScheduledFuture<?> bodyTimeout;
     private DefaultHttpExchange exchange;
     private boolean rejected;
 
-    HttpConnectionHandler(HttpLimits limits, HttpHandler handler, ServerState serverState) {
+    HttpConnectionHandler(
+            String listenerName,
+            HttpLimits limits,
+            ClientGuard guard,
+            LimitedRequestDecoder decoder,
+            HttpHandler handler,
+            ServerState serverState) {
         super(false);
+        this.listenerName = listenerName;
         this.limits = limits;
+        this.guard = guard;
+        this.decoder = decoder;
         this.handler = handler;
         this.serverState = serverState;
+        problems = new RequestProblems(limits, guard.limits());
     }
 
     @Override
@@ -65,12 +79,9 @@
             process(context, part);
             return;
         }
-        if (pipelined.size() >= MAX_QUEUED_PIPELINED_PARTS) {
-            ReferenceCountUtil.release(part);
-            context.close();
-            return;
+        if (!pipelined.add(part)) {
+            closeFor(context, LimitReason.PIPELINED_REQUESTS);
         }
-        pipelined.add(part);
     }
 
     /** Requests that the connection is closed as soon as no request is in progress on it. */
@@ -97,8 +108,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         discardRequest();
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
+        pipelined.discardAll();
         if (exchange != null) {
             exchange.onChannelClosed();
         }
@@ -107,6 +117,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOGGER.debug("a connection to the listener {} failed", listenerName, cause);
         context.close();
     }
 
@@ -129,7 +140,7 @@
         DecoderResult decoderResult = part.decoderResult();
         if (decoderResult.isFailure()) {
             ReferenceCountUtil.release(part);
-            reject(context, createDecodingProblem(decoderResult.cause()));
+            rejectUndecoded(context, decoderResult.cause());
             return;
         }
         if (part instanceof HttpRequest request) {
@@ -142,21 +153,25 @@
 
     private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
         head = request;
-        body = context.alloc().compositeBuffer();
+        body = context.alloc().buffer();
         serverState.beginRequest();
         bodyTimeout =
                 context.executor()
                         .schedule(
-                                () -> reject(context, createBodyTimeoutProblem()),
+                                () ->
+                                        reject(
+                                                context,
+                                                LimitReason.BODY_TIMEOUT,
+                                                problems.createBodyTimeout()),
                                 limits.bodyTimeoutMs(),
                                 TimeUnit.MILLISECONDS);
         HttpVersion version = request.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
-            reject(context, createVersionProblem(version));
+            reject(context, null, RequestProblems.createVersion(version));
             return;
         }
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
-            reject(context, createBodyTooLargeProblem());
+            reject(context, LimitReason.BODY_BYTES, problems.createBodyTooLarge());
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -166,17 +181,21 @@
     }
 
     private void addContent(ChannelHandlerContext context, HttpContent content) {
-        if (head == null) {
-            content.release();
-            return;
-        }
-        ByteBuf bytes = content.content();
-        if (body.readableBytes() + bytes.readableBytes() > limits.maxBodyBytes()) {
+        try {
+            if (head == null) {
+                return;
+            }
+            ByteBuf bytes = content.content();
+            int length = bytes.readableBytes();
+            if (body.readableBytes() + length > limits.maxBodyBytes()) {
+                reject(context, LimitReason.BODY_BYTES, problems.createBodyTooLarge());
+                return;
+            }
+            // Slices of the read buffers would take many times the length of short chunks.
+            body.writeBytes(bytes);
+        } finally {
             content.release();
-            reject(context, createBodyTooLargeProblem());
-            return;
         }
-        body.addComponent(true, bytes);
         if (content instanceof LastHttpContent) {
             dispatch(context);
         }
@@ -203,16 +222,43 @@
         }
     }
 
-    private void reject(ChannelHandlerContext context, ProblemDetail problem) {
+    private void closeFor(ChannelHandlerContext context, LimitReason reason) {
+        if (context.channel().isActive()) {
+            guard.listener().onLimitReached(listenerName, reason);
+        }
+        context.close();
+    }
+
+    private void rejectUndecoded(ChannelHandlerContext context, Throwable cause) {
+        LimitReason reason = null;
+        if (cause instanceof ClientLimitException limit) {
+            reason = limit.reason();
+        } else if (RequestProblems.isTooLong(cause)) {
+            reason = LimitReason.HEADER_BYTES;
+        }
+        reject(context, reason, problems.createUndecoded(cause));
+    }
+
+    /** Refuses the request that is being received; the reason is null unless it is a limit. */
+    private void reject(ChannelHandlerContext context, LimitReason reason, ProblemDetail problem) {
         if (rejected || !context.channel().isActive()) {
             return;
         }
         rejected = true;
+        decoder.discardAll();
         discardRequest();
+        pipelined.discardAll();
+        if (reason != null) {
+            guard.listener().onLimitReached(listenerName, reason);
+        }
         ServerResponse response = problem.toResponse(NO_REQUEST_ID);
         response.setHeader(HttpHeaderNames.CONNECTION.toString(), "close");
         context.writeAndFlush(DefaultHttpExchange.encode(response))
                 .addListener(written -> context.close());
+        if (context.channel().isActive()) {
+            context.executor()
+                    .schedule(() -> context.close(), REFUSAL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void discardRequest() {
@@ -228,52 +274,4 @@
         body = null;
         bodyTimeout.cancel(false);
     }
-
-    private ProblemDetail createDecodingProblem(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException
-                || cause instanceof TooLongHttpLineException) {
-            return ProblemDetail.createNotRun(
-                    431,
-                    "headers-too-large",
-                    "Request headers too large",
-                    "the request line or header block is longer than "
-                            + limits.maxHeaderBytes()
-                            + " bytes: send shorter headers, or raise limits.maxHeaderBytes");
-        }
-        return ProblemDetail.createNotRun(
-                400,
-                "malformed-request",
-                "Malformed HTTP request",
-                "the request is not valid HTTP/1.1 ("
-                        + cause.getMessage()
-                        + "): correct the request");
-    }
-
-    private static ProblemDetail createVersionProblem(HttpVersion version) {
-        return ProblemDetail.createNotRun(
-                505,
-                "unsupported-http-version",
-                "HTTP version not supported",
-                version + " is not supported: use HTTP/1.1");
-    }
-
-    private ProblemDetail createBodyTooLargeProblem() {
-        return ProblemDetail.createNotRun(
-                413,
-                "body-too-large",
-                "Request body too large",
-                "the body is longer than "
-                        + limits.maxBodyBytes()
-                        + " bytes: send a shorter one, or raise limits.maxBodyBytes");
-    }
-
-    private ProblemDetail createBodyTimeoutProblem() {
-        return ProblemDetail.createNotRun(
-                408,
-                "body-timeout",
-                "Request body too slow",
-                "the request was not received completely within "
-                        + limits.bodyTimeoutMs()
-                        + " ms: retry the request, or raise limits.bodyTimeoutMs");
-    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -10,7 +11,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
@@ -28,9 +28,19 @@
     private static final int ACCEPT_BACKLOG = 1024;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
+    /**
+     * Bytes that are read from one connection before others get their turn: decoding the shortest
+     * chunks takes about a millisecond for as many.
+     */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2 * 1024;
+
     private final String name;
     private final EventLoopGroup eventLoops;
     private final HttpLimits limits;
+    private final ClientGuard guard;
     private final HttpHandler handler;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger openConnections = new AtomicInteger();
@@ -47,9 +57,28 @@
      */
     public HttpServer(
             String name, EventLoopGroup eventLoops, HttpLimits limits, HttpHandler handler) {
+        this(name, eventLoops, limits, ClientGuard.createDefault(), handler);
+    }
+
+    /**
+     * Creates a server that does not listen yet and shares a guard with others.
+     *
+     * @param name the name of the listener in the settings and in messages, such as {@code callers}
+     * @param eventLoops the event loops that serve the connections; not closed by the server
+     * @param limits the limits on connections and requests
+     * @param guard the limits on clients that send without bound, for all listeners of the process
+     * @param handler handles the requests
+     */
+    public HttpServer(
+            String name,
+            EventLoopGroup eventLoops,
+            HttpLimits limits,
+            ClientGuard guard,
+            HttpHandler handler) {
         this.name = name;
         this.eventLoops = eventLoops;
         this.limits = limits;
+        this.guard = guard;
         this.handler = handler;
     }
 
@@ -79,6 +108,11 @@
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.AUTO_READ, false)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                                MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                                        .maxMessagesPerRead(1))
                         .childHandler(new ConnectionInitializer());
         var bindFuture = bootstrap.bind(address).awaitUninterruptibly();
         if (!bindFuture.isSuccess()) {
@@ -152,6 +186,7 @@
         protected void initChannel(SocketChannel channel) {
             if (openConnections.incrementAndGet() > limits.maxConnections()) {
                 openConnections.decrementAndGet();
+                guard.listener().onLimitReached(name, LimitReason.CONNECTIONS);
                 channel.close();
                 return;
             }
@@ -162,12 +197,15 @@
                             .setMaxInitialLineLength(limits.maxHeaderBytes())
                             .setMaxHeaderSize(limits.maxHeaderBytes())
                             .setMaxChunkSize(MAX_CHUNK_BYTES);
+            LimitedServerCodec codec = new LimitedServerCodec(decoderConfig, guard.limits());
             channel.pipeline()
-                    .addLast(new HttpServerCodec(decoderConfig))
+                    .addLast(codec)
                     .addLast(
                             new IdleStateHandler(
                                     limits.idleTimeoutMs(), 0, 0, TimeUnit.MILLISECONDS))
-                    .addLast(new HttpConnectionHandler(limits, handler, state));
+                    .addLast(
+                            new HttpConnectionHandler(
+                                    name, limits, guard, codec.decoder(), handler, state));
         }
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
@@ -36,6 +36,7 @@
     private final Counter tokens;
     private final Counter peerBytes;
     private final Counter refusals;
+    private final Counter clientLimits;
     private final Gauge inProgress;
 
     /** Creates and registers the metrics, all zero. */
@@ -85,6 +86,12 @@
                         "cardamomthread_refusals_total",
                         "Requests refused before they were admitted, by reason",
                         "reason");
+        clientLimits =
+                createCounter(
+                        "cardamomthread_client_limits_total",
+                        "Requests refused and connections closed because of a limit on clients",
+                        "listener",
+                        "reason");
         inProgress =
                 Gauge.builder()
                         .name("cardamomthread_requests_in_progress")
@@ -155,6 +162,16 @@
         refusals.labelValues(reason).inc();
     }
 
+    /**
+     * Counts a request refused, or a connection closed, because of a limit on clients.
+     *
+     * @param listener the name of the listener, from a fixed set
+     * @param reason the limit, from a fixed set
+     */
+    public void countClientLimit(String listener, String reason) {
+        clientLimits.labelValues(listener, reason).inc();
+    }
+
     /**
      * Counts tokens sent to a caller.
      *
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
@@ -102,6 +102,7 @@
             {"repeatRatio: 0.2", "repeatRatio: -1", "limits/repeatRatio"},
             {"  leaseMs", "  controlNodeLosses: -1\n  leaseMs", "limits/controlNodeLosses"},
             {"  leaseMs", "  controlNodeLosses: two\n  leaseMs", "limits/controlNodeLosses"},
+            {"  leaseMs", "  maxHeaderLines: 0\n  leaseMs", "limits/maxHeaderLines"},
             {"  leaseMs", "  controlNodeLosses: 1.5\n  leaseMs", "limits/controlNodeLosses"},
         };
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/FailedWriteTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/FailedWriteTests.java
@@ -9,7 +9,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -38,11 +38,19 @@
     @Test(dataProvider = "failures")
     public void sendsNothingAfterAPartThatWasNotWritten(String path, int failedWrite) {
         handledPaths.clear();
+        ClientGuard guard = ClientGuard.createDefault();
+        LimitedServerCodec codec = new LimitedServerCodec(new HttpDecoderConfig(), guard.limits());
         EmbeddedChannel channel =
                 new EmbeddedChannel(
-                        new HttpServerCodec(),
+                        codec,
                         new FailingWriteHandler(failedWrite),
-                        new HttpConnectionHandler(LIMITS, this::handle, new ServerState()));
+                        new HttpConnectionHandler(
+                                "callers",
+                                LIMITS,
+                                guard,
+                                codec.decoder(),
+                                this::handle,
+                                new ServerState()));
         channel.writeInbound(
                 channel.alloc()
                         .buffer()
