Refuse requests whose head or body makes no progress

A connection that stopped inside a head stayed open for a minute, one that stopped inside a body for 20 s, and one that never read its response for ever, with all that was held for it. A head must now end within 10 s of its first byte, a body may not pause for 10 s (noticed within 20 s), and a connection whose client takes no byte of a pending response for 30 s is closed. All three are settings. ClientLimitTests covers the refusals and passes, as do the existing tests of the package.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -162,7 +162,10 @@
         return new ClientLimits(
                 readLimit("maxHeaderLines", 1, defaults.maxHeaderLines()),
                 readLimit("maxEmptyLines", 1, defaults.maxEmptyLines()),
-                readLimit("maxChunkFramingBytes", 1, defaults.maxChunkFramingBytes()));
+                readLimit("maxChunkFramingBytes", 1, defaults.maxChunkFramingBytes()),
+                readLimit("headTimeoutMs", 1, defaults.headTimeoutMs()),
+                readLimit("bodyStallTimeoutMs", 1, defaults.bodyStallTimeoutMs()),
+                readLimit("responseStallTimeoutMs", 1, defaults.responseStallTimeoutMs()));
     }
 
     private int readLimit(String key, int min, long defaultValue) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -14,9 +15,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -46,9 +47,9 @@
     private final ServerState serverState;
     private final PipelinedParts pipelined = new PipelinedParts();
     private final RequestProblems problems;
+    private final ReceiveTimeouts timeouts;
     private HttpRequest head;
     private ByteBuf body;
-    private ScheduledFuture<?> bodyTimeout;
     private DefaultHttpExchange exchange;
     private boolean rejected;
 
@@ -67,6 +68,7 @@
         this.handler = handler;
         this.serverState = serverState;
         problems = new RequestProblems(limits, guard.limits());
+        timeouts = new ReceiveTimeouts(limits, guard.limits());
     }
 
     @Override
@@ -84,6 +86,12 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        watchHead(context);
+        super.channelReadComplete(context);
+    }
+
     /** Requests that the connection is closed as soon as no request is in progress on it. */
     enum DrainEvent {
         /** The only event of this kind. */
@@ -96,10 +104,13 @@
             closeIfDrained(context);
             return;
         }
-        if (event instanceof IdleStateEvent) {
-            if (exchange == null && head == null) {
+        if (event instanceof IdleStateEvent idle) {
+            if (idle.state() == IdleState.READER_IDLE && exchange == null && head == null) {
                 context.close();
             }
+            if (idle.state() == IdleState.WRITER_IDLE && hasUnwrittenResponse(context)) {
+                closeFor(context, LimitReason.RESPONSE_STALLED);
+            }
             return;
         }
         super.userEventTriggered(context, event);
@@ -109,6 +120,7 @@
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         discardRequest();
         pipelined.discardAll();
+        timeouts.endHead();
         if (exchange != null) {
             exchange.onChannelClosed();
         }
@@ -127,6 +139,7 @@
         while (exchange == null && !rejected && !pipelined.isEmpty()) {
             process(context, pipelined.remove());
         }
+        watchHead(context);
         closeIfDrained(context);
     }
 
@@ -154,17 +167,12 @@
     private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
         head = request;
         body = context.alloc().buffer();
+        timeouts.endHead();
         serverState.beginRequest();
-        bodyTimeout =
-                context.executor()
-                        .schedule(
-                                () ->
-                                        reject(
-                                                context,
-                                                LimitReason.BODY_TIMEOUT,
-                                                problems.createBodyTimeout()),
-                                limits.bodyTimeoutMs(),
-                                TimeUnit.MILLISECONDS);
+        timeouts.watchBody(
+                context.executor(),
+                () -> reject(context, LimitReason.BODY_TIMEOUT, problems.createBodyTimeout()),
+                () -> reject(context, LimitReason.BODY_STALLED, problems.createBodyStalled()));
         HttpVersion version = request.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
             reject(context, null, RequestProblems.createVersion(version));
@@ -191,6 +199,7 @@
                 reject(context, LimitReason.BODY_BYTES, problems.createBodyTooLarge());
                 return;
             }
+            timeouts.markBodyProgress();
             // Slices of the read buffers would take many times the length of short chunks.
             body.writeBytes(bytes);
         } finally {
@@ -222,6 +231,18 @@
         }
     }
 
+    /** Watches the time that an incomplete head takes. */
+    private void watchHead(ChannelHandlerContext context) {
+        boolean awaitsHead = exchange == null && head == null && decoder.hasPartialHead();
+        if (awaitsHead) {
+            timeouts.watchHead(
+                    context.executor(),
+                    () -> reject(context, LimitReason.HEAD_TIMEOUT, problems.createHeadTimeout()));
+        } else {
+            timeouts.endHead();
+        }
+    }
+
     private void closeFor(ChannelHandlerContext context, LimitReason reason) {
         if (context.channel().isActive()) {
             guard.listener().onLimitReached(listenerName, reason);
@@ -246,6 +267,7 @@
         }
         rejected = true;
         decoder.discardAll();
+        timeouts.endHead();
         discardRequest();
         pipelined.discardAll();
         if (reason != null) {
@@ -272,6 +294,11 @@
         head = null;
         body.release();
         body = null;
-        bodyTimeout.cancel(false);
+        timeouts.endBody();
+    }
+
+    private boolean hasUnwrittenResponse(ChannelHandlerContext context) {
+        ChannelOutboundBuffer unwritten = context.channel().unsafe().outboundBuffer();
+        return unwritten != null && unwritten.totalPendingWriteBytes() > 0;
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
@@ -202,7 +202,11 @@
                     .addLast(codec)
                     .addLast(
                             new IdleStateHandler(
-                                    limits.idleTimeoutMs(), 0, 0, TimeUnit.MILLISECONDS))
+                                    true,
+                                    limits.idleTimeoutMs(),
+                                    guard.limits().responseStallTimeoutMs(),
+                                    0,
+                                    TimeUnit.MILLISECONDS))
                     .addLast(
                             new HttpConnectionHandler(
                                     name, limits, guard, codec.decoder(), handler, state));
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/LimitReason.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/LimitReason.java
@@ -14,8 +14,14 @@
     CHUNK_FRAMING("chunk-framing"),
     /** The body is too long. */
     BODY_BYTES("body-bytes"),
+    /** The head was not received in time. */
+    HEAD_TIMEOUT("head-timeout"),
     /** The body was not received in time. */
     BODY_TIMEOUT("body-timeout"),
+    /** No part of the body was received for too long. */
+    BODY_STALLED("body-stalled"),
+    /** The client took no part of a response for too long. */
+    RESPONSE_STALLED("response-stalled"),
     /** Too many requests were sent before the response to the first one. */
     PIPELINED_REQUESTS("pipelined-requests"),
     /** Too many connections were open. */
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/LimitedRequestDecoder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/LimitedRequestDecoder.java
@@ -48,6 +48,11 @@
         this.methods = methods;
     }
 
+    /** Returns whether a head, or an empty line before it, was received in part. */
+    boolean hasPartialHead() {
+        return !isInBody && !isFailed && (emptyBytes > 0 || hasRequestLineBegun);
+    }
+
     /** Discards what is received from now on. */
     void discardAll() {
         isFailed = true;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/RequestProblems.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/RequestProblems.java
@@ -88,6 +88,15 @@
                         + " bytes: send a shorter one, or raise limits.maxBodyBytes");
     }
 
+    ProblemDetail createHeadTimeout() {
+        return createTimeout(
+                "head-timeout",
+                "Request head too slow",
+                "the head of the request was not received within "
+                        + clientLimits.headTimeoutMs()
+                        + " ms: retry the request, or raise limits.headTimeoutMs");
+    }
+
     ProblemDetail createBodyTimeout() {
         return createTimeout(
                 "body-timeout",
@@ -97,6 +106,15 @@
                         + " ms: retry the request, or raise limits.bodyTimeoutMs");
     }
 
+    ProblemDetail createBodyStalled() {
+        return createTimeout(
+                "body-stalled",
+                "Request body stalled",
+                "no part of the body was received for "
+                        + clientLimits.bodyStallTimeoutMs()
+                        + " ms: retry the request, or raise limits.bodyStallTimeoutMs");
+    }
+
     private static ProblemDetail createTimeout(String type, String title, String detail) {
         return ProblemDetail.createNotRun(408, type, title, detail);
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
@@ -103,6 +103,7 @@
             {"  leaseMs", "  controlNodeLosses: -1\n  leaseMs", "limits/controlNodeLosses"},
             {"  leaseMs", "  controlNodeLosses: two\n  leaseMs", "limits/controlNodeLosses"},
             {"  leaseMs", "  maxHeaderLines: 0\n  leaseMs", "limits/maxHeaderLines"},
+            {"  leaseMs", "  headTimeoutMs: 9000000\n  leaseMs", "limits/headTimeoutMs"},
             {"  leaseMs", "  controlNodeLosses: 1.5\n  leaseMs", "limits/controlNodeLosses"},
         };
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/ClientLimitTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/ClientLimitTests.java
@@ -24,7 +24,8 @@
 public class ClientLimitTests {
 
     private static final HttpLimits LIMITS = new HttpLimits(65_536, 100_000, 60_000, 60_000, 3);
-    private static final ClientLimits CLIENT_LIMITS = new ClientLimits(10, 4, 1_000);
+    private static final ClientLimits CLIENT_LIMITS =
+            new ClientLimits(10, 4, 1_000, 300, 300, 60_000);
     private static final int READ_TIMEOUT_MS = 10_000;
     private static final String GET = "GET /x HTTP/1.1\r\n";
     private static final String CHUNKED = "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n";
@@ -63,6 +64,9 @@
             {CHUNKED + "1;" + "e".repeat(1_100) + "\r\nx\r\n", "400", LimitReason.CHUNK_FRAMING},
             {CHUNKED + "0\r\n" + "a: b\r\n".repeat(13), "431", LimitReason.TRAILER_LINES},
             {CHUNKED + "0\r\n" + "a: b\r\n".repeat(13) + "\r\n", "431", LimitReason.TRAILER_LINES},
+            {GET + "a: b", "408", LimitReason.HEAD_TIMEOUT},
+            {"\r\n", "408", LimitReason.HEAD_TIMEOUT},
+            {CHUNKED + "2\r\nx", "408", LimitReason.BODY_STALLED},
         };
     }
 
