Bound the memory that a process holds for its clients

Clients that stay within the limits of each request could together still make a process hold more than its heap. One budget per process, a third of the heap unless set, now covers connections, heads with the objects that they become, bodies, pipelined parts and unwritten responses of all listeners. Beyond it, the connection that has held the most for longest without progress is refused with 503 if no handler has taken its request, or closed. At the limit of connections, the longest idle one is closed in place of the new one. The nodes of the other form share one budget among their listeners, too.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/Node.java
@@ -15,6 +15,7 @@
 import org.cardamomthread.daemon.dispatch.EndpointClient;
 import org.cardamomthread.daemon.gateway.CallTelemetry;
 import org.cardamomthread.daemon.gateway.PlacementHistory;
+import org.cardamomthread.daemon.http.ClientGuard;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.HttpLimits;
 import org.cardamomthread.daemon.http.HttpServer;
@@ -58,6 +59,7 @@
     private final ConfigurationHolder configuration = new ConfigurationHolder();
     private final ControlComponents controlComponents;
     private final ServingComponents serving;
+    private final ClientGuard clientGuard = ClientGuard.createDefault();
     private final HttpServer callerServer;
     private final HttpServer endpointServer;
     private final HttpServer operatorServer;
@@ -231,7 +233,7 @@
                         limits.bodyTimeoutMs(),
                         limits.idleTimeoutMs(),
                         limits.maxConnections());
-        return new HttpServer(name, eventLoops, httpLimits, handler);
+        return new HttpServer(name, eventLoops, httpLimits, clientGuard, handler);
     }
 
     private static void sleep(long durationMs) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettings.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettings.java
@@ -6,7 +6,6 @@
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.NodeId;
-import org.cardamomthread.daemon.http.ClientLimits;
 
 /**
  * Holds the settings of a node that joins through seed nodes. Immutable.
@@ -26,7 +25,7 @@
  * @param dataFolder the folder for durable state, on control nodes
  * @param platform the address of the platform's API for the controllers, or empty if there is none
  * @param limits the limits that the platform requires
- * @param clientLimits the limits on clients that send without bound
+ * @param clientSettings the limits on clients that send without bound
  */
 record FleetSettings(
         FleetRole role,
@@ -44,7 +43,7 @@
         Optional<Path> dataFolder,
         Optional<NetworkAddress> platform,
         FleetLimits limits,
-        ClientLimits clientLimits) {
+        ClientSettings clientSettings) {
 
     /** Creates the settings with a copy of the seeds. */
     FleetSettings {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -16,6 +16,7 @@
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.daemon.forwarding.CanaryAllocation;
 import org.cardamomthread.daemon.http.ClientLimits;
+import org.cardamomthread.daemon.http.ClientMemory;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.slf4j.Logger;
@@ -105,7 +106,7 @@
         List<NetworkAddress> seeds = readSeeds();
         boolean isFirstStart = readBoolean("/firstStart");
         FleetLimits limits = readLimits();
-        ClientLimits clientLimits = readClientLimits();
+        ClientSettings clientSettings = readClientSettings();
         if (!problems.isEmpty()) {
             return null;
         }
@@ -125,7 +126,7 @@
                 dataFolder,
                 platform,
                 limits,
-                clientLimits);
+                clientSettings);
     }
 
     private FleetLimits readLimits() {
@@ -157,15 +158,21 @@
                         DEFAULT_CONTROL_NODE_LOSSES);
     }
 
-    private ClientLimits readClientLimits() {
+    private ClientSettings readClientSettings() {
         ClientLimits defaults = ClientLimits.DEFAULT;
-        return new ClientLimits(
-                readLimit("maxHeaderLines", 1, defaults.maxHeaderLines()),
-                readLimit("maxEmptyLines", 1, defaults.maxEmptyLines()),
-                readLimit("maxChunkFramingBytes", 1, defaults.maxChunkFramingBytes()),
-                readLimit("headTimeoutMs", 1, defaults.headTimeoutMs()),
-                readLimit("bodyStallTimeoutMs", 1, defaults.bodyStallTimeoutMs()),
-                readLimit("responseStallTimeoutMs", 1, defaults.responseStallTimeoutMs()));
+        return new ClientSettings(
+                new ClientLimits(
+                        readLimit("maxHeaderLines", 1, defaults.maxHeaderLines()),
+                        readLimit("maxEmptyLines", 1, defaults.maxEmptyLines()),
+                        readLimit("maxChunkFramingBytes", 1, defaults.maxChunkFramingBytes()),
+                        readLimit("headTimeoutMs", 1, defaults.headTimeoutMs()),
+                        readLimit("bodyStallTimeoutMs", 1, defaults.bodyStallTimeoutMs()),
+                        readLimit("responseStallTimeoutMs", 1, defaults.responseStallTimeoutMs())),
+                readOptionalLong(
+                        "/limits/clientMemoryBytes",
+                        ClientMemory.MIN_BYTES,
+                        Long.MAX_VALUE,
+                        ClientMemory.defaultMaxBytes()));
     }
 
     private int readLimit(String key, int min, long defaultValue) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/NodeComponents.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/NodeComponents.java
@@ -11,6 +11,7 @@
 import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.http.ClientGuard;
+import org.cardamomthread.daemon.http.ClientMemory;
 import org.cardamomthread.daemon.http.HttpHandler;
 import org.cardamomthread.daemon.http.HttpLimits;
 import org.cardamomthread.daemon.http.HttpServer;
@@ -74,7 +75,15 @@
                         timeSource,
                         TransportSettings.forFastRecovery(),
                         TransportListener.NONE);
-        clientGuard = new ClientGuard(settings.clientLimits(), this::reportLimit);
+        ClientMemory clientMemory =
+                new ClientMemory(settings.clientSettings().memoryBytes(), timeSource);
+        clientGuard =
+                new ClientGuard(
+                        settings.clientSettings().limits(), clientMemory, this::reportLimit);
+        metrics.registerGauge(
+                "cardamomthread_client_memory_bytes",
+                "Memory held for clients, estimated",
+                clientMemory::heldBytes);
     }
 
     private void reportLimit(String listener, LimitReason reason) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ClientGuard.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/ClientGuard.java
@@ -5,9 +5,10 @@
  * its parts are thread-safe.
  *
  * @param limits the limits on single connections
+ * @param memory the bytes held for all connections
  * @param listener is told of clients that reach a limit
  */
-public record ClientGuard(ClientLimits limits, ClientLimitListener listener) {
+public record ClientGuard(ClientLimits limits, ClientMemory memory, ClientLimitListener listener) {
 
     /**
      * Creates a guard with the default limits that reports to nobody.
@@ -15,6 +16,7 @@
      * @return the guard
      */
     public static ClientGuard createDefault() {
-        return new ClientGuard(ClientLimits.DEFAULT, ClientLimitListener.NONE);
+        return new ClientGuard(
+                ClientLimits.DEFAULT, ClientMemory.createDefault(), ClientLimitListener.NONE);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/DefaultHttpExchange.java
@@ -39,6 +39,7 @@
     private final ChannelHandlerContext context;
     private final HttpConnectionHandler connection;
     private final ServerState serverState;
+    private final HeldMemory held;
     private final ServerRequest request;
     private final boolean keepAlive;
     private final boolean acceptsChunks;
@@ -52,12 +53,14 @@
             ChannelHandlerContext context,
             HttpConnectionHandler connection,
             ServerState serverState,
+            HeldMemory held,
             ServerRequest request,
             boolean keepAlive,
             boolean acceptsChunks) {
         this.context = context;
         this.connection = connection;
         this.serverState = serverState;
+        this.held = held;
         this.request = request;
         this.keepAlive = keepAlive;
         this.acceptsChunks = acceptsChunks;
@@ -86,8 +89,14 @@
         }
         FullHttpResponse nettyResponse = encode(response);
         boolean close = addCloseHeaderIfNeeded(nettyResponse.headers(), keepAlive);
+        int length = response.body().length;
+        held.addUnwritten(length);
         context.writeAndFlush(nettyResponse)
-                .addListener(written -> onResponseWritten(written, close));
+                .addListener(
+                        written -> {
+                            held.removeUnwritten(length);
+                            onResponseWritten(written, close);
+                        });
     }
 
     @Override
@@ -228,23 +237,29 @@
         @Override
         public void write(byte[] part) {
             pendingBytes.addAndGet(part.length);
+            held.addUnwritten(part.length);
             runOnLoop(() -> writeUnlessEnded(part));
         }
 
         private void writeUnlessEnded(byte[] part) {
             if (isEnded) {
-                pendingBytes.addAndGet(-part.length);
+                endPending(part.length);
                 logLateCall("a part of " + part.length + " bytes");
                 return;
             }
             context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)))
                     .addListener(
                             written -> {
-                                pendingBytes.addAndGet(-part.length);
+                                endPending(part.length);
                                 closeIfNotWritten(written);
                             });
         }
 
+        private void endPending(int length) {
+            pendingBytes.addAndGet(-length);
+            held.removeUnwritten(length);
+        }
+
         @Override
         public void finish() {
             runOnLoop(this::finishUnlessEnded);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
@@ -18,6 +18,7 @@
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -48,10 +49,13 @@
     private final PipelinedParts pipelined = new PipelinedParts();
     private final RequestProblems problems;
     private final ReceiveTimeouts timeouts;
+    private HeldMemory held;
     private HttpRequest head;
     private ByteBuf body;
     private DefaultHttpExchange exchange;
+    private long headBytes;
     private boolean rejected;
+    private volatile boolean isIdle = true;
 
     HttpConnectionHandler(
             String listenerName,
@@ -71,24 +75,40 @@
         timeouts = new ReceiveTimeouts(limits, guard.limits());
     }
 
+    /** Returns whether no request is in progress or was received in part. Thread-safe. */
+    boolean isIdle() {
+        return isIdle;
+    }
+
+    /** Returns the monotonic time of the last progress. Thread-safe. */
+    long lastProgressMs() {
+        return held.lastProgressMs();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        held = guard.memory().open(() -> runOnLoop(context, () -> evict(context)));
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
         if (rejected) {
             ReferenceCountUtil.release(part);
             return;
         }
+        long partHeadBytes = part instanceof HttpRequest ? decoder.lastHeadBytes() : 0;
         if (exchange == null) {
-            process(context, part);
+            process(context, part, partHeadBytes);
             return;
         }
-        if (!pipelined.add(part)) {
+        if (!pipelined.add(part, partHeadBytes)) {
             closeFor(context, LimitReason.PIPELINED_REQUESTS);
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
-        watchHead(context);
+        updateState(context);
         super.channelReadComplete(context);
     }
 
@@ -124,9 +144,15 @@
         if (exchange != null) {
             exchange.onChannelClosed();
         }
+        held.close();
         super.channelInactive(context);
     }
 
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        held.close();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         LOGGER.debug("a connection to the listener {} failed", listenerName, cause);
@@ -136,20 +162,29 @@
     /** Starts the next pipelined request, if any. Must be called on the event loop. */
     void onRequestCompleted(ChannelHandlerContext context) {
         exchange = null;
+        held.endServing();
         while (exchange == null && !rejected && !pipelined.isEmpty()) {
-            process(context, pipelined.remove());
+            PipelinedParts.Part next = pipelined.remove();
+            process(context, next.object(), next.bytes());
         }
-        watchHead(context);
+        updateState(context);
         closeIfDrained(context);
     }
 
+    /** Closes the connection to make room for others unless it is in use by now. */
+    void closeIfIdle(ChannelHandlerContext context) {
+        if (exchange == null && head == null && !rejected) {
+            closeFor(context, LimitReason.CONNECTIONS);
+        }
+    }
+
     private void closeIfDrained(ChannelHandlerContext context) {
         if (serverState.isClosingIdleConnections() && exchange == null && head == null) {
             context.close();
         }
     }
 
-    private void process(ChannelHandlerContext context, HttpObject part) {
+    private void process(ChannelHandlerContext context, HttpObject part, long partHeadBytes) {
         DecoderResult decoderResult = part.decoderResult();
         if (decoderResult.isFailure()) {
             ReferenceCountUtil.release(part);
@@ -157,15 +192,17 @@
             return;
         }
         if (part instanceof HttpRequest request) {
-            beginRequest(context, request);
+            beginRequest(context, request, partHeadBytes);
         }
         if (part instanceof HttpContent content) {
             addContent(context, content);
         }
     }
 
-    private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
+    private void beginRequest(
+            ChannelHandlerContext context, HttpRequest request, long requestHeadBytes) {
         head = request;
+        headBytes = requestHeadBytes;
         body = context.alloc().buffer();
         timeouts.endHead();
         serverState.beginRequest();
@@ -200,6 +237,7 @@
                 return;
             }
             timeouts.markBodyProgress();
+            held.addProgress(length);
             // Slices of the read buffers would take many times the length of short chunks.
             body.writeBytes(bytes);
         } finally {
@@ -221,9 +259,12 @@
                         context,
                         this,
                         serverState,
+                        held,
                         serverRequest,
                         HttpUtil.isKeepAlive(request),
                         request.protocolVersion().equals(HttpVersion.HTTP_1_1));
+        held.setReceivedBytes(pipelined.heldBytes());
+        held.beginServing(headBytes + bytes.length);
         try {
             handler.handle(exchange);
         } catch (RuntimeException failure) {
@@ -231,8 +272,8 @@
         }
     }
 
-    /** Watches the time that an incomplete head takes. */
-    private void watchHead(ChannelHandlerContext context) {
+    /** Counts what is held, and watches the time that an incomplete head takes. */
+    private void updateState(ChannelHandlerContext context) {
         boolean awaitsHead = exchange == null && head == null && decoder.hasPartialHead();
         if (awaitsHead) {
             timeouts.watchHead(
@@ -241,6 +282,19 @@
         } else {
             timeouts.endHead();
         }
+        isIdle = exchange == null && head == null && !awaitsHead && !rejected;
+        long requestBytes = head == null ? 0 : headBytes + body.capacity();
+        held.setReceivedBytes(requestBytes + pipelined.heldBytes() + decoder.heldBytes());
+    }
+
+    /** Ends what the connection holds, since the process holds too much. */
+    private void evict(ChannelHandlerContext context) {
+        boolean hasBegunRequest = head != null || decoder.hasPartialHead();
+        if (exchange == null && hasBegunRequest) {
+            reject(context, LimitReason.MEMORY, RequestProblems.createOverloaded());
+        } else {
+            closeFor(context, LimitReason.MEMORY);
+        }
     }
 
     private void closeFor(ChannelHandlerContext context, LimitReason reason) {
@@ -266,6 +320,7 @@
             return;
         }
         rejected = true;
+        isIdle = false;
         decoder.discardAll();
         timeouts.endHead();
         discardRequest();
@@ -301,4 +356,16 @@
         ChannelOutboundBuffer unwritten = context.channel().unsafe().outboundBuffer();
         return unwritten != null && unwritten.totalPendingWriteBytes() > 0;
     }
+
+    private static void runOnLoop(ChannelHandlerContext context, Runnable task) {
+        if (context.executor().inEventLoop()) {
+            task.run();
+            return;
+        }
+        try {
+            context.executor().execute(task);
+        } catch (RejectedExecutionException stopped) {
+            LOGGER.debug("the event loop of the connection has been stopped", stopped);
+        }
+    }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -184,7 +185,8 @@
 
         @Override
         protected void initChannel(SocketChannel channel) {
-            if (openConnections.incrementAndGet() > limits.maxConnections()) {
+            if (openConnections.incrementAndGet() > limits.maxConnections()
+                    && !closeLongestIdleConnection()) {
                 openConnections.decrementAndGet();
                 guard.listener().onLimitReached(name, LimitReason.CONNECTIONS);
                 channel.close();
@@ -211,5 +213,39 @@
                             new HttpConnectionHandler(
                                     name, limits, guard, codec.decoder(), handler, state));
         }
+
+        /** Makes room for a connection; returns false if a request is in progress on each. */
+        private boolean closeLongestIdleConnection() {
+            ChannelHandlerContext selected = null;
+            HttpConnectionHandler selectedHandler = null;
+            for (Channel connection : connections) {
+                ChannelHandlerContext context =
+                        connection.pipeline().context(HttpConnectionHandler.class);
+                if (context == null) {
+                    continue;
+                }
+                HttpConnectionHandler candidate = (HttpConnectionHandler) context.handler();
+                boolean isSelected =
+                        candidate.isIdle()
+                                && (selected == null
+                                        || candidate.lastProgressMs()
+                                                < selectedHandler.lastProgressMs());
+                if (isSelected) {
+                    selected = context;
+                    selectedHandler = candidate;
+                }
+            }
+            if (selected == null) {
+                return false;
+            }
+            ChannelHandlerContext idle = selected;
+            HttpConnectionHandler idleHandler = selectedHandler;
+            if (idle.executor().inEventLoop()) {
+                idleHandler.closeIfIdle(idle);
+            } else {
+                idle.executor().execute(() -> idleHandler.closeIfIdle(idle));
+            }
+            return true;
+        }
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/LimitReason.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/LimitReason.java
@@ -24,6 +24,8 @@
     RESPONSE_STALLED("response-stalled"),
     /** Too many requests were sent before the response to the first one. */
     PIPELINED_REQUESTS("pipelined-requests"),
+    /** The process held more for clients than it has memory for. */
+    MEMORY("memory"),
     /** Too many connections were open. */
     CONNECTIONS("connections");
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/LimitedRequestDecoder.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/LimitedRequestDecoder.java
@@ -25,6 +25,12 @@
  */
 final class LimitedRequestDecoder extends HttpRequestDecoder {
 
+    /** Memory of the objects that one header line becomes, besides its text, in bytes. */
+    private static final int OBJECT_BYTES_PER_LINE = 160;
+
+    /** Memory of a request without header lines, in bytes. */
+    private static final int OBJECT_BYTES_PER_REQUEST = 512;
+
     /** Lines without content between two chunks: the end of one and the size of the next. */
     private static final int LINES_BETWEEN_CHUNKS = 2;
 
@@ -37,8 +43,11 @@
     private boolean isFailed;
     private int emptyBytes;
     private int headLines;
+    private long headBytes;
+    private long lastHeadBytes;
     private int linesWithoutContent;
     private long framingBytes;
+    private int undecodedBytes;
 
     /** Creates a decoder that adds the method of each request to a queue for the encoder. */
     LimitedRequestDecoder(
@@ -48,6 +57,16 @@
         this.methods = methods;
     }
 
+    /** Returns the memory held for a head, or part of a body, that is not complete, in bytes. */
+    long heldBytes() {
+        return headObjectBytes() + undecodedBytes;
+    }
+
+    /** Returns the memory of the request that was decoded last, without its body, in bytes. */
+    long lastHeadBytes() {
+        return lastHeadBytes;
+    }
+
     /** Returns whether a head, or an empty line before it, was received in part. */
     boolean hasPartialHead() {
         return !isInBody && !isFailed && (emptyBytes > 0 || hasRequestLineBegun);
@@ -56,6 +75,7 @@
     /** Discards what is received from now on. */
     void discardAll() {
         isFailed = true;
+        headBytes = 0;
         headLines = 0;
     }
 
@@ -64,6 +84,7 @@
             throws Exception {
         if (isFailed) {
             in.skipBytes(in.readableBytes());
+            undecodedBytes = 0;
             return;
         }
         if (isInBody) {
@@ -71,6 +92,7 @@
         } else {
             decodeHead(context, in, out);
         }
+        undecodedBytes = in.isReadable() ? in.capacity() : 0;
     }
 
     private void decodeHead(ChannelHandlerContext context, ByteBuf in, List<Object> out)
@@ -91,8 +113,10 @@
             fail(in, out, out.size(), LimitReason.HEADER_LINES);
             return;
         }
+        int start = in.readerIndex();
         int firstNew = out.size();
         super.decode(context, in, out);
+        headBytes += in.readerIndex() - start;
         update(out, firstNew);
     }
 
@@ -166,6 +190,8 @@
             if (part instanceof HttpRequest request) {
                 methods.add(request.method());
                 isInBody = true;
+                lastHeadBytes = headObjectBytes();
+                headBytes = 0;
                 headLines = 0;
                 framingBytes = 0;
                 linesWithoutContent = 0;
@@ -181,6 +207,12 @@
         }
     }
 
+    private long headObjectBytes() {
+        return headBytes == 0
+                ? 0
+                : OBJECT_BYTES_PER_REQUEST + headBytes + (long) headLines * OBJECT_BYTES_PER_LINE;
+    }
+
     /** Replaces what was decoded in this call, so that a request over a limit is never run. */
     private void fail(ByteBuf in, List<Object> out, int firstNew, LimitReason reason) {
         while (out.size() > firstNew) {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/RequestProblems.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/RequestProblems.java
@@ -7,6 +7,9 @@
 /** Describes why a request is refused before a handler takes it. Immutable and thread-safe. */
 final class RequestProblems {
 
+    private static final int STATUS_OVERLOADED = 503;
+    private static final long OVERLOADED_RETRY_AFTER_S = 1;
+
     private final HttpLimits limits;
     private final ClientLimits clientLimits;
 
@@ -78,6 +81,16 @@
                 version + " is not supported: use HTTP/1.1");
     }
 
+    static ProblemDetail createOverloaded() {
+        return ProblemDetail.createNotRun(
+                        STATUS_OVERLOADED,
+                        "out-of-memory-for-requests",
+                        "Too much is held for clients",
+                        "the node has no memory left for this request, which was not received"
+                                + " completely: retry the request")
+                .withRetryAfterS(OVERLOADED_RETRY_AFTER_S);
+    }
+
     ProblemDetail createBodyTooLarge() {
         return ProblemDetail.createNotRun(
                 413,
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/fleet/FleetSettingsLoaderTests.java
@@ -104,6 +104,7 @@
             {"  leaseMs", "  controlNodeLosses: two\n  leaseMs", "limits/controlNodeLosses"},
             {"  leaseMs", "  maxHeaderLines: 0\n  leaseMs", "limits/maxHeaderLines"},
             {"  leaseMs", "  headTimeoutMs: 9000000\n  leaseMs", "limits/headTimeoutMs"},
+            {"  leaseMs", "  clientMemoryBytes: 100\n  leaseMs", "limits/clientMemoryBytes"},
             {"  leaseMs", "  controlNodeLosses: 1.5\n  leaseMs", "limits/controlNodeLosses"},
         };
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/ClientLimitTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/http/ClientLimitTests.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
@@ -12,6 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.cardamomthread.core.time.ManualTimeSource;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -26,6 +29,8 @@
     private static final HttpLimits LIMITS = new HttpLimits(65_536, 100_000, 60_000, 60_000, 3);
     private static final ClientLimits CLIENT_LIMITS =
             new ClientLimits(10, 4, 1_000, 300, 300, 60_000);
+    private static final int MEMORY_BYTES = 200_000;
+    private static final int BUFFERED_BYTES = 128 * 1024;
     private static final int READ_TIMEOUT_MS = 10_000;
     private static final String GET = "GET /x HTTP/1.1\r\n";
     private static final String CHUNKED = "POST /x HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n";
@@ -33,6 +38,8 @@
 
     private final List<String> handled = new CopyOnWriteArrayList<>();
     private final List<LimitReason> reached = new CopyOnWriteArrayList<>();
+    private final ManualTimeSource memoryTime = new ManualTimeSource();
+    private ClientMemory memory;
     private EventLoopGroup eventLoops;
     private HttpServer server;
 
@@ -41,8 +48,9 @@
         handled.clear();
         reached.clear();
         eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        memory = new ClientMemory(MEMORY_BYTES, memoryTime);
         ClientGuard guard =
-                new ClientGuard(CLIENT_LIMITS, (listener, reason) -> reached.add(reason));
+                new ClientGuard(CLIENT_LIMITS, memory, (listener, reason) -> reached.add(reason));
         server = new HttpServer("callers", eventLoops, LIMITS, guard, this::handle);
         server.listen(new InetSocketAddress("127.0.0.1", 0));
     }
@@ -102,6 +110,52 @@
         assertEquals(reached, List.of());
     }
 
+    @Test(timeOut = READ_TIMEOUT_MS)
+    public void refusesTheStalledBodyWhenMemoryIsShort() throws Exception {
+        String head = "POST /x HTTP/1.1\r\ncontent-length: 90000\r\n" + CLOSE + "\r\n";
+        try (Socket stalled = open()) {
+            send(stalled, head + "x".repeat(BUFFERED_BYTES / 2 + 1));
+            awaitHeldBytes(BUFFERED_BYTES);
+            memoryTime.advanceMs(2_000);
+            String response = exchange(head + "x".repeat(90_000));
+            String refusal = read(stalled);
+            assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            assertTrue(refusal.startsWith("HTTP/1.1 503"), refusal);
+            assertTrue(refusal.contains("retry-after: 1"), refusal);
+            assertEquals(handled.size(), 1);
+        }
+    }
+
+    @Test(timeOut = READ_TIMEOUT_MS)
+    public void closesTheLongestIdleConnectionForANewOne() throws Exception {
+        try (Socket first = open()) {
+            awaitHeldBytes(ClientMemory.CONNECTION_BYTES);
+            memoryTime.advanceMs(1);
+            assertLongestIdleIsClosed(first);
+        }
+    }
+
+    private void assertLongestIdleIsClosed(Socket first) throws IOException {
+        try (Socket second = open();
+                Socket third = open()) {
+            String response = exchange(GET + CLOSE + "\r\n");
+            assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            assertEquals(read(first), "");
+            send(second, GET + CLOSE + "\r\n");
+            send(third, GET + CLOSE + "\r\n");
+            assertFalse(read(second).isEmpty());
+            assertFalse(read(third).isEmpty());
+        }
+        assertEquals(reached, List.of(LimitReason.CONNECTIONS));
+    }
+
+    /** Waits for the last byte of a body, by which its buffer grows to the given capacity. */
+    private void awaitHeldBytes(long bytes) throws InterruptedException {
+        while (memory.heldBytes() < bytes) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+    }
+
     private void handle(HttpExchange exchange) {
         handled.add(exchange.getRequest().path());
         exchange.respond(ServerResponse.createText(200, "served"));
