--- a/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/UnboundedClientTests.java
+++ b/cardamomthread-processes/src/test/java/org/cardamomthread/processes/fleet/UnboundedClientTests.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.processes.fleet;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -28,9 +29,7 @@
  * clients made them hold. The processes have the memory options of the deployments. The timeouts
  * only end a test that would otherwise never end.
  */
-@Test(
-        groups = {"processes", "known-red"},
-        singleThreaded = true)
+@Test(groups = "processes", singleThreaded = true)
 public class UnboundedClientTests {
 
     private static final String GATEWAY = "gateway";
@@ -52,6 +51,8 @@
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
     private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
     private static final int LARGE_CHUNK_BYTES = 64 * 1024;
+    private static final int LEGAL_HEADER_LINES = 55;
+    private static final int LEGAL_HEADER_LINE_BYTES = 1_000;
 
     private static final String GET = "GET /metrics HTTP/1.1\r\n";
     private static final String POST = "POST /again/x HTTP/1.1\r\n";
@@ -155,6 +156,35 @@
         process.awaitExit(ANSWER_TIMEOUT_MS);
     }
 
+    /** Guards against limits that legal clients meet; a gateway without a view refuses with 503. */
+    @Test
+    public void takesTheLargestLegalRequest() throws Exception {
+        node = new StartingNode(GATEWAY);
+        node.start(MEMORY_OPTIONS);
+        node.awaitStarted();
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(
+                                URI.create(
+                                        "http://"
+                                                + node.ip()
+                                                + ":"
+                                                + node.port("callers")
+                                                + "/again/x"))
+                        .timeout(Duration.ofMillis(ANSWER_TIMEOUT_MS))
+                        .header("X-Cardamomthread-Attempt-Id", "largest")
+                        .header("X-Cardamomthread-Deadline-Ms", "30000")
+                        .header("Authorization", "Bearer key")
+                        .POST(HttpRequest.BodyPublishers.ofByteArray(new byte[MAX_BODY_BYTES]));
+        for (int i = 0; i < LEGAL_HEADER_LINES; i++) {
+            request.header("x-line-" + i, "x".repeat(LEGAL_HEADER_LINE_BYTES));
+        }
+        HttpResponse<String> response =
+                HttpClient.newHttpClient()
+                        .send(request.build(), HttpResponse.BodyHandlers.ofString());
+        assertEquals(response.statusCode(), 503, response.body());
+        assertTrue(response.body().contains("view"), response.body());
+    }
+
     /** Waits for any response to an ordinary request; the metrics are always served. */
     private void awaitAnswer(String listener) throws Exception {
         HttpClient client = HttpClient.newBuilder().connectTimeout(CALL_TIMEOUT).build();
