--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettings.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettings.java
@@ -25,6 +25,7 @@
  * @param dataFolder the folder for durable state, on control nodes
  * @param platform the address of the platform's API for the controllers, or empty if there is none
  * @param limits the limits that the platform requires
+ * @param clientSettings the limits on clients that send without bound
  */
 record FleetSettings(
         FleetRole role,
@@ -41,7 +42,8 @@
         boolean isFirstStart,
         Optional<Path> dataFolder,
         Optional<NetworkAddress> platform,
-        FleetLimits limits) {
+        FleetLimits limits,
+        ClientSettings clientSettings) {
 
     /** Creates the settings with a copy of the seeds. */
     FleetSettings {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/FleetSettingsLoader.java
@@ -17,6 +17,8 @@
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.daemon.forwarding.CanaryAllocation;
 import org.cardamomthread.daemon.forwarding.WaitingLimits;
+import org.cardamomthread.daemon.http.ClientLimits;
+import org.cardamomthread.daemon.http.ClientMemory;
 import org.cardamomthread.daemon.view.QuotaAllocation;
 import org.cardamomthread.transport.NettyPeerTransport;
 import org.slf4j.Logger;
@@ -61,6 +63,8 @@
     /** Less than a third of the heap with which gateways are started. */
     private static final long MAX_WAITING_BYTES = 16L * 1024 * 1024;
 
+    private static final long MAX_CLIENT_LIMIT = 1_000_000;
+
     private static final int MAX_PORT = NetworkAddress.MAX_PORT;
 
     private final List<DocumentProblem> problems = new ArrayList<>();
@@ -119,6 +123,7 @@
         List<NetworkAddress> seeds = readSeeds();
         boolean isFirstStart = readBoolean("/firstStart");
         FleetLimits limits = readLimits();
+        ClientSettings clientSettings = readClientSettings();
         if (!problems.isEmpty()) {
             return null;
         }
@@ -137,7 +142,8 @@
                 isFirstStart,
                 dataFolder,
                 platform,
-                limits);
+                limits,
+                clientSettings);
     }
 
     private FleetLimits readLimits() {
@@ -172,10 +178,39 @@
     }
 
     private int readControlNodeLosses() {
-        String pointer = "/limits/controlNodeLosses";
+        return (int)
+                readOptionalLong(
+                        "/limits/controlNodeLosses",
+                        0,
+                        Integer.MAX_VALUE,
+                        DEFAULT_CONTROL_NODE_LOSSES);
+    }
+
+    private ClientSettings readClientSettings() {
+        ClientLimits defaults = ClientLimits.DEFAULT;
+        return new ClientSettings(
+                new ClientLimits(
+                        readLimit("maxHeaderLines", 1, defaults.maxHeaderLines()),
+                        readLimit("maxEmptyLines", 1, defaults.maxEmptyLines()),
+                        readLimit("maxChunkFramingBytes", 1, defaults.maxChunkFramingBytes()),
+                        readLimit("headTimeoutMs", 1, defaults.headTimeoutMs()),
+                        readLimit("bodyStallTimeoutMs", 1, defaults.bodyStallTimeoutMs()),
+                        readLimit("responseStallTimeoutMs", 1, defaults.responseStallTimeoutMs())),
+                readOptionalLong(
+                        "/limits/clientMemoryBytes",
+                        ClientMemory.MIN_BYTES,
+                        Long.MAX_VALUE,
+                        ClientMemory.defaultMaxBytes()));
+    }
+
+    private int readLimit(String key, int min, long defaultValue) {
+        return (int) readOptionalLong("/limits/" + key, min, MAX_CLIENT_LIMIT, defaultValue);
+    }
+
+    private long readOptionalLong(String pointer, long min, long max, long defaultValue) {
         return document.root().at(pointer).isMissingNode()
-                ? DEFAULT_CONTROL_NODE_LOSSES
-                : (int) readLong(pointer, 0, Integer.MAX_VALUE);
+                ? defaultValue
+                : readLong(pointer, min, max);
     }
 
     private OptionalLong readDataCentreMargin() {
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpConnectionHandler.java
@@ -2,8 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -15,44 +15,79 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
-import java.util.ArrayDeque;
-import java.util.Queue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Aggregates the requests of one connection and passes them to the handler in order, one at a time.
  *
  * <p>Runs only on the connection's event loop. A request that is malformed or exceeds a limit is
  * answered with a problem document, after which the connection is closed, since it is unknown where
- * the next request would begin.
+ * the next request would begin. Invariant: a request is refused as not run only before a handler
+ * has taken it; a connection whose request a handler has taken is closed without a response.
  */
 final class HttpConnectionHandler extends SimpleChannelInboundHandler<HttpObject> {
 
-    /** Maximum number of parts of pipelined requests that wait for the request in progress. */
-    private static final int MAX_QUEUED_PIPELINED_PARTS = 64;
+    private static final Logger LOGGER = LoggerFactory.getLogger(HttpConnectionHandler.class);
+
+    /** Time in which a client can take a refusal before its connection is closed regardless. */
+    private static final long REFUSAL_TIMEOUT_MS = 1_000;
 
     private static final String NO_REQUEST_ID = "none";
 
+    private final String listenerName;
     private final HttpLimits limits;
+    private final ClientGuard guard;
+    private final LimitedRequestDecoder decoder;
     private final HttpHandler handler;
     private final ServerState serverState;
-    private final Queue<HttpObject> pipelined = new ArrayDeque<>();
+    private final PipelinedParts pipelined = new PipelinedParts();
+    private final RequestProblems problems;
+    private final ReceiveTimeouts timeouts;
+    private HeldMemory held;
     private HttpRequest head;
-    private CompositeByteBuf body;
-    private ScheduledFuture<?> bodyTimeout;
+    private ByteBuf body;
     private DefaultHttpExchange exchange;
+    private long headBytes;
     private boolean rejected;
+    private volatile boolean isIdle = true;
 
-    HttpConnectionHandler(HttpLimits limits, HttpHandler handler, ServerState serverState) {
+    HttpConnectionHandler(
+            String listenerName,
+            HttpLimits limits,
+            ClientGuard guard,
+            LimitedRequestDecoder decoder,
+            HttpHandler handler,
+            ServerState serverState) {
         super(false);
+        this.listenerName = listenerName;
         this.limits = limits;
+        this.guard = guard;
+        this.decoder = decoder;
         this.handler = handler;
         this.serverState = serverState;
+        problems = new RequestProblems(limits, guard.limits());
+        timeouts = new ReceiveTimeouts(limits, guard.limits());
+    }
+
+    /** Returns whether no request is in progress or was received in part. Thread-safe. */
+    boolean isIdle() {
+        return isIdle;
+    }
+
+    /** Returns the monotonic time of the last progress. Thread-safe. */
+    long lastProgressMs() {
+        return held.lastProgressMs();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        held = guard.memory().open(() -> runOnLoop(context, () -> evict(context)));
     }
 
     @Override
@@ -61,16 +96,20 @@
             ReferenceCountUtil.release(part);
             return;
         }
+        long partHeadBytes = part instanceof HttpRequest ? decoder.lastHeadBytes() : 0;
         if (exchange == null) {
-            process(context, part);
+            process(context, part, partHeadBytes);
             return;
         }
-        if (pipelined.size() >= MAX_QUEUED_PIPELINED_PARTS) {
-            ReferenceCountUtil.release(part);
-            context.close();
-            return;
+        if (!pipelined.add(part, partHeadBytes)) {
+            closeFor(context, LimitReason.PIPELINED_REQUESTS);
         }
-        pipelined.add(part);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        updateState(context);
+        super.channelReadComplete(context);
     }
 
     /** Requests that the connection is closed as soon as no request is in progress on it. */
@@ -85,10 +124,13 @@
             closeIfDrained(context);
             return;
         }
-        if (event instanceof IdleStateEvent) {
-            if (exchange == null && head == null) {
+        if (event instanceof IdleStateEvent idle) {
+            if (idle.state() == IdleState.READER_IDLE && exchange == null && head == null) {
                 context.close();
             }
+            if (idle.state() == IdleState.WRITER_IDLE && hasUnwrittenResponse(context)) {
+                closeFor(context, LimitReason.RESPONSE_STALLED);
+            }
             return;
         }
         super.userEventTriggered(context, event);
@@ -97,66 +139,84 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         discardRequest();
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
+        pipelined.discardAll();
+        timeouts.endHead();
         if (exchange != null) {
             exchange.onChannelClosed();
         }
+        held.close();
         super.channelInactive(context);
     }
 
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        held.close();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOGGER.debug("a connection to the listener {} failed", listenerName, cause);
         context.close();
     }
 
     /** Starts the next pipelined request, if any. Must be called on the event loop. */
     void onRequestCompleted(ChannelHandlerContext context) {
         exchange = null;
+        held.endServing();
         while (exchange == null && !rejected && !pipelined.isEmpty()) {
-            process(context, pipelined.remove());
+            PipelinedParts.Part next = pipelined.remove();
+            process(context, next.object(), next.bytes());
         }
+        updateState(context);
         closeIfDrained(context);
     }
 
+    /** Closes the connection to make room for others unless it is in use by now. */
+    void closeIfIdle(ChannelHandlerContext context) {
+        if (exchange == null && head == null && !rejected) {
+            closeFor(context, LimitReason.CONNECTIONS);
+        }
+    }
+
     private void closeIfDrained(ChannelHandlerContext context) {
         if (serverState.isClosingIdleConnections() && exchange == null && head == null) {
             context.close();
         }
     }
 
-    private void process(ChannelHandlerContext context, HttpObject part) {
+    private void process(ChannelHandlerContext context, HttpObject part, long partHeadBytes) {
         DecoderResult decoderResult = part.decoderResult();
         if (decoderResult.isFailure()) {
             ReferenceCountUtil.release(part);
-            reject(context, createDecodingProblem(decoderResult.cause()));
+            rejectUndecoded(context, decoderResult.cause());
             return;
         }
         if (part instanceof HttpRequest request) {
-            beginRequest(context, request);
+            beginRequest(context, request, partHeadBytes);
         }
         if (part instanceof HttpContent content) {
             addContent(context, content);
         }
     }
 
-    private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
+    private void beginRequest(
+            ChannelHandlerContext context, HttpRequest request, long requestHeadBytes) {
         head = request;
-        body = context.alloc().compositeBuffer();
+        headBytes = requestHeadBytes;
+        body = context.alloc().buffer();
+        timeouts.endHead();
         serverState.beginRequest();
-        bodyTimeout =
-                context.executor()
-                        .schedule(
-                                () -> reject(context, createBodyTimeoutProblem()),
-                                limits.bodyTimeoutMs(),
-                                TimeUnit.MILLISECONDS);
+        timeouts.watchBody(
+                context.executor(),
+                () -> reject(context, LimitReason.BODY_TIMEOUT, problems.createBodyTimeout()),
+                () -> reject(context, LimitReason.BODY_STALLED, problems.createBodyStalled()));
         HttpVersion version = request.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
-            reject(context, createVersionProblem(version));
+            reject(context, null, RequestProblems.createVersion(version));
             return;
         }
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
-            reject(context, createBodyTooLargeProblem());
+            reject(context, LimitReason.BODY_BYTES, problems.createBodyTooLarge());
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -166,17 +226,23 @@
     }
 
     private void addContent(ChannelHandlerContext context, HttpContent content) {
-        if (head == null) {
-            content.release();
-            return;
-        }
-        ByteBuf bytes = content.content();
-        if (body.readableBytes() + bytes.readableBytes() > limits.maxBodyBytes()) {
+        try {
+            if (head == null) {
+                return;
+            }
+            ByteBuf bytes = content.content();
+            int length = bytes.readableBytes();
+            if (body.readableBytes() + length > limits.maxBodyBytes()) {
+                reject(context, LimitReason.BODY_BYTES, problems.createBodyTooLarge());
+                return;
+            }
+            timeouts.markBodyProgress();
+            held.addProgress(length);
+            // Slices of the read buffers would take many times the length of short chunks.
+            body.writeBytes(bytes);
+        } finally {
             content.release();
-            reject(context, createBodyTooLargeProblem());
-            return;
         }
-        body.addComponent(true, bytes);
         if (content instanceof LastHttpContent) {
             dispatch(context);
         }
@@ -193,9 +259,12 @@
                         context,
                         this,
                         serverState,
+                        held,
                         serverRequest,
                         HttpUtil.isKeepAlive(request),
                         request.protocolVersion().equals(HttpVersion.HTTP_1_1));
+        held.setReceivedBytes(pipelined.heldBytes());
+        held.beginServing(headBytes + bytes.length);
         try {
             handler.handle(exchange);
         } catch (RuntimeException failure) {
@@ -203,16 +272,70 @@
         }
     }
 
-    private void reject(ChannelHandlerContext context, ProblemDetail problem) {
+    /** Counts what is held, and watches the time that an incomplete head takes. */
+    private void updateState(ChannelHandlerContext context) {
+        boolean awaitsHead = exchange == null && head == null && decoder.hasPartialHead();
+        if (awaitsHead) {
+            timeouts.watchHead(
+                    context.executor(),
+                    () -> reject(context, LimitReason.HEAD_TIMEOUT, problems.createHeadTimeout()));
+        } else {
+            timeouts.endHead();
+        }
+        isIdle = exchange == null && head == null && !awaitsHead && !rejected;
+        long requestBytes = head == null ? 0 : headBytes + body.capacity();
+        held.setReceivedBytes(requestBytes + pipelined.heldBytes() + decoder.heldBytes());
+    }
+
+    /** Ends what the connection holds, since the process holds too much. */
+    private void evict(ChannelHandlerContext context) {
+        boolean hasBegunRequest = head != null || decoder.hasPartialHead();
+        if (exchange == null && hasBegunRequest) {
+            reject(context, LimitReason.MEMORY, RequestProblems.createOverloaded());
+        } else {
+            closeFor(context, LimitReason.MEMORY);
+        }
+    }
+
+    private void closeFor(ChannelHandlerContext context, LimitReason reason) {
+        if (context.channel().isActive()) {
+            guard.listener().onLimitReached(listenerName, reason);
+        }
+        context.close();
+    }
+
+    private void rejectUndecoded(ChannelHandlerContext context, Throwable cause) {
+        LimitReason reason = null;
+        if (cause instanceof ClientLimitException limit) {
+            reason = limit.reason();
+        } else if (RequestProblems.isTooLong(cause)) {
+            reason = LimitReason.HEADER_BYTES;
+        }
+        reject(context, reason, problems.createUndecoded(cause));
+    }
+
+    /** Refuses the request that is being received; the reason is null unless it is a limit. */
+    private void reject(ChannelHandlerContext context, LimitReason reason, ProblemDetail problem) {
         if (rejected || !context.channel().isActive()) {
             return;
         }
         rejected = true;
+        isIdle = false;
+        decoder.discardAll();
+        timeouts.endHead();
         discardRequest();
+        pipelined.discardAll();
+        if (reason != null) {
+            guard.listener().onLimitReached(listenerName, reason);
+        }
         ServerResponse response = problem.toResponse(NO_REQUEST_ID);
         response.setHeader(HttpHeaderNames.CONNECTION.toString(), "close");
         context.writeAndFlush(DefaultHttpExchange.encode(response))
                 .addListener(written -> context.close());
+        if (context.channel().isActive()) {
+            context.executor()
+                    .schedule(() -> context.close(), REFUSAL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void discardRequest() {
@@ -226,54 +349,23 @@
         head = null;
         body.release();
         body = null;
-        bodyTimeout.cancel(false);
-    }
-
-    private ProblemDetail createDecodingProblem(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException
-                || cause instanceof TooLongHttpLineException) {
-            return ProblemDetail.createNotRun(
-                    431,
-                    "headers-too-large",
-                    "Request headers too large",
-                    "the request line or header block is longer than "
-                            + limits.maxHeaderBytes()
-                            + " bytes: send shorter headers, or raise limits.maxHeaderBytes");
-        }
-        return ProblemDetail.createNotRun(
-                400,
-                "malformed-request",
-                "Malformed HTTP request",
-                "the request is not valid HTTP/1.1 ("
-                        + cause.getMessage()
-                        + "): correct the request");
+        timeouts.endBody();
     }
 
-    private static ProblemDetail createVersionProblem(HttpVersion version) {
-        return ProblemDetail.createNotRun(
-                505,
-                "unsupported-http-version",
-                "HTTP version not supported",
-                version + " is not supported: use HTTP/1.1");
+    private boolean hasUnwrittenResponse(ChannelHandlerContext context) {
+        ChannelOutboundBuffer unwritten = context.channel().unsafe().outboundBuffer();
+        return unwritten != null && unwritten.totalPendingWriteBytes() > 0;
     }
 
-    private ProblemDetail createBodyTooLargeProblem() {
-        return ProblemDetail.createNotRun(
-                413,
-                "body-too-large",
-                "Request body too large",
-                "the body is longer than "
-                        + limits.maxBodyBytes()
-                        + " bytes: send a shorter one, or raise limits.maxBodyBytes");
-    }
-
-    private ProblemDetail createBodyTimeoutProblem() {
-        return ProblemDetail.createNotRun(
-                408,
-                "body-timeout",
-                "Request body too slow",
-                "the request was not received completely within "
-                        + limits.bodyTimeoutMs()
-                        + " ms: retry the request, or raise limits.bodyTimeoutMs");
+    private static void runOnLoop(ChannelHandlerContext context, Runnable task) {
+        if (context.executor().inEventLoop()) {
+            task.run();
+            return;
+        }
+        try {
+            context.executor().execute(task);
+        } catch (RejectedExecutionException stopped) {
+            LOGGER.debug("the event loop of the connection has been stopped", stopped);
+        }
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
@@ -37,6 +37,7 @@
     private final Counter tokens;
     private final Counter peerBytes;
     private final Counter refusals;
+    private final Counter clientLimits;
     private final Gauge inProgress;
     private final Gauge waiting;
     private final Histogram wait;
@@ -94,6 +95,12 @@
                         "cardamomthread_refusals_total",
                         "Requests refused before they were admitted, by reason",
                         "reason");
+        clientLimits =
+                createCounter(
+                        "cardamomthread_client_limits_total",
+                        "Requests refused and connections closed because of a limit on clients",
+                        "listener",
+                        "reason");
         inProgress =
                 createGauge(
                         "cardamomthread_requests_in_progress",
@@ -200,6 +207,16 @@
         wait.labelValues(service.value()).observe(waitedMs / MS_PER_S);
     }
 
+    /**
+     * Counts a request refused, or a connection closed, because of a limit on clients.
+     *
+     * @param listener the name of the listener, from a fixed set
+     * @param reason the limit, from a fixed set
+     */
+    public void countClientLimit(String listener, String reason) {
+        clientLimits.labelValues(listener, reason).inc();
+    }
+
     /**
      * Counts tokens sent to a caller.
      *
