--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/UnmeasuredEndpointChoice.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/BoundedLoadChoice.java
@@ -8,13 +8,13 @@
 import org.cardamomthread.core.hash.RendezvousHash;
 
 /**
- * Selects an endpoint of a service of which neither a load nor a time has been measured.
+ * Selects an endpoint by load alone, without expected times.
  *
  * <p>Requests whose prompts share a part go to the same endpoint, selected by rendezvous hashing
  * with bounded loads, so that its prompt cache is used. Other requests go to the less loaded of two
  * random endpoints. Not thread-safe.
  */
-final class UnmeasuredEndpointChoice {
+final class BoundedLoadChoice {
 
     /**
      * Factor on the mean load, to which {@link #AFFINITY_LOAD_ALLOWANCE} is added; above the
@@ -32,7 +32,7 @@
 
     private final RandomGenerator random;
 
-    UnmeasuredEndpointChoice(RandomGenerator random) {
+    BoundedLoadChoice(RandomGenerator random) {
         this.random = random;
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelector.java
@@ -29,8 +29,8 @@
  * Selects the endpoint for an attempt by the expected time to the first token.
  *
  * <p>Endpoints that are not available, not of the selected version, in back-off or without a permit
- * for a cold endpoint are left out before the times are compared. Until a load or a time of the
- * service has been measured, {@link UnmeasuredEndpointChoice} selects. Not thread-safe.
+ * for a cold endpoint are left out before the times are compared. Until the load of the service has
+ * been reported, {@link BoundedLoadChoice} selects. Not thread-safe.
  */
 final class ForwardingEndpointSelector {
 
@@ -48,7 +48,7 @@
     private final ForwardingLog log;
     private final ForwardingMetrics metrics;
     private final EndpointPlacement placement;
-    private final UnmeasuredEndpointChoice unmeasuredChoice;
+    private final BoundedLoadChoice boundedLoadChoice;
     private final RecentPrompts recentPrompts = new RecentPrompts();
     private final Map<ServiceId, ServicePace> paceByService = new HashMap<>();
 
@@ -81,7 +81,7 @@
         this.log = log;
         this.metrics = metrics;
         placement = new EndpointPlacement(random);
-        unmeasuredChoice = new UnmeasuredEndpointChoice(random);
+        boundedLoadChoice = new BoundedLoadChoice(random);
     }
 
     /**
@@ -108,7 +108,7 @@
             PlacementDecision decision = null;
             if (placementRequest == null) {
                 selected =
-                        unmeasuredChoice.select(
+                        boundedLoadChoice.select(
                                 candidates, affinityKey, view.gatewayCount(), nowMs);
             } else {
                 decision =
@@ -119,7 +119,9 @@
                                 pace,
                                 view.gatewayCount(),
                                 nowMs);
-                selected = candidates.get(decision.index());
+                selected =
+                        preferKeeperOfSharedPrompt(
+                                candidates, affinityKey, decision, placementRequest, nowMs);
             }
             if (!selected.isCold(nowMs) || tryAdmitToCold(selected, service, view, nowMs)) {
                 logPlacement(request, candidates, selected, decision);
@@ -130,6 +132,29 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns the endpoint that all gateways prefer for a shared prompt, in whichever data centre
+     * it is, unless it is expected to be too slow: a part that is read again costs far more than a
+     * round trip.
+     */
+    private TrackedEndpoint preferKeeperOfSharedPrompt(
+            List<TrackedEndpoint> candidates,
+            Optional<String> affinityKey,
+            PlacementDecision decision,
+            PlacementRequest placementRequest,
+            long nowMs) {
+        if (affinityKey.isPresent()) {
+            TrackedEndpoint keeper =
+                    boundedLoadChoice.select(
+                            candidates, affinityKey, endpoints.view().gatewayCount(), nowMs);
+            if (placement.isFastEnoughForSharedPrompt(
+                    candidates.indexOf(keeper), decision, placementRequest)) {
+                return keeper;
+            }
+        }
+        return candidates.get(decision.index());
+    }
+
     private void logPlacement(
             AdmittedRequest request,
             List<TrackedEndpoint> candidates,
--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointPlacement.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/EndpointPlacement.java
@@ -27,6 +27,10 @@
     private final RandomGenerator random;
     private double[] expectedMs = new double[0];
     private double[] requests = new double[0];
+
+    /** Tolerances in half of the latency objective. */
+    private static final double SHARED_PROMPT_TOLERANCES = 5;
+
     private boolean[] isLocal = new boolean[0];
     private boolean[] isOpen = new boolean[0];
     private int[] band = new int[0];
@@ -81,6 +85,25 @@
         return new PlacementDecision(chosen, expectedMs[chosen], bestLocal, bestLocalMs, reason);
     }
 
+    /**
+     * Returns whether a candidate of the last choice may take a shared prompt that it is expected
+     * to keep: callers do not notice a slower endpoint within half of the latency objective, and
+     * other prompts wait less if the part is not read again elsewhere.
+     *
+     * @param index the index of the candidate
+     * @param decision the last choice
+     * @param request what that choice depended on
+     * @return false if the candidate is expected to be too slow
+     */
+    public boolean isFastEnoughForSharedPrompt(
+            int index, PlacementDecision decision, PlacementRequest request) {
+        double maxMs =
+                Math.max(
+                        decision.expectedMs() + request.toleranceMs(),
+                        SHARED_PROMPT_TOLERANCES * request.toleranceMs());
+        return expectedMs[index] <= maxMs;
+    }
+
     /** Returns the endpoint elsewhere that is faster by more than the margin, or none. */
     private int chooseElsewhere(
             List<? extends Candidate> candidates, PlacementRequest request, double bestLocalMs) {
