--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/telemetry/NodeMetrics.java
@@ -37,10 +37,21 @@
     private final Counter tokens;
     private final Counter peerBytes;
     private final Counter refusals;
-    private final Counter clientLimits;
+    private final Counter clientLimits =
+            createCounter(
+                    "cardamomthread_client_limits_total",
+                    "Requests refused and connections closed because of a limit on clients",
+                    "listener",
+                    "reason");
     private final Gauge inProgress;
-    private final Gauge waiting;
-    private final Histogram wait;
+    private final Gauge waiting =
+            createGauge(
+                    "cardamomthread_requests_waiting",
+                    "Requests that wait for an endpoint with room");
+    private final Histogram wait =
+            createHistogram(
+                    "cardamomthread_request_wait_seconds",
+                    "Time for which requests that were sent had waited for an endpoint");
 
     /** Creates and registers the metrics, all zero. */
     public NodeMetrics() {
@@ -95,24 +106,10 @@
                         "cardamomthread_refusals_total",
                         "Requests refused before they were admitted, by reason",
                         "reason");
-        clientLimits =
-                createCounter(
-                        "cardamomthread_client_limits_total",
-                        "Requests refused and connections closed because of a limit on clients",
-                        "listener",
-                        "reason");
         inProgress =
                 createGauge(
                         "cardamomthread_requests_in_progress",
                         "Requests accepted and not yet answered whole");
-        waiting =
-                createGauge(
-                        "cardamomthread_requests_waiting",
-                        "Requests that wait for an endpoint with room");
-        wait =
-                createHistogram(
-                        "cardamomthread_request_wait_seconds",
-                        "Time for which requests that were sent had waited for an endpoint");
     }
 
     /**
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ForwardingEndpointSelectorTests.java
@@ -171,7 +171,9 @@
             endpoint.updateLoad(report(load), time.monotonicMs());
         }
         for (int i = 0; i < 30; i++) {
-            TrackedEndpoint selected = select(selector, "part" + i).orElseThrow();
+            AdmittedRequest request = request(List.of(new PromptPart("own" + i, 826)));
+            TrackedEndpoint selected =
+                    selector.select(request, Optional.empty(), Set.of()).orElseThrow();
             assertEquals(isOwn(selected), expectsOwn, name + " " + selected.id());
         }
     }
