--- a/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ServicePace.java
+++ b/cardamomthread-policy/src/main/java/org/cardamomthread/policy/placement/ServicePace.java
@@ -117,8 +117,8 @@
 
     /**
      * Returns whether any endpoint of the service has reported how long work takes on its host.
-     * Where hosts are alike, bounded loads serve as well, and shared prompts are read again less:
-     * on serra-oficina 2.2 to 2.4 times as many of their tokens with expected times.
+     * Where hosts are alike, bounded loads serve callers as well, and shared prompts are read again
+     * half as often.
      *
      * @return true if one has
      */
