--- a/review/standin-2/PromiseAfterRun.java
+++ b/review/standin-2/PromiseAfterRun.java
@@ -1,4 +1,5 @@
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -6,14 +7,16 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A server fails part of the requests that it has run with a 503 of its own, which doesn't state
- * that the request hasn't run. Checks that no request that may run once is answered with a status
+ * One of seven servers fails part of the requests that it has run with a 503 of its own, which
+ * doesn't state that the request hasn't run. Checks that no request that may run once is answered with a status
  * that promises "not run" although it has run.
  */
 final class PromiseAfterRun {
 
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
-    private static final int BOOKINGS = 40;
+    private static final int BOOKINGS = 120;
+    private static final int SERVERS = 7;
+    private static final double FAILED_SHARE = 0.45;
 
     public static void main(String[] args) throws Exception {
         Path folder = Path.of(args[0]);
@@ -39,21 +42,29 @@
         List<String> controlIps = List.of(0, 1, 2).stream().map(deployment::controlIp).toList();
         Set<String> run = ConcurrentHashMap.newKeySet();
         Map<String, AtomicInteger> runsOfBooking = new ConcurrentHashMap<>();
-        AtomicInteger count = new AtomicInteger();
-        try (ServerStandIn server =
-                new ServerStandIn(
-                        "i-1", deployment.serverIp(0), 16, controlIps, deployment.controlPort,
+        List<ServerStandIn> servers = new ArrayList<>();
+        try {
+            for (int i = 0; i < SERVERS; i++) {
+                String name = "i-" + i;
+                boolean isFaulty = isDisrupted && i == 0;
+                AtomicInteger count = new AtomicInteger();
+                ServerStandIn.Behaviour behaviour =
                         (request, out, channel) -> {
                             run.add(request.id());
                             String booking = new String(request.body());
                             runsOfBooking.computeIfAbsent(booking, key -> new AtomicInteger()).incrementAndGet();
-                            record.add("server runs " + request.id() + " of " + booking);
+                            int number = count.incrementAndGet();
+                            boolean fails = isFaulty && (int) (number * FAILED_SHARE) > (int) ((number - 1) * FAILED_SHARE);
+                            record.add("server " + name + " runs " + request.id() + (fails ? " and fails it" : ""));
                             Thread.sleep(20);
-                            boolean fails = isDisrupted && count.incrementAndGet() % 5 == 0;
                             out.write(ServerStandIn.signedHead(fails ? 503 : 200, request.id(), "Content-Length: 2\r\n"));
                             out.write((fails ? "no" : "ok").getBytes());
-                        },
-                        record)) {
+                        };
+                servers.add(
+                        new ServerStandIn(
+                                name, deployment.serverIp(i), 16, controlIps, deployment.controlPort,
+                                behaviour, record));
+            }
             Thread.sleep(4_000);
             int brokenPromises = 0;
             for (int i = 0; i < BOOKINGS; i++) {
@@ -71,6 +82,10 @@
                 return 2;
             }
             return brokenPromises > 0 ? 1 : 0;
+        } finally {
+            for (ServerStandIn server : servers) {
+                server.close();
+            }
         }
     }
 
