Promote the successor of a silent voter before removing that voter

One follower of three is killed and back after 3.5 s with its disk; as a spare node joins for it, the other follower loses its disk. All nodes run again, and for good every control node answers 503 and gateways refuse all keys.

Cause: the leader removed the silent voter first and promoted the learner next. In between two nodes vote and both are needed, and the identity of the lost disk never comes back. A change from an odd number of voters to the one below gives up the loss of one folder; a change between an odd number and the even one above gives up nothing.

Change: a voter that is merely silent is removed only from an even number of voters, after the promotion of its successor; if it returns in between, the newest voter is removed. A voter that another folder of its node supersedes is still removed first. An operator's removal of a voter that is needed is refused.

--- a/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MembershipChanges.java
+++ b/cardamomthread-replication/src/main/java/org/cardamomthread/replication/consensus/MembershipChanges.java
@@ -15,8 +15,9 @@
  * Changes the membership of a group, one member at a time, during one term of a leader.
  *
  * <p>Invariants: a change starts only after the previous change and an entry of the current term
- * are committed; only a learner that holds nearly the whole log becomes a voter; a voter that is
- * gone is removed only once such a learner can take its place. Not thread-safe.
+ * are committed; only a learner that holds nearly the whole log becomes a voter; a silent voter,
+ * whose folder may still exist, is removed only from an even number of voters, so that the number
+ * of lost folders that the group outlives never decreases. Not thread-safe.
  */
 final class MembershipChanges {
 
@@ -68,6 +69,12 @@
         require(
                 !member.isVoter() || membership().voters().size() > 1,
                 "\"" + voterId + "\" is the only voter; add and promote another member first");
+        require(
+                !member.isVoter() || !isEachVoterNeeded(),
+                "without \""
+                        + voterId
+                        + "\" the group would outlive fewer lost folders; stop its node instead,"
+                        + " and another one takes its place");
         return append(membership().withoutMember(voterId));
     }
 
@@ -140,10 +147,12 @@
     }
 
     /**
-     * Removes members that have a replacement, and promotes the caught-up replacements.
+     * Promotes caught-up learners to vacant places, and removes members that have a replacement.
      *
-     * <p>An inactive voter is removed before its replacement is promoted: it adds no fault
-     * tolerance, whereas promoting first would increase the size of a majority.
+     * <p>The successor of a silent voter is promoted before that voter is removed, because the
+     * silent voter's folder counts if another folder is lost meanwhile. A voter that is superseded
+     * by another folder of its node never returns and is removed first: it adds no fault tolerance,
+     * whereas promoting first would increase the size of a majority.
      */
     void tick() {
         if (!leaderState.isMembershipCommitted()) {
@@ -162,8 +171,9 @@
             return;
         }
         members.stream()
-                .filter(member -> isSuperseded(member) || isReplaceable(member))
+                .filter(member -> isSuperseded(member) || isRemovableWhenGone(member))
                 .findFirst()
+                .or(this::findSurplusVoter)
                 .ifPresent(
                         member -> {
                             append(membership().withoutMember(member.voterId()));
@@ -201,23 +211,68 @@
 
     /**
      * Returns whether one more voter is wanted. From three voters on they grow by two at a time: an
-     * even number outlives no more losses, and a single learner can take the place of a lost voter.
+     * even number outlives no more losses. The successor of a silent voter makes their number even
+     * until that voter is removed.
      */
     private boolean hasVacantPlace(int voterCount) {
         int voters = membership().voters().size();
-        boolean isEvenOrSmall = voters % 2 == 0 || voters < SMALLEST_REDUNDANT_GROUP;
-        return voters < voterCount
-                && (isEvenOrSmall
-                        || membership().members().stream().filter(this::isReadyLearner).count()
-                                > 1);
+        if (voters < voterCount && (hasEvenVoterCount() || voters < SMALLEST_REDUNDANT_GROUP)) {
+            return true;
+        }
+        return !hasEvenVoterCount()
+                && (membership().voters().stream().anyMatch(this::isGone)
+                        || (voters < voterCount
+                                && membership().members().stream()
+                                                .filter(this::isReadyLearner)
+                                                .count()
+                                        > 1));
     }
 
-    /** Returns whether a member is gone and, if it is a voter, a learner can take its place. */
-    private boolean isReplaceable(ReplicaMember member) {
-        if (!isGone(member)) {
-            return false;
-        }
-        return !member.isVoter() || membership().members().stream().anyMatch(this::isReadyLearner);
+    /** Returns whether fewer voters than intended would outlive the loss of fewer folders. */
+    private boolean isEachVoterNeeded() {
+        return !hasEvenVoterCount()
+                && context.settings()
+                        .voterReplacement()
+                        .filter(r -> membership().voters().size() <= r.voterCount())
+                        .isPresent();
+    }
+
+    private boolean hasEvenVoterCount() {
+        return membership().voters().size() % 2 == 0;
+    }
+
+    /**
+     * Returns whether a member is gone and not needed. An even number of voters, less one, outlives
+     * the loss of as many folders; an odd one does not.
+     */
+    private boolean isRemovableWhenGone(ReplicaMember member) {
+        boolean isNeeded =
+                member.isVoter()
+                        && (!hasEvenVoterCount()
+                                || membership().voters().size() < SMALLEST_REDUNDANT_GROUP);
+        return !isNeeded && isGone(member);
+    }
+
+    /**
+     * Returns the newest of more voters than intended if all of them respond, as when a silent
+     * voter has returned after the promotion of its successor.
+     */
+    private Optional<ReplicaMember> findSurplusVoter() {
+        List<ReplicaMember> voters = membership().voters();
+        boolean isSurplus =
+                hasEvenVoterCount()
+                        && context.settings()
+                                .voterReplacement()
+                                .filter(replacement -> voters.size() > replacement.voterCount())
+                                .isPresent()
+                        && voters.stream()
+                                .map(ReplicaMember::voterId)
+                                .allMatch(leaderState::isRecentlyActive);
+        return !isSurplus
+                ? Optional.empty()
+                : voters.stream()
+                        .filter(voter -> !voter.voterId().equals(context.self().voterId()))
+                        .reduce((earlier, later) -> later);
     }
 
     private boolean isSuperseded(ReplicaMember member) {
