Name the known control nodes in a refused view request

The settings name control nodes that do not vote as seeds. A gateway that starts then never finds the leader and answers 503 for good.

Cause: only voters hear the leader. Another control node refused a view request without naming anybody, and gateways learnt nodes only from a leader's response or a leader named in a refusal, so they asked their seeds in turn for ever.

Change: a refusal names the known control nodes, voters first, and gateways ask these too. After 3 s without a leader a gateway asks the seeds of its settings again, which it forgets once a leader does not know them.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNodeDirectory.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/fleet/ControlNodeDirectory.java
@@ -3,9 +3,10 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentSkipListMap;
@@ -43,6 +44,12 @@
      */
     private static final long POLL_INTERVAL_MS = 1_000;
 
+    /**
+     * Interval while no voters are known: a node with an empty folder has to ask its way to a
+     * member of the group, which none of its seeds need be, before it can join.
+     */
+    private static final long SEARCH_INTERVAL_MS = 250;
+
     /** Time without contact after which a control node is considered removed. */
     private static final long RETENTION_MS = 30_000;
 
@@ -82,6 +89,7 @@
         transport.register(TOPIC, this::handleRequest);
         controlThread.execute(() -> pollNextNode(controlThread));
         controlThread.scheduleWithFixedDelay(POLL_INTERVAL_MS, () -> pollNextNode(controlThread));
+        controlThread.scheduleWithFixedDelay(SEARCH_INTERVAL_MS, () -> searchVoters(controlThread));
     }
 
     /** Sets the voters that the data folder names, before the state of the replica is known. */
@@ -134,11 +142,12 @@
                 .toList();
     }
 
-    /** Returns the known control nodes, including this one. */
+    /** Returns the known control nodes, including this one; those that vote come first. */
     List<NodeId> allNodes() {
-        List<NodeId> nodes = new ArrayList<>(otherNodes());
+        Set<NodeId> nodes = new LinkedHashSet<>(voters);
+        nodes.addAll(lastSeenMs.keySet());
         nodes.add(settings.nodeId());
-        return nodes;
+        return List.copyOf(nodes);
     }
 
     /** Registers the address on which a node listens with the transport. */
@@ -173,6 +182,12 @@
                         });
     }
 
+    private void searchVoters(ControlThread controlThread) {
+        if (voters.isEmpty()) {
+            pollNextNode(controlThread);
+        }
+    }
+
     private void removeStaleNodes() {
         long oldestMs = timeSource.monotonicMs() - RETENTION_MS;
         List<NodeId> retained = voters.isEmpty() ? settings.seedNodes() : voters;
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewClient.java
@@ -27,8 +27,10 @@
  * the traffic document that the view contains as the newest. A new document is fetched in parts
  * besides the polls, which apply everything else meanwhile.
  *
- * <p>Follows leader hints, and tries the known control nodes in turn while none responds. Polling
- * continues after any error. All state is confined to one executor, on which the listeners run too.
+ * <p>Follows leader hints, and tries the known control nodes in turn while none responds as the
+ * leader. A refusal adds the nodes that it names, and some time without a leader adds the seeds
+ * again, so that a client never depends on nodes that are all gone. Polling continues after any
+ * error. All state is confined to one executor, on which the listeners run too.
  */
 public final class ViewClient {
 
@@ -48,6 +50,9 @@
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
+    /** Time without a leader, longer than an election, after which the seeds are asked as well. */
+    static final Duration SEED_RETURN_PERIOD = Duration.ofSeconds(3);
+
     private final PeerTransport transport;
     private final ViewUpdater updater;
     private final ViewLease viewLease;
@@ -57,9 +62,11 @@
     private final Consumer<GatewayView> viewListener;
     private final AddressRegistrar addressRegistrar;
     private final DocumentClient documentClient;
+    private final List<NodeId> seeds;
     private final Set<NodeId> controlNodes = new LinkedHashSet<>();
     private Optional<NodeId> leader = Optional.empty();
     private int nextNodeIndex;
+    private long leaderSeenMs;
     private boolean isConnected;
 
     /** Registers the network addresses of control nodes with the transport. */
@@ -101,12 +108,14 @@
             Consumer<GatewayView> viewListener) {
         this.transport = transport;
         this.addressRegistrar = addressRegistrar;
+        this.seeds = List.copyOf(seeds);
         this.updater = updater;
         this.viewLease = viewLease;
         this.executor = executor;
         this.timeSource = timeSource;
         this.reportWriter = reportWriter;
         this.viewListener = viewListener;
+        leaderSeenMs = timeSource.monotonicMs();
         documentClient = new DocumentClient(transport, executor, random, this::applyDocument);
         seeds.forEach(this::addControlNode);
     }
@@ -184,12 +193,14 @@
     private Duration handleResponse(NodeId target, long sentMs, ViewResponse response) {
         if (!response.getRefusal().isEmpty()) {
             handleFailure(target, response.getRefusal());
+            response.getControlNodesList().forEach(node -> addControlNode(new NodeId(node)));
             if (!response.getLeader().isEmpty()) {
                 leader = Optional.of(addControlNode(new NodeId(response.getLeader())));
             }
             return RETRY_DELAY;
         }
         leader = Optional.of(target);
+        leaderSeenMs = timeSource.monotonicMs();
         replaceControlNodes(response.getControlNodesList().stream().map(NodeId::new).toList());
         if (!updater.apply(response)) {
             handleFailure(
@@ -251,6 +262,9 @@
     }
 
     private NodeId nextControlNode() {
+        if (timeSource.monotonicMs() - leaderSeenMs >= SEED_RETURN_PERIOD.toMillis()) {
+            seeds.forEach(this::addControlNode);
+        }
         List<NodeId> nodes = new ArrayList<>(controlNodes);
         return nodes.get(Math.floorMod(nextNodeIndex++, nodes.size()));
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/view/ViewServer.java
@@ -23,7 +23,9 @@
 import org.cardamomthread.transport.PeerTopic;
 
 /**
- * Serves the view to the gateways, on the control node that is the leader.
+ * Serves the view to the gateways, on the control node that is the leader. Other control nodes
+ * refuse the request and name whom to ask instead: the leader, and the control nodes they know, as
+ * a node that does not vote is told nothing of the leader.
  *
  * <p>Invariant: a response is created only after the leader's lease has been confirmed following
  * the arrival of the request, so it includes every change acknowledged before the request was sent.
@@ -60,7 +62,7 @@
      * @param reports the gateways' reports, accessed on the control thread only
      * @param leavingEndpoints applies what gateways report on endpoints that leave
      * @param quarantine the quarantined prompt parts, accessed on the control thread only
-     * @param controlNodes supplies the known control nodes
+     * @param controlNodes supplies the known control nodes, the voters first
      * @param controlThread the thread on which responses are created
      * @param timeSource supplies monotonic time
      * @param registryId identifies this incarnation of this node, and thereby its registry
@@ -93,7 +95,7 @@
      *
      * @param from the gateway that sent it
      * @param payload the encoded {@link ViewRequest}
-     * @return the encoded {@link ViewResponse}, which may be a refusal with a leader hint
+     * @return the encoded {@link ViewResponse}, which may be a refusal that names other nodes
      */
     public CompletionStage<byte[]> handle(NodeId from, byte[] payload) {
         ViewRequest request;
@@ -197,12 +199,13 @@
         return reject(String.valueOf(cause.getMessage()), leader);
     }
 
-    private static byte[] reject(String reason, Optional<NodeId> leader) {
-        return ViewResponse.newBuilder()
-                .setRefusal(reason)
-                .setLeader(leader.map(NodeId::value).orElse(""))
-                .build()
-                .toByteArray();
+    private byte[] reject(String reason, Optional<NodeId> leader) {
+        ViewResponse.Builder response =
+                ViewResponse.newBuilder()
+                        .setRefusal(reason)
+                        .setLeader(leader.map(NodeId::value).orElse(""));
+        controlNodes.get().forEach(node -> response.addControlNodes(node.value()));
+        return response.build().toByteArray();
     }
 
     private static TrafficState withoutLargeParts(TrafficState state) {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewClientTests.java
@@ -39,11 +39,13 @@
     private ScheduledExecutorService executor;
     private final List<NodeId> askedNodes = new CopyOnWriteArrayList<>();
     private volatile CompletableFuture<byte[]> nextResponse;
+    private ManualTimeSource timeSource;
 
     @BeforeMethod
     public void start() {
         executor = Executors.newSingleThreadScheduledExecutor();
         askedNodes.clear();
+        timeSource = new ManualTimeSource();
     }
 
     @AfterMethod(alwaysRun = true)
@@ -79,7 +81,6 @@
     }
 
     private ViewClient createClient(Runnable onReport) {
-        ManualTimeSource timeSource = new ManualTimeSource();
         return new ViewClient(
                 new RecordingTransport(),
                 node -> {},
@@ -138,6 +139,41 @@
         assertEquals(asked.stream().filter(REMOVED::equals).count(), 0, asked.toString());
     }
 
+    /** Guards against a gateway that never finds the leader because its seeds do not vote. */
+    @Test
+    public void asksTheNodesThatARefusalNames() throws Exception {
+        nextResponse =
+                CompletableFuture.completedFuture(
+                        ViewResponse.newBuilder()
+                                .setRefusal("this node does not lead")
+                                .addControlNodes(ADDED.value())
+                                .build()
+                                .toByteArray());
+        createClient(() -> {}).start();
+        awaitRequests(4);
+        assertTrue(askedNodes.contains(ADDED), askedNodes.toString());
+    }
+
+    /** Guards against a gateway whose known nodes have all been replaced while it was cut off. */
+    @Test
+    public void asksTheSeedsAgainWhenNoKnownNodeLeads() throws Exception {
+        nextResponse =
+                CompletableFuture.completedFuture(
+                        ViewResponse.newBuilder()
+                                .addControlNodes(ADDED.value())
+                                .build()
+                                .toByteArray());
+        createClient(() -> {}).start();
+        awaitRequests(1);
+        nextResponse =
+                CompletableFuture.failedFuture(new PeerUnreachableException("simulated failure"));
+        int firstFailure = askedNodes.size();
+        timeSource.advanceMs(ViewClient.SEED_RETURN_PERIOD.toMillis());
+        awaitRequests(firstFailure + 8);
+        List<NodeId> asked = askedNodes.subList(firstFailure + 1, askedNodes.size());
+        assertTrue(asked.containsAll(List.of(ADDED, LEADER, REMOVED)), asked.toString());
+    }
+
     private void awaitRequests(int count) throws InterruptedException {
         long endMs = System.currentTimeMillis() + TimeUnit.SECONDS.toMillis(TIMEOUT_S);
         while (askedNodes.size() < count) {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/view/ViewServerTests.java
@@ -30,6 +30,7 @@
 import org.cardamomthread.daemon.view.generated.ViewRequest;
 import org.cardamomthread.daemon.view.generated.ViewResponse;
 import org.cardamomthread.policy.quarantine.PromptPartKey;
+import org.cardamomthread.replication.ReplicationGroup;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -71,6 +72,21 @@
         controlThread.close();
     }
 
+    /** Guards against a gateway that never finds the leader because its seeds do not vote. */
+    @Test
+    public void refusalNamesTheKnownControlNodes() throws Exception {
+        List<NodeId> known = List.of(new NodeId("10.0.0.1"), new NodeId("10.0.0.2"));
+        ViewServer server = createServer("one", Optional.empty(), known);
+        byte[] payload =
+                server.handle(GATEWAY, ViewRequest.getDefaultInstance().toByteArray())
+                        .toCompletableFuture()
+                        .get();
+        ViewResponse response = ViewResponse.parseFrom(payload);
+        assertFalse(response.getRefusal().isEmpty());
+        assertEquals(response.getLeader(), "");
+        assertEquals(response.getControlNodesList(), known.stream().map(NodeId::value).toList());
+    }
+
     @Test
     public void sendsOnlyChangesAfterFirstResponse() throws Exception {
         ControlNode leader = createNode("one");
@@ -319,28 +335,47 @@
 
     private ControlNode createNode(String name) {
         EndpointRegistry registry = new EndpointRegistry(time);
-        QuarantineServer quarantine =
-                new QuarantineServer(
-                        registry,
-                        () -> OptionalLong.of(2),
-                        controlThread,
-                        time,
-                        new DecisionLog(time));
+        QuarantineServer quarantine = createQuarantine(registry);
         ViewServer server =
-                new ViewServer(
-                        new TrafficReplica(),
-                        () -> Optional.of(new FakeReplicationGroup()),
+                createServer(
+                        name,
+                        Optional.of(new FakeReplicationGroup()),
+                        List.of(),
                         registry,
-                        new GatewayReports(time, 2_000),
-                        new LeavingEndpointReports(registry, new DecisionLog(time)),
-                        quarantine,
-                        List::of,
-                        controlThread,
-                        time,
-                        name);
+                        quarantine);
         return new ControlNode(registry, quarantine, server);
     }
 
+    private ViewServer createServer(
+            String name, Optional<ReplicationGroup> group, List<NodeId> controlNodes) {
+        EndpointRegistry registry = new EndpointRegistry(time);
+        return createServer(name, group, controlNodes, registry, createQuarantine(registry));
+    }
+
+    private QuarantineServer createQuarantine(EndpointRegistry registry) {
+        return new QuarantineServer(
+                registry, () -> OptionalLong.of(2), controlThread, time, new DecisionLog(time));
+    }
+
+    private ViewServer createServer(
+            String name,
+            Optional<ReplicationGroup> group,
+            List<NodeId> controlNodes,
+            EndpointRegistry registry,
+            QuarantineServer quarantine) {
+        return new ViewServer(
+                new TrafficReplica(),
+                () -> group,
+                registry,
+                new GatewayReports(time, 2_000),
+                new LeavingEndpointReports(registry, new DecisionLog(time)),
+                quarantine,
+                () -> controlNodes,
+                controlThread,
+                time,
+                name);
+    }
+
     private static EndpointReport report(EndpointId id) {
         String address = "10.0.0." + id.value().length() + ":80";
         return TestEndpoints.createReport(id.value(), CHAT, address, false);
