Answer 502 where an endpoint's failure would state "not run" after a run

An endpoint runs a booking and fails it with a 503 that does not state that it has not run.

Cause: the gateway knew that the request may have run and still passed the status on.

For a request that must not run twice, an endpoint's failure with such a status and without the statement becomes the gateway's own 502, without the endpoint's signature. Requests that may be repeated get the endpoint's status unchanged.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dialect/PlatformDialect.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dialect/PlatformDialect.java
@@ -48,6 +48,15 @@
      */
     EndpointResponseHead decodeResponseHead(int status, HttpHeaders headers);
 
+    /**
+     * Returns whether clients take a status for the statement that the request has not run and
+     * never will.
+     *
+     * @param status the HTTP status code of a response to a client
+     * @return true if the status may only be returned for a request that has not run
+     */
+    boolean guaranteesNotRun(int status);
+
     /**
      * Encodes the headers of a response to a client.
      *
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedAttempt.java
@@ -268,6 +268,15 @@
             call.failWith("stream-not-resumed", detail);
             return;
         }
+        if (context.dialect().guaranteesNotRun(status)
+                && !request.route().requestKind().isRetryable()) {
+            call.failWith(
+                    "endpoint-failure",
+                    "the endpoint failed the request with status "
+                            + status
+                            + ", which does not state whether the request has run");
+            return;
+        }
         call.complete("endpoint-failure", status, headers);
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ForwardedCall.java
@@ -20,8 +20,9 @@
  *
  * <p>Invariants: a request that must not run twice is sent to a second endpoint only if the first
  * stated that it did not run it, or if nothing was sent. A status that guarantees "not run" is
- * returned only if no attempt can have run. Only complete events, or a complete body, reach the
- * client as complete. Runs on one event loop.
+ * returned only if no attempt can have run, except that an endpoint's own status is passed on for a
+ * request that may run twice. Only complete events, or a complete body, reach the client as
+ * complete. Runs on one event loop.
  */
 final class ForwardedCall {
 
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/TestPlatformDialect.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/testing/TestPlatformDialect.java
@@ -91,6 +91,11 @@
                 LoadReport.WORK_TIME_NOT_REPORTED);
     }
 
+    @Override
+    public boolean guaranteesNotRun(int status) {
+        return status == 429 || status == 503;
+    }
+
     @Override
     public HttpHeaders encodeResponseHeaders(HttpHeaders received) {
         return EndToEndHeaders.copy(received);
