Bound what is read of one endpoint in a turn, and copy unfinished events once

One endless answer in chunks of one byte stops a gateway for some 20 s; 60 of 60 other requests are late, as are readiness checks.

Causes: one turn of the event loop read up to 16 buffers of 64 KiB of an endpoint's connection, and each chunk in them went through all handlers down to a write to the client; and for each chunk the splitter copied all bytes of the unfinished event, twice.

Changes: the clients for endpoints and for the platform read at most 16 KiB a turn, as HttpServer does (FairReads). ContentAggregator joins the chunks of one read. The splitter appends to a growing buffer.

--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
@@ -1,6 +1,7 @@
 package org.cardamomthread.daemon.dispatch;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.Timer;
@@ -16,6 +17,7 @@
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.uri.Uri;
 import org.cardamomthread.core.time.TimeSource;
+import org.cardamomthread.daemon.http.FairReads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,7 +31,8 @@
  * <p>Invariant: the request target goes out as given, without a parser of URLs on its way.
  *
  * <p>Connections on which bytes arrive that are no response are closed, and only an orderly close
- * by the endpoint ends a response. Thread-safe.
+ * by the endpoint ends a response. An endpoint that sends without end takes no more than its turn
+ * of the event loop. Thread-safe.
  */
 public final class AsyncEndpointClient implements EndpointClient {
 
@@ -117,6 +120,8 @@
                         .setEventLoopGroup(eventLoops)
                         .setNettyTimer(timer)
                         .setHttpAdditionalChannelInitializer(AsyncEndpointClient::addHandlers)
+                        .addChannelOption(
+                                ChannelOption.RECVBUF_ALLOCATOR, FairReads.createAllocator())
                         .setKeepAlive(false)
                         .setMaxRequestRetry(0)
                         .setFollowRedirect(false)
@@ -137,7 +142,9 @@
                 "endpoint " + host + ":" + port + " must be called over plain HTTP");
     }
 
+    /** Each handler goes directly behind the codec, and so before those that were added earlier. */
     private static void addHandlers(Channel channel) {
+        ContentAggregator.addTo(channel);
         ResponseByteLimiter.addTo(channel);
         OrderlyCloseGuard.addTo(channel);
     }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
@@ -1,5 +1,6 @@
 package org.cardamomthread.daemon.duty;
 
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.time.Duration;
@@ -11,6 +12,7 @@
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PlatformCall;
+import org.cardamomthread.daemon.http.FairReads;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -70,6 +72,9 @@
                                 .setConnectTimeout(REQUEST_TIMEOUT)
                                 .setRequestTimeout(REQUEST_TIMEOUT)
                                 .setSoLinger(RESET_ON_CLOSE_LINGER_S)
+                                .addChannelOption(
+                                        ChannelOption.RECVBUF_ALLOCATOR,
+                                        FairReads.createAllocator())
                                 .setMaxRequestRetry(0));
     }
 
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitter.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitter.java
@@ -1,8 +1,8 @@
 package org.cardamomthread.daemon.forwarding;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -10,7 +10,8 @@
 /**
  * Splits a stream of server-sent events at event boundaries and reads the ids of the events.
  *
- * <p>Invariant: the returned bytes always end at an event boundary. Not thread-safe.
+ * <p>Invariants: the returned bytes always end at an event boundary; a byte is copied a bounded
+ * number of times on average, in however many parts its event arrives. Not thread-safe.
  */
 final class ServerSentEventSplitter {
 
@@ -20,7 +21,7 @@
     private static final byte[] NO_BYTES = new byte[0];
 
     private final EventBoundaryScanner scanner;
-    private byte[] partial = NO_BYTES;
+    private ByteArrayOutputStream partial = new ByteArrayOutputStream();
 
     ServerSentEventSplitter(EventBoundaryScanner scanner) {
         this.scanner = scanner;
@@ -33,12 +34,17 @@
      * @return the complete events, or an empty array
      */
     byte[] append(byte[] bytes) {
-        byte[] joined = Arrays.copyOf(partial, partial.length + bytes.length);
-        System.arraycopy(bytes, 0, joined, partial.length, bytes.length);
         int boundary = scanner.scan(bytes);
-        int completeBytes = boundary == 0 ? 0 : partial.length + boundary;
-        partial = Arrays.copyOfRange(joined, completeBytes, joined.length);
-        return Arrays.copyOf(joined, completeBytes);
+        if (boundary == 0) {
+            partial.write(bytes, 0, bytes.length);
+            return NO_BYTES;
+        }
+        partial.write(bytes, 0, boundary);
+        byte[] complete = partial.toByteArray();
+        // A new buffer, since the former one may have grown to the longest event allowed.
+        partial = new ByteArrayOutputStream();
+        partial.write(bytes, boundary, bytes.length - boundary);
+        return complete;
     }
 
     /**
@@ -70,16 +76,16 @@
 
     /** Discards the start of an event that will not be completed. */
     void discardPartial() {
-        partial = NO_BYTES;
+        partial = new ByteArrayOutputStream();
         scanner.discardPartial();
     }
 
     /** Returns the bytes after the last complete event. */
     byte[] remainder() {
-        return partial;
+        return partial.toByteArray();
     }
 
     int partialBytes() {
-        return partial.length;
+        return partial.size();
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/http/HttpServer.java
@@ -1,7 +1,6 @@
 package org.cardamomthread.daemon.http;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -29,15 +28,6 @@
     private static final int ACCEPT_BACKLOG = 1024;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
-    /**
-     * Bytes that are read from one connection before others get their turn: decoding the shortest
-     * chunks takes about a millisecond for as many.
-     */
-    private static final int MAX_READ_BYTES = 16 * 1024;
-
-    private static final int MIN_READ_BYTES = 64;
-    private static final int FIRST_READ_BYTES = 2 * 1024;
-
     private final String name;
     private final EventLoopGroup eventLoops;
     private final HttpLimits limits;
@@ -109,11 +99,7 @@
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.AUTO_READ, false)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(
-                                ChannelOption.RECVBUF_ALLOCATOR,
-                                new AdaptiveRecvByteBufAllocator(
-                                                MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
-                                        .maxMessagesPerRead(1))
+                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.createAllocator())
                         .childHandler(new ConnectionInitializer());
         var bindFuture = bootstrap.bind(address).awaitUninterruptibly();
         if (!bindFuture.isSuccess()) {
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/EndlessResponseTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/EndlessResponseTests.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -17,6 +18,7 @@
 import org.cardamomthread.core.id.RequestId;
 import org.cardamomthread.core.time.SystemTimeSource;
 import org.cardamomthread.daemon.dispatch.EndpointFailureException.Kind;
+import org.cardamomthread.daemon.http.FairReads;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -33,6 +35,9 @@
     /** Much longer than it takes to receive the maximum number of bytes. */
     private static final long ATTEMPT_TIMEOUT_MS = 10_000;
 
+    /** A chunk may end in the next read. */
+    private static final int MAX_PARTS_PER_TURN = 2;
+
     /** Bytes that the buffers of both sockets hold beside those that were read. */
     private static final long MAX_SENT_BYTES = 16L << 20;
 
@@ -104,6 +109,72 @@
         }
     }
 
+    @DataProvider
+    public Object[][] shortChunks() {
+        return new Object[][] {{1}, {16}, {256}};
+    }
+
+    /** Guards against an endpoint that stops a gateway with one endless response in tiny chunks. */
+    @Test(dataProvider = "shortChunks", timeOut = 30_000)
+    public void takesNoMoreThanItsTurnOfTheEventLoop(int chunkBytes) throws Exception {
+        String chunk = Integer.toHexString(chunkBytes) + "\r\n" + "x".repeat(chunkBytes) + "\r\n";
+        try (EndlessEndpoint endpoint = new EndlessEndpoint(CHUNKED, chunk)) {
+            TurnListener listener = new TurnListener();
+            EndpointAttempt attempt = client.start(createRequest(endpoint.getAddress()), listener);
+            listener.countTurns(eventLoops.next(), 500);
+            listener.counted.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
+            attempt.cancel();
+            endpoint.awaitDisconnect();
+            assertTrue(listener.maxBytes > 0);
+            assertTrue(listener.maxBytes <= FairReads.MAX_READ_BYTES, "bytes " + listener.maxBytes);
+            assertTrue(listener.maxParts <= MAX_PARTS_PER_TURN, "parts " + listener.maxParts);
+        }
+    }
+
+    /** Counts what is passed on in each turn of an event loop. Confined to that loop. */
+    private static final class TurnListener implements EndpointResponseListener {
+
+        private final CompletableFuture<Boolean> counted = new CompletableFuture<>();
+        private int bytes;
+        private int parts;
+        private int maxBytes;
+        private int maxParts;
+
+        /**
+         * Ends a turn whenever the loop runs timed tasks, which it does once between two rounds of
+         * reads, until there were enough turns with bytes.
+         */
+        void countTurns(EventLoop loop, int turns) {
+            maxBytes = Math.max(maxBytes, bytes);
+            maxParts = Math.max(maxParts, parts);
+            int remaining = parts > 0 ? turns - 1 : turns;
+            bytes = 0;
+            parts = 0;
+            if (remaining == 0) {
+                counted.complete(true);
+            } else {
+                loop.schedule(() -> countTurns(loop, remaining), 1, TimeUnit.NANOSECONDS);
+            }
+        }
+
+        @Override
+        public void onHead(int status, HttpHeaders headers) {}
+
+        @Override
+        public void onBodyPart(byte[] part) {
+            bytes += part.length;
+            parts++;
+        }
+
+        @Override
+        public void onComplete() {}
+
+        @Override
+        public void onFailure(EndpointFailureException failure) {
+            counted.completeExceptionally(failure);
+        }
+    }
+
     private Kind run(String address) throws Exception {
         RecordingListener recorder = new RecordingListener();
         client.start(createRequest(address), recorder);
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitterTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/forwarding/ServerSentEventSplitterTests.java
@@ -2,7 +2,10 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -52,6 +55,27 @@
         assertEquals(ServerSentEventSplitter.readIds(second), List.of(Optional.of("2")));
     }
 
+    @DataProvider
+    public Object[][] shortChunks() {
+        return new Object[][] {{1}, {2}, {64}};
+    }
+
+    /** Guards against a gateway that copies all of an unfinished event for each of its chunks. */
+    @Test(dataProvider = "shortChunks")
+    public void workGrowsWithTheLengthOfAnUnfinishedEvent(int chunkBytes) {
+        int eventBytes = 128 * 1024;
+        ServerSentEventSplitter splitter = new ServerSentEventSplitter(new EventBoundaryScanner());
+        byte[] chunk = bytes("x".repeat(chunkBytes));
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = threads.getCurrentThreadAllocatedBytes();
+        for (int i = 0; i < eventBytes / chunkBytes; i++) {
+            assertEquals(splitter.append(chunk).length, 0);
+        }
+        long allocatedBytes = threads.getCurrentThreadAllocatedBytes() - before;
+        assertEquals(splitter.partialBytes(), eventBytes);
+        assertTrue(allocatedBytes < 64L * eventBytes, allocatedBytes + " bytes allocated");
+    }
+
     private static boolean endsWithEvent(String text) {
         return text.isEmpty() || text.endsWith("\n\n") || text.endsWith("\r\n\r\n");
     }
