Fail responses that do not begin with a status line of the protocol

An early 200 without a length that is reset during the upload is not taken for a whole answer here: the new rows of ResponseEndTests passed before any change. Status 000 became 502 before, but of 26 status lines that are none in the protocol 16 were passed on as answers, signed: codes such as 999, "0200" as 200, "HTTP/2.0", leading blank lines.

Cause: the codec takes any version, any number and any white space in a status line.

Change: StatusLineValidator reads the first bytes of each head before the codec does. All clients of HTTP in the product were looked at: those for endpoints, for reports and scaling orders (where 000 and 103 counted as accepted) and for notices and prices use it; the operators' command checks the code.

Evidence: 32 of 52 rows of StatusLineTests, 5 of 6 of FencedPlatformClientTests, the one of HttpPlatformClientTests and 3 of 3 of AsyncHttpTransportTests failed before; all pass.

--- a/cardamomthread-command/src/main/java/org/cardamomthread/command/client/AsyncHttpTransport.java
+++ b/cardamomthread-command/src/main/java/org/cardamomthread/command/client/AsyncHttpTransport.java
@@ -24,6 +24,8 @@
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
+    private static final int MIN_STATUS = 200;
+    private static final int MAX_STATUS = 599;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final String token;
@@ -63,6 +65,10 @@
             throws TransportException {
         try {
             Response response = client.executeRequest(request).get();
+            if (response.getStatusCode() < MIN_STATUS || response.getStatusCode() > MAX_STATUS) {
+                throw new TransportException(
+                        server + " returned an invalid status: " + response.getStatusCode(), true);
+            }
             return new OperatorResponse(
                     response.getStatusCode(), MAPPER.readTree(response.getResponseBody()));
         } catch (JsonProcessingException e) {
--- a/cardamomthread-command/src/test/java/org/cardamomthread/command/client/AsyncHttpTransportTests.java
+++ b/cardamomthread-command/src/test/java/org/cardamomthread/command/client/AsyncHttpTransportTests.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.cardamomthread.configuration.document.NetworkAddress;
 import org.testng.annotations.AfterClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests {@link AsyncHttpTransport} against a server socket on loopback. */
@@ -71,6 +72,26 @@
         }
     }
 
+    @DataProvider
+    public Object[][] invalidStatuses() {
+        return new Object[][] {{"000 Unknown"}, {"103 Early Hints"}, {"999 Unknown"}};
+    }
+
+    /** Guards against an order that counts as accepted though its response is none. */
+    @Test(dataProvider = "invalidStatuses")
+    public void reportsAnInvalidStatusAsUnknownOutcome(String status) throws Exception {
+        try (ServerSocket server = listen()) {
+            CompletableFuture<Void> served =
+                    CompletableFuture.runAsync(() -> serve(server, status));
+            TransportException failure =
+                    expectThrows(
+                            TransportException.class,
+                            () -> transport.send(address(server), "POST", "/v1/x", "{\"a\": 1}"));
+            assertTrue(failure.mayHaveArrived());
+            served.join();
+        }
+    }
+
     @Test
     public void reportsRefusedConnectionAsNotSent() throws IOException {
         NetworkAddress unusedAddress;
@@ -117,6 +138,15 @@
                 });
     }
 
+    private static void serve(ServerSocket server, String status) {
+        try (Socket socket = server.accept()) {
+            readUntilBody(socket.getInputStream());
+            write(socket, status);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static void write(Socket socket, String status) throws IOException {
         String head = "HTTP/1.1 " + status + "\r\nContent-Length: " + RESPONSE_BODY.length();
         byte[] bytes = (head + "\r\n\r\n" + RESPONSE_BODY).getBytes(StandardCharsets.UTF_8);
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/capacity/HttpPlatformClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/capacity/HttpPlatformClient.java
@@ -13,6 +13,7 @@
 import org.cardamomthread.core.id.DataCentreId;
 import org.cardamomthread.core.id.EndpointClassId;
 import org.cardamomthread.core.id.EndpointId;
+import org.cardamomthread.daemon.http.StatusLineValidator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,6 +45,7 @@
                         Dsl.config()
                                 .setIoThreadsCount(1)
                                 .setKeepAlive(false)
+                                .setHttpAdditionalChannelInitializer(StatusLineValidator::addTo)
                                 .setConnectTimeout(REQUEST_TIMEOUT)
                                 .setRequestTimeout(REQUEST_TIMEOUT)
                                 .setMaxRequestRetry(0));
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/dispatch/AsyncEndpointClient.java
@@ -18,6 +18,7 @@
 import org.asynchttpclient.uri.Uri;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.http.FairReads;
+import org.cardamomthread.daemon.http.StatusLineValidator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -142,10 +143,11 @@
                 "endpoint " + host + ":" + port + " must be called over plain HTTP");
     }
 
-    /** Each handler goes directly behind the codec, and so before those that were added earlier. */
+    /** Handlers behind the codec go directly behind it, so that the aggregator comes last. */
     private static void addHandlers(Channel channel) {
         ContentAggregator.addTo(channel);
         ResponseByteLimiter.addTo(channel);
         OrderlyCloseGuard.addTo(channel);
+        StatusLineValidator.addTo(channel);
     }
 }
--- a/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
+++ b/cardamomthread-daemon/src/main/java/org/cardamomthread/daemon/duty/FencedPlatformClient.java
@@ -9,10 +9,12 @@
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.cardamomthread.core.time.TimeSource;
 import org.cardamomthread.daemon.dialect.PlatformCall;
 import org.cardamomthread.daemon.http.FairReads;
+import org.cardamomthread.daemon.http.StatusLineValidator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,6 +43,8 @@
     /** Many times the length of the platform's responses, of which only the status is used. */
     static final int MAX_RESPONSE_BYTES = 64 * 1024;
 
+    private static final int MIN_FINAL_STATUS = 200;
+
     /**
      * A linger time of 0 seconds, with which closing resets the connection and discards unsent
      * data.
@@ -75,6 +79,7 @@
                                 .addChannelOption(
                                         ChannelOption.RECVBUF_ALLOCATOR,
                                         FairReads.createAllocator())
+                                .setHttpAdditionalChannelInitializer(StatusLineValidator::addTo)
                                 .setMaxRequestRetry(0));
     }
 
@@ -117,6 +122,18 @@
             decidedMs = timeSource.monotonicMs();
         }
 
+        @Override
+        public State onStatusReceived(HttpResponseStatus status) throws Exception {
+            if (status.getStatusCode() < MIN_FINAL_STATUS) {
+                throw new IOException(
+                        "the platform answered "
+                                + path
+                                + " with the interim status "
+                                + status.getStatusCode());
+            }
+            return super.onStatusReceived(status);
+        }
+
         @Override
         public State onBodyPartReceived(HttpResponseBodyPart part) throws Exception {
             receivedBytes += part.length();
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/capacity/HttpPlatformClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/capacity/HttpPlatformClientTests.java
@@ -1,7 +1,9 @@
 package org.cardamomthread.daemon.capacity;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
 
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cardamomthread.daemon.testing.RawEndpoint;
@@ -35,6 +37,19 @@
         }
     }
 
+    /** Guards against a page that is read from bytes which are no response. */
+    @Test
+    public void failsACallWithoutAValidStatusLine() throws Exception {
+        RawEndpoint.Script script =
+                (connection, id) -> connection.write(NO_NOTICES.replace("200 OK", "0200 OK"));
+        try (RawEndpoint platform = new RawEndpoint(script);
+                HttpPlatformClient client = new HttpPlatformClient(platform.address())) {
+            expectThrows(
+                    ExecutionException.class,
+                    () -> client.listNotices(7).get(TIMEOUT_S, TimeUnit.SECONDS));
+        }
+    }
+
     private static String response(String body) {
         return "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
     }
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/dispatch/ResponseEndTests.java
@@ -13,6 +13,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -212,6 +214,26 @@
         }
     }
 
+    @DataProvider
+    public Object[][] earlyResponses() {
+        List<Object[]> rows = new ArrayList<>();
+        for (int readBytes : new int[] {REQUEST_BYTES, 100_000}) {
+            for (int delayMs : new int[] {0, 20, 300}) {
+                rows.add(new Object[] {readBytes, delayMs});
+            }
+        }
+        return rows.toArray(Object[][]::new);
+    }
+
+    /** Guards against a success that broke off while the request was still being sent. */
+    @Test(dataProvider = "earlyResponses")
+    public void resetAfterAnEarlyResponseIsNoEnd(int readBytes, int delayMs) throws Exception {
+        try (OnceEndpoint endpoint =
+                new OnceEndpoint(UNFRAMED + "body", Ending.RESET, readBytes, delayMs)) {
+            assertEquals(run(endpoint, LARGE_REQUEST_BYTES), Kind.CONNECTION_LOST);
+        }
+    }
+
     @Test
     public void closingTheClientIsNoEnd() throws Exception {
         EndpointClient closedClient = new AsyncEndpointClient(eventLoops, new SystemTimeSource());
@@ -283,13 +305,17 @@
 
     private Kind run(String response, Ending ending, int requestBytes) throws Exception {
         try (OnceEndpoint endpoint = new OnceEndpoint(response, ending)) {
-            RecordingListener recorder = new RecordingListener();
-            client.start(createRequest(endpoint.getAddress(), requestBytes), recorder);
-            String outcome = recorder.outcome.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
-            return outcome.isEmpty() ? null : Kind.valueOf(outcome);
+            return run(endpoint, requestBytes);
         }
     }
 
+    private Kind run(OnceEndpoint endpoint, int requestBytes) throws Exception {
+        RecordingListener recorder = new RecordingListener();
+        client.start(createRequest(endpoint.getAddress(), requestBytes), recorder);
+        String outcome = recorder.outcome.get(TEST_TIMEOUT_S, TimeUnit.SECONDS);
+        return outcome.isEmpty() ? null : Kind.valueOf(outcome);
+    }
+
     private static EndpointRequest createRequest(String address, int requestBytes) {
         HttpHeaders headers = new DefaultHttpHeaders().set("x-request-id", "r1");
         return new EndpointRequest(
@@ -338,10 +364,19 @@
         private final CompletableFuture<Void> closed = new CompletableFuture<>();
         private final String response;
         private final Ending ending;
+        private final int readBytes;
+        private final int endDelayMs;
 
         OnceEndpoint(String response, Ending ending) throws IOException {
+            this(response, ending, REQUEST_BYTES, 0);
+        }
+
+        OnceEndpoint(String response, Ending ending, int readBytes, int endDelayMs)
+                throws IOException {
             this.response = response;
             this.ending = ending;
+            this.readBytes = readBytes;
+            this.endDelayMs = endDelayMs;
             Thread thread = new Thread(this::serve);
             thread.setDaemon(true);
             thread.start();
@@ -358,16 +393,19 @@
                     socket.setSoLinger(true, 0);
                 }
                 socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
+                Thread.sleep(endDelayMs);
                 if (ending == Ending.KEEP_OPEN) {
                     closed.join();
                 }
             } catch (IOException failure) {
                 // The client has closed the connection.
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
             }
         }
 
         /** Reads the head and a short body; unread bytes would turn the close into a reset. */
-        private static void readRequest(Socket socket) throws IOException {
+        private void readRequest(Socket socket) throws IOException {
             StringBuilder received = new StringBuilder();
             while (received.indexOf("\r\n\r\n") < 0) {
                 int next = socket.getInputStream().read();
@@ -376,7 +414,7 @@
                 }
                 received.append((char) next);
             }
-            socket.getInputStream().readNBytes(REQUEST_BYTES);
+            socket.getInputStream().readNBytes(readBytes);
         }
 
         @Override
--- a/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/FencedPlatformClientTests.java
+++ b/cardamomthread-daemon/src/test/java/org/cardamomthread/daemon/duty/FencedPlatformClientTests.java
@@ -82,6 +82,25 @@
         }
     }
 
+    @DataProvider
+    public Object[][] statusLinesOfNoResponse() {
+        return new Object[][] {
+            {"HTTP/1.1 000 Unknown"}, {"HTTP/1.1 0200 OK"}, {"HTTP/1.1 199 Unknown"},
+            {"HTTP/1.1 103 Early Hints"}, {"HTTP/1.1 999 Unknown"}, {"ICY/1.0 200 OK"},
+        };
+    }
+
+    /** Guards against a call that counts as accepted though its response is none. */
+    @Test(dataProvider = "statusLinesOfNoResponse")
+    public void failsACallWithoutAValidFinalStatus(String line) throws Exception {
+        CompletableFuture<Integer> status = client.send(CALL);
+        try (Socket socket = platform.accept()) {
+            String response = line + "\r\ncontent-length: 0\r\n\r\n";
+            socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+            expectThrows(ExecutionException.class, () -> status.get(5, TimeUnit.SECONDS));
+        }
+    }
+
     @DataProvider
     public Object[][] endlessBytes() {
         return new Object[][] {
